--- /dev/null
+++ b/Meta/install.sh
@@ -0,0 +1,21 @@
+#!/usr/bin/env bash
+# Installs what the build, the tests and the lint checks need. Does nothing
+# where all of it is there already.
+set -euo pipefail
+
+packages=(
+  clang-14 clang-format-14 clang-tidy-14 libclang-rt-14-dev cmake ninja-build
+  pkg-config curl spin gcc
+  libboost-dev libwebsocketpp-dev prometheus-cpp-dev libtclap-dev libfmt-dev
+  libcriterion-dev nlohmann-json3-dev libvalijson-dev librapidcheck-dev
+  libxxhash-dev
+)
+
+missing=()
+for package in "${packages[@]}"; do
+  dpkg-query -W -f='${Status}' "$package" 2>/dev/null |
+    grep -q 'ok installed' || missing+=("$package")
+done
+[ ${#missing[@]} -eq 0 ] && exit 0
+apt-get update
+apt-get install -y "${missing[@]}"
