--- /dev/null
+++ b/Libraries/LibCore/Log.cpp
@@ -0,0 +1,113 @@
+#include "LibCore/Log.h"
+
+#include "LibCore/Error.h"
+
+#include <chrono>
+#include <cstdio>
+
+namespace dotterel {
+
+namespace {
+
+constexpr auto MaximumLinesPerSecond = 2000U;
+
+/// Counts lines in the current second and drops those beyond the limit.
+class LineLimiter {
+public:
+  /// Returns whether a line may be written; \p Dropped receives the number of
+  /// lines that were dropped in the second that ended.
+  auto admit(std::chrono::seconds Now, unsigned &Dropped) -> bool {
+    if (Now != Second) {
+      Dropped =
+          Count > MaximumLinesPerSecond ? Count - MaximumLinesPerSecond : 0;
+      Second = Now;
+      Count = 0;
+    }
+    return ++Count <= MaximumLinesPerSecond;
+  }
+
+private:
+  std::chrono::seconds Second{0};
+  unsigned Count = 0;
+};
+
+auto LowestLevel = LogLevel::Info;
+auto Limiter = LineLimiter{};
+
+auto levelName(LogLevel Level) -> std::string_view {
+  switch (Level) {
+  case LogLevel::Debug:
+    return "debug";
+  case LogLevel::Info:
+    return "info";
+  case LogLevel::Warning:
+    return "warning";
+  case LogLevel::Error:
+    return "error";
+  }
+  return "error";
+}
+
+} // namespace
+
+auto setLogLevel(LogLevel Lowest) -> void { LowestLevel = Lowest; }
+
+auto parseLogLevel(std::string_view Name) -> LogLevel {
+  for (auto level :
+       {LogLevel::Debug, LogLevel::Info, LogLevel::Warning, LogLevel::Error}) {
+    if (levelName(level) == Name)
+      return level;
+  }
+  throw Error(ResultCode::InvalidSettings,
+              fmt::format("unknown log level '{}'", Name));
+}
+
+auto quoteLogValue(std::string_view Value) -> std::string {
+  if (!Value.empty() &&
+      Value.find_first_of(" \"=\n\r\t\\") == std::string_view::npos)
+    return std::string(Value);
+  auto quoted = std::string{"\""};
+  for (auto c : Value) {
+    if (c == '"' || c == '\\')
+      quoted += '\\';
+    if (c == '\n' || c == '\r' || c == '\t') {
+      quoted += ' ';
+      continue;
+    }
+    quoted += c;
+  }
+  return quoted + '"';
+}
+
+auto log(LogLevel Level, std::string_view Event,
+         std::initializer_list<LogField> Fields) -> void {
+  if (Level < LowestLevel)
+    return;
+  auto pairs = std::string{};
+  for (auto const &field : Fields)
+    pairs += fmt::format("{}{}={}", pairs.empty() ? "" : " ", field.Key,
+                         quoteLogValue(field.Value));
+  logLine(Level, Event, pairs);
+}
+
+auto logLine(LogLevel Level, std::string_view Event, std::string_view Pairs)
+    -> void {
+  if (Level < LowestLevel)
+    return;
+  auto now = std::chrono::system_clock::now().time_since_epoch();
+  auto dropped = 0U;
+  auto admitted =
+      Limiter.admit(std::chrono::floor<std::chrono::seconds>(now), dropped);
+  if (dropped > 0)
+    fmt::print(stderr, "level=warning event=log-lines-dropped count={}\n",
+               dropped);
+  if (!admitted)
+    return;
+  auto line =
+      fmt::format("time_ms={} level={} event={}{}{}\n",
+                  std::chrono::floor<std::chrono::milliseconds>(now).count(),
+                  levelName(Level), Event, Pairs.empty() ? "" : " ", Pairs);
+  std::fwrite(line.data(), 1, line.size(), stderr);
+}
+
+} // namespace dotterel
