LibConfiguration: Add selectors, settings and the compiled configuration

Selectors follow the ecosystem's grammar (equality, sets, existence). Both documents are validated against JSON Schema with Valijson; selectors are compiled once per revision, and unknown labels are errors before acceptance.

--- /dev/null
+++ b/Libraries/LibConfiguration/FleetConfigurationCompiler.cpp
@@ -0,0 +1,339 @@
+/// \file
+/// Parsing, checking and compiling of a fleet configuration.
+#include "LibConfiguration/FleetConfiguration.h"
+
+#include "LibConfiguration/JsonSchema.h"
+#include "LibCore/Error.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace dotterel {
+
+namespace {
+
+constexpr auto ConfigurationSchema = std::string_view{R"({
+  "type": "object",
+  "additionalProperties": false,
+  "required": ["engines", "services", "servers", "models", "callers",
+               "routes", "engineRules"],
+  "definitions": {
+    "name": {"type": "string", "minLength": 1, "maxLength": 128},
+    "address": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$"},
+    "labels": {"type": "object",
+      "additionalProperties": {"type": "string", "maxLength": 128}},
+    "selector": {"type": "string", "maxLength": 1024}
+  },
+  "properties": {
+    "engines": {"type": "array", "items": {"type": "object",
+      "additionalProperties": false,
+      "required": ["id", "address", "failureDomain"],
+      "properties": {
+        "id": {"$ref": "#/definitions/name"},
+        "address": {"$ref": "#/definitions/address"},
+        "failureDomain": {"$ref": "#/definitions/name"},
+        "labels": {"$ref": "#/definitions/labels"},
+        "checksFencing": {"type": "boolean"}}}},
+    "services": {"type": "array", "items": {"type": "object",
+      "additionalProperties": false, "required": ["name"],
+      "properties": {
+        "name": {"$ref": "#/definitions/name"},
+        "labels": {"$ref": "#/definitions/labels"},
+        "idempotentPaths": {"type": "array", "items": {"type": "string"}}}}},
+    "servers": {"type": "array", "items": {"type": "object",
+      "additionalProperties": false,
+      "required": ["id", "service", "address", "failureDomain"],
+      "properties": {
+        "id": {"$ref": "#/definitions/name"},
+        "service": {"$ref": "#/definitions/name"},
+        "address": {"$ref": "#/definitions/address"},
+        "failureDomain": {"$ref": "#/definitions/name"},
+        "labels": {"$ref": "#/definitions/labels"}}}},
+    "models": {"type": "array", "items": {"type": "object",
+      "additionalProperties": false, "required": ["name"],
+      "properties": {
+        "name": {"$ref": "#/definitions/name"},
+        "labels": {"$ref": "#/definitions/labels"}}}},
+    "callers": {"type": "array", "items": {"type": "object",
+      "additionalProperties": false, "required": ["name"],
+      "properties": {
+        "name": {"$ref": "#/definitions/name"},
+        "labels": {"$ref": "#/definitions/labels"},
+        "share": {"type": "number", "minimum": 0.01, "maximum": 1000}}}},
+    "routes": {"type": "array", "items": {"type": "object",
+      "additionalProperties": false,
+      "required": ["name", "callers", "servers", "class", "deadlineMs"],
+      "properties": {
+        "name": {"$ref": "#/definitions/name"},
+        "callers": {"$ref": "#/definitions/selector"},
+        "models": {"$ref": "#/definitions/selector"},
+        "services": {"$ref": "#/definitions/selector"},
+        "servers": {"$ref": "#/definitions/selector"},
+        "class": {"$ref": "#/definitions/name"},
+        "deadlineMs": {"type": "integer", "minimum": 1,
+          "maximum": 86400000}}}},
+    "engineRules": {"type": "array", "items": {"type": "object",
+      "additionalProperties": false,
+      "required": ["name", "engines", "models", "role"],
+      "properties": {
+        "name": {"$ref": "#/definitions/name"},
+        "engines": {"$ref": "#/definitions/selector"},
+        "models": {"$ref": "#/definitions/selector"},
+        "role": {"enum": ["mixed", "prefill", "decode"]}}}}
+  }
+})"};
+
+using nlohmann::json;
+
+auto labelsOf(json const &Item) -> LabelSet {
+  return Item.contains("labels") ? Item.at("labels").get<LabelSet>()
+                                 : LabelSet{};
+}
+
+template <typename T> auto namesOf(json const &Item, char const *Field) -> T {
+  return T(Item.at(Field).get<std::string>());
+}
+
+} // namespace
+
+/// Builds a configuration step by step and collects every problem.
+class FleetConfiguration::Compiler {
+public:
+  Compiler(std::string_view Text, Revision Number)
+      : Result(std::make_shared<FleetConfiguration>()) {
+    Result->Text = std::string(Text);
+    Result->Number = Number;
+  }
+
+  auto compile() -> std::shared_ptr<FleetConfiguration const> {
+    auto document = json::parse(Result->Text, nullptr, false);
+    if (document.is_discarded())
+      throw Error(ResultCode::InvalidConfiguration, "not valid JSON");
+    Problems = JsonSchema(ConfigurationSchema).violations(document);
+    throwIfProblems();
+    readServers(document);
+    readModelsAndCallers(document);
+    readRoutes(document);
+    readRules(document);
+    throwIfProblems();
+    resolveRoutes();
+    resolveRules();
+    warnAboutOverlaps();
+    return Result;
+  }
+
+private:
+  auto readServers(json const &Document) -> void {
+    for (auto const &it : Document.at("engines")) {
+      auto engine = EngineDeclaration{};
+      engine.Id = namesOf<EngineId>(it, "id");
+      engine.Address = it.at("address").get<std::string>();
+      engine.Domain = namesOf<FailureDomain>(it, "failureDomain");
+      engine.Labels = labelsOf(it);
+      engine.Labels.emplace("id", engine.Id.text());
+      engine.Labels.emplace("failureDomain", engine.Domain.text());
+      engine.ChecksFencing = it.value("checksFencing", false);
+      if (!Result->EngineIndices.emplace(engine.Id, Result->Engines.size())
+               .second)
+        problem("engines", engine.Id.text(), "id is used twice");
+      Result->Engines.push_back(std::move(engine));
+    }
+    for (auto const &it : Document.at("services"))
+      Result->Services.push_back(
+          {namesOf<ServiceName>(it, "name"), namedLabels(it),
+           it.value("idempotentPaths", std::vector<std::string>{})});
+    for (auto const &it : Document.at("servers")) {
+      auto server = ServerDeclaration{};
+      server.Id = namesOf<ServerId>(it, "id");
+      server.Service = namesOf<ServiceName>(it, "service");
+      server.Address = it.at("address").get<std::string>();
+      server.Domain = namesOf<FailureDomain>(it, "failureDomain");
+      server.Labels = labelsOf(it);
+      server.Labels.emplace("id", server.Id.text());
+      server.Labels.emplace("failureDomain", server.Domain.text());
+      if (Result->findService(server.Service) == nullptr)
+        problem("servers", server.Id.text(), "names an unknown service");
+      Result->Servers.push_back(std::move(server));
+    }
+  }
+
+  auto readModelsAndCallers(json const &Document) -> void {
+    for (auto const &it : Document.at("models"))
+      Result->Models.push_back(
+          {namesOf<ModelName>(it, "name"), namedLabels(it)});
+    for (auto const &it : Document.at("callers"))
+      Result->Callers.push_back({namesOf<CallerName>(it, "name"),
+                                 namedLabels(it), it.value("share", 1.0)});
+  }
+
+  auto readRoutes(json const &Document) -> void {
+    for (auto const &it : Document.at("routes")) {
+      auto route = CompiledRoute{};
+      auto &declaration = route.Declaration;
+      declaration.Name = it.at("name").get<std::string>();
+      declaration.Callers = selector(it, "callers", callerKeys());
+      if (it.contains("models") == it.contains("services"))
+        problem("routes", declaration.Name,
+                "needs one of 'models' and 'services'");
+      if (it.contains("models"))
+        declaration.Models = selector(it, "models", modelKeys());
+      if (it.contains("services"))
+        declaration.Services = selector(it, "services", serviceKeys());
+      declaration.Servers = selector(
+          it, "servers", it.contains("models") ? engineKeys() : serverKeys());
+      declaration.Class = it.at("class").get<std::string>();
+      declaration.Deadline =
+          std::chrono::milliseconds(it.at("deadlineMs").get<std::int64_t>());
+      Result->Routes.push_back(std::move(route));
+    }
+  }
+
+  auto readRules(json const &Document) -> void {
+    for (auto const &it : Document.at("engineRules")) {
+      auto rule = EngineRule{};
+      rule.Name = it.at("name").get<std::string>();
+      rule.Engines = selector(it, "engines", engineKeys());
+      rule.Models = selector(it, "models", modelKeys());
+      rule.Role = parseEngineRole(it.at("role").get<std::string>());
+      Result->Rules.push_back(std::move(rule));
+    }
+  }
+
+  auto resolveRoutes() -> void {
+    for (auto &it : Result->Routes) {
+      auto const &declaration = it.Declaration;
+      for (auto const &caller : Result->Callers)
+        if (declaration.Callers.matches(caller.Labels))
+          it.Callers.insert(caller.Name);
+      if (declaration.Models)
+        resolveModels(it);
+      if (declaration.Services)
+        resolveServices(it);
+      if (it.Engines.empty() && it.Servers.empty())
+        warning("routes", declaration.Name, "matches no backend server");
+      if (it.Models.empty() && it.Services.empty())
+        warning("routes", declaration.Name, "matches no model or service");
+    }
+  }
+
+  auto resolveModels(CompiledRoute &Route) -> void {
+    for (auto const &model : Result->Models)
+      if (Route.Declaration.Models->matches(model.Labels))
+        Route.Models.insert(model.Name);
+    for (auto n = std::size_t{0}; n < Result->Engines.size(); ++n)
+      if (Route.Declaration.Servers.matches(Result->Engines[n].Labels))
+        Route.Engines.push_back(n);
+  }
+
+  auto resolveServices(CompiledRoute &Route) -> void {
+    for (auto const &service : Result->Services)
+      if (Route.Declaration.Services->matches(service.Labels))
+        Route.Services.insert(service.Name);
+    for (auto n = std::size_t{0}; n < Result->Servers.size(); ++n)
+      if (Route.Declaration.Servers.matches(Result->Servers[n].Labels))
+        Route.Servers.push_back(n);
+  }
+
+  auto resolveRules() -> void {
+    for (auto const &rule : Result->Rules) {
+      auto state = DesiredEngineState{rule.Role, {}};
+      for (auto const &model : Result->Models)
+        if (rule.Models.matches(model.Labels))
+          state.Models.push_back(model.Name);
+      auto matched = false;
+      for (auto const &engine : Result->Engines) {
+        if (!rule.Engines.matches(engine.Labels))
+          continue;
+        matched = true;
+        if (!Result->DesiredStates.emplace(engine.Id, state).second)
+          warning("engineRules", rule.Name,
+                  "overlaps an earlier rule on engine " + engine.Id.text());
+      }
+      if (!matched)
+        warning("engineRules", rule.Name, "matches no engine");
+    }
+  }
+
+  auto warnAboutOverlaps() -> void {
+    for (auto it = Result->Routes.begin(); it != Result->Routes.end(); ++it)
+      for (auto other = Result->Routes.begin(); other != it; ++other)
+        if (intersects(it->Callers, other->Callers) &&
+            (intersects(it->Models, other->Models) ||
+             intersects(it->Services, other->Services)))
+          warning("routes", it->Declaration.Name,
+                  "overlaps earlier route " + other->Declaration.Name);
+  }
+
+  template <typename T>
+  static auto intersects(std::set<T> const &Left, std::set<T> const &Right)
+      -> bool {
+    for (auto const &it : Left)
+      if (Right.contains(it))
+        return true;
+    return false;
+  }
+
+  static auto namedLabels(json const &Item) -> LabelSet {
+    auto labels = labelsOf(Item);
+    labels.emplace("name", Item.at("name").get<std::string>());
+    return labels;
+  }
+
+  auto selector(json const &Item, char const *Field,
+                std::set<std::string> const &KnownKeys) -> Selector {
+    auto name = Item.at("name").get<std::string>();
+    try {
+      auto parsed = Selector::parse(Item.at(Field).get<std::string>());
+      for (auto const &key : parsed.keys())
+        if (!KnownKeys.contains(key))
+          problem(Field, name, "selector uses unknown label '" + key + "'");
+      return parsed;
+    } catch (Error const &Problem) {
+      problem(Field, name, Problem.what());
+      return {};
+    }
+  }
+
+  template <typename Items>
+  static auto keysOf(Items const &Declarations) -> std::set<std::string> {
+    auto keys = std::set<std::string>{"name", "id", "failureDomain"};
+    for (auto const &it : Declarations)
+      for (auto const &label : it.Labels)
+        keys.insert(label.first);
+    return keys;
+  }
+
+  auto engineKeys() -> std::set<std::string> { return keysOf(Result->Engines); }
+  auto serverKeys() -> std::set<std::string> { return keysOf(Result->Servers); }
+  auto modelKeys() -> std::set<std::string> { return keysOf(Result->Models); }
+  auto callerKeys() -> std::set<std::string> { return keysOf(Result->Callers); }
+  auto serviceKeys() -> std::set<std::string> {
+    return keysOf(Result->Services);
+  }
+
+  auto problem(std::string_view Field, std::string_view Name,
+               std::string_view What) -> void {
+    Problems.push_back(fmt::format("{} '{}': {}", Field, Name, What));
+  }
+
+  auto warning(std::string_view Field, std::string_view Name,
+               std::string_view What) -> void {
+    Result->Warnings.push_back(fmt::format("{} '{}': {}", Field, Name, What));
+  }
+
+  auto throwIfProblems() -> void {
+    if (!Problems.empty())
+      throw Error(ResultCode::InvalidConfiguration,
+                  fmt::format("{}", fmt::join(Problems, "\n")));
+  }
+
+  std::shared_ptr<FleetConfiguration> Result;
+  std::vector<std::string> Problems;
+};
+
+auto FleetConfiguration::compile(std::string_view Text, Revision Number)
+    -> std::shared_ptr<FleetConfiguration const> {
+  return Compiler(Text, Number).compile();
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/Libraries/LibConfiguration/Settings.h
@@ -0,0 +1,51 @@
+/// \file
+/// Settings of one instance, read from a JSON file at start.
+#pragma once
+
+#include "LibCore/Identifier.h"
+#include "LibCore/Time.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dotterel {
+
+/// Limits on what one instance accepts.
+struct InputLimits {
+  std::size_t BodyBytes = 0;
+  std::size_t HeaderBytes = 0;
+  std::size_t Connections = 0;
+  Duration RequestReadTimeout{};
+  Duration WriteTimeout{};
+};
+
+/// Settings of one instance; docs/SETTINGS.md lists each field.
+struct Settings {
+  InstanceId Instance;
+  FailureDomain Domain;
+  std::string CallerAddress;
+  std::string PeerAddress;
+  std::string ObjectApiAddress;
+  std::string PeerKey;
+  std::string LogLevel;
+  InputLimits Limits;
+  Duration LeaseDuration{};
+  Duration LeaveGrace{};
+  double MaximumClockDrift = 0;
+
+  /// Parses and validates \p Text.
+  /// Errors: dotterel::Error InvalidSettings with one line per violation.
+  [[nodiscard]] static auto parse(std::string_view Text) -> Settings;
+
+  /// Reads and parses the file at \p Path. Errors: as parse.
+  [[nodiscard]] static auto load(std::string const &Path) -> Settings;
+
+  /// Returns the JSON Schema that parse applies.
+  [[nodiscard]] static auto schemaText() -> std::string_view;
+};
+
+/// Reads a whole file. Errors: dotterel::Error InvalidUsage.
+[[nodiscard]] auto readFile(std::string const &Path) -> std::string;
+
+} // namespace dotterel
