LibControl: Add the reducer

One function from state and event to effects, split by subject: membership, configuration, backend servers, authority, orders, keys, calls, steering and shutdown. Choices that it embodies: authority and intents share one conditional write; a drain is acknowledged by every instance before its order leaves; keys with a prefix run at one incarnation only, others need a claim object; unknown is said wherever not-run is not certain.

--- /dev/null
+++ b/Libraries/LibControl/Authority.h
@@ -0,0 +1,66 @@
+/// \file
+/// Leases on shards of engines, and the orders that their holders carry out.
+#pragma once
+
+#include "LibControl/LeaseLifecycle.h"
+#include "LibControl/OrderLifecycle.h"
+#include "LibControl/ShardRecord.h"
+#include "LibCore/Time.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace dotterel {
+
+/// An order in progress at the holder.
+struct OrderProgress {
+  OrderLifecycle Lifecycle;
+  OrderRecord Record;
+  Instant AcknowledgedAt;
+  Instant SentAt;
+  Instant NextStep;
+};
+
+/// One shard as this instance sees it.
+struct Shard {
+  std::vector<EngineId> Engines;
+  bool AllCheckFencing = true;
+  LeaseLifecycle Lease;
+  /// The record as last read or committed, and its version.
+  ShardRecord Record;
+  std::uint64_t Version = 0;
+  bool HasRead = false;
+  bool IsReading = false;
+  Instant NextRead;
+  Instant VersionSeen;
+  /// The write in flight or of unknown fate.
+  std::optional<ShardRecord> Pending;
+  Instant PendingSent;
+  Instant NextRenewal;
+  /// Until when this holder may act; monotonic, counted from before sending.
+  Instant ValidUntil;
+  std::map<EngineId, OrderProgress> Orders;
+  /// When this instance last told each engine to raise its fence.
+  std::map<EngineId, Instant> FenceRaised;
+};
+
+/// All shards of the current configuration.
+struct AuthorityTable {
+  std::map<ShardName, Shard> Shards;
+  std::uint64_t NextWriteNumber = 1;
+};
+
+/// Returns the shard that \p Engine belongs to; \p Position is its place among
+/// the engines of its failure domain that check fencing alike.
+[[nodiscard]] auto shardOf(EngineDeclaration const &Engine,
+                           std::size_t Position) -> ShardName;
+
+/// Returns whether the holder of \p Subject may act at \p Now.
+[[nodiscard]] auto isValidHolder(Shard const &Subject, Instant Now) -> bool;
+
+/// Returns whether this instance is recorded as the holder of \p Subject,
+/// whether or not its lease is valid now.
+[[nodiscard]] auto isHolder(Shard const &Subject) -> bool;
+
+} // namespace dotterel
--- /dev/null
+++ b/Libraries/LibControl/AuthorityReducer.cpp
@@ -0,0 +1,289 @@
+#include "LibControl/AuthorityReducer.h"
+
+#include "LibControl/MembershipReducer.h"
+#include "LibControl/OrderReducer.h"
+#include "LibCore/Hash.h"
+
+#include <fmt/format.h>
+
+namespace dotterel {
+
+namespace {
+
+using LeasePhase = LeaseLifecycle::Phase;
+
+constexpr auto EnginesPerShard = std::size_t{100};
+/// Instances that watch a shard's lease, ready to take it.
+constexpr auto CandidatesPerShard = 2;
+constexpr auto RenewalsPerLease = 3;
+constexpr auto ReadBackInterval = Duration{100ms};
+constexpr auto FenceInterval = Duration{1s};
+
+auto scaled(Duration Span, double Factor) -> Duration {
+  return fromSeconds(toSeconds(Span) * Factor);
+}
+
+} // namespace
+
+auto shardOf(EngineDeclaration const &Engine, std::size_t Position)
+    -> ShardName {
+  return ShardName(fmt::format("{}-{}-{}", Engine.Domain.text(),
+                               Engine.ChecksFencing ? "fenced" : "unfenced",
+                               Position / EnginesPerShard));
+}
+
+auto isHolder(Shard const &Subject) -> bool {
+  auto phase = Subject.Lease.phase();
+  return phase == LeasePhase::Held || phase == LeasePhase::Renewing ||
+         phase == LeasePhase::RenewUncertain;
+}
+
+auto isValidHolder(Shard const &Subject, Instant Now) -> bool {
+  return isHolder(Subject) && Now < Subject.ValidUntil;
+}
+
+auto AuthorityReducer::rebuild() -> void {
+  auto &shards = Subject.Authority.Shards;
+  for (auto &it : shards)
+    it.second.Engines.clear();
+  auto positions = std::map<std::string, std::size_t>{};
+  for (auto const &it : Subject.Configuration.Current->engines()) {
+    auto group = it.Domain.text() + (it.ChecksFencing ? "+" : "-");
+    auto &shard = shards[shardOf(it, positions[group]++)];
+    shard.Engines.push_back(it.Id);
+    shard.AllCheckFencing = it.ChecksFencing;
+  }
+  // A held shard without engines stays until its orders are resolved.
+  std::erase_if(shards, [](auto const &Item) {
+    return Item.second.Engines.empty() && !isHolder(Item.second);
+  });
+}
+
+auto AuthorityReducer::on(Tick const & /*Happened*/) -> void {
+  for (auto &it : Subject.Authority.Shards)
+    step(it.first, it.second);
+}
+
+auto AuthorityReducer::step(ShardName const &Name, Shard &Target) -> void {
+  switch (Target.Lease.phase()) {
+  case LeasePhase::Following:
+    return stepFollower(Name, Target);
+  case LeasePhase::Held:
+    return stepHolder(Name, Target);
+  case LeasePhase::AcquireUncertain:
+  case LeasePhase::RenewUncertain:
+    return read(Name, Target);
+  case LeasePhase::Acquiring:
+  case LeasePhase::Renewing:
+  case LeasePhase::Releasing:
+  case LeasePhase::Released:
+    return;
+  }
+}
+
+auto AuthorityReducer::stepFollower(ShardName const &Name, Shard &Target)
+    -> void {
+  if (Subject.LeaveRequestedAt != Instant{})
+    return;
+  if (candidateRank(Name) >= CandidatesPerShard)
+    return;
+  if (mayAcquire(Name, Target))
+    return acquire(Name, Target);
+  read(Name, Target);
+}
+
+auto AuthorityReducer::stepHolder(ShardName const &Name, Shard &Target)
+    -> void {
+  if (Subject.LeaveRequestedAt != Instant{} && !hasOrderInFlight(Target))
+    return release(Name, Target);
+  raiseFences(Name, Target);
+  auto next = OrderReducer(Subject, Out).composeRecord(Target);
+  auto hasNews = next.Orders != Target.Record.Orders;
+  if (!hasNews && Target.NextRenewal > now())
+    return;
+  Target.Lease.renewSent();
+  write(Name, Target, std::move(next));
+}
+
+auto AuthorityReducer::read(ShardName const &Name, Shard &Target) -> void {
+  if (Target.IsReading || Target.NextRead > now())
+    return;
+  Target.IsReading = true;
+  emit(ReadShard{Name});
+}
+
+auto AuthorityReducer::write(ShardName const &Name, Shard &Target,
+                             ShardRecord Record) -> void {
+  Record.Holder = Subject.Self.Id;
+  Record.HolderRun = Subject.Self.Run;
+  Record.LeaseDuration = Subject.Options.LeaseDuration;
+  Record.WriteNumber = Subject.Authority.NextWriteNumber++;
+  Target.Pending = Record;
+  Target.PendingSent = now();
+  emit(WriteShard{Name, Target.Version, std::move(Record)});
+}
+
+auto AuthorityReducer::acquire(ShardName const &Name, Shard &Target) -> void {
+  auto record = Target.Record;
+  record.Fencing += 1;
+  record.IsReleased = false;
+  Target.Lease.acquireSent();
+  write(Name, Target, std::move(record));
+}
+
+auto AuthorityReducer::release(ShardName const &Name, Shard &Target) -> void {
+  auto record = Target.Record;
+  record.IsReleased = true;
+  Target.Lease.releaseSent();
+  Target.Orders.clear();
+  write(Name, Target, std::move(record));
+}
+
+auto AuthorityReducer::mayAcquire(ShardName const &Name,
+                                  Shard const &Target) const -> bool {
+  if (!Target.HasRead || Target.IsReading)
+    return false;
+  if (Target.Version != 0 && Target.Record.IsReleased)
+    return true;
+  auto const &options = Subject.Options;
+  // A lower-ranked candidate waits, so that two rarely write at once.
+  auto turn = candidateRank(Name) * options.LeaseDuration / RenewalsPerLease;
+  if (Target.Version == 0)
+    return now() >= Target.VersionSeen + turn;
+  auto lease =
+      scaled(Target.Record.LeaseDuration, 1 + 2 * options.MaximumClockDrift);
+  if (now() < Target.VersionSeen + lease + turn)
+    return false;
+  // An engine that ignores fencing numbers would obey a paused holder, so
+  // authority over it moves only when that holder has ended.
+  return Target.AllCheckFencing ||
+         Target.Record.HolderRun == Subject.Self.Run ||
+         hasEnded(Subject, Target.Record.Holder, Target.Record.HolderRun);
+}
+
+auto AuthorityReducer::candidateRank(ShardName const &Name) const -> int {
+  auto key = hashText(Name.text());
+  auto own = rendezvousScore(key, Subject.Self.Id.text());
+  auto rank = 0;
+  for (auto const &it : Subject.Members.Peers) {
+    if (!isAlive(it.second, now()) || isLeaving(it.second))
+      continue;
+    if (rendezvousScore(key, it.first.text()) > own)
+      ++rank;
+  }
+  return rank;
+}
+
+auto AuthorityReducer::on(ShardWritten const &Happened) -> void {
+  auto it = Subject.Authority.Shards.find(Happened.Shard);
+  if (it == Subject.Authority.Shards.end())
+    return;
+  auto &shard = it->second;
+  if (!shard.Pending || shard.Pending->WriteNumber != Happened.WriteNumber)
+    return;
+  if (Happened.Result != WriteResult::Committed) {
+    shard.Lease.notCommitted();
+    shard.NextRead = now();
+    if (Happened.Result == WriteResult::Unknown)
+      shard.NextRead += ReadBackInterval;
+    return;
+  }
+  shard.Record = *shard.Pending;
+  shard.Version = Happened.Version;
+  shard.Pending.reset();
+  shard.Lease.committed();
+  adopt(it->first, shard);
+}
+
+auto AuthorityReducer::adopt(ShardName const &Name, Shard &Target) -> void {
+  auto const &lease = Subject.Options.LeaseDuration;
+  auto isNew = Target.ValidUntil == Instant{};
+  Target.ValidUntil =
+      Target.PendingSent + scaled(lease, 1 - Subject.Options.MaximumClockDrift);
+  Target.NextRenewal = now() + lease / RenewalsPerLease;
+  if (isNew) {
+    emit(CountOne{CountMetric::LeaseChanges, {}, Name.text()});
+    log(LogLevel::Info, "lease-taken",
+        {{"shard", Name.text()},
+         {"fencing", fmt::format("{}", Target.Record.Fencing)}});
+  }
+  if (isHolder(Target))
+    OrderReducer(Subject, Out).followRecord(Target);
+}
+
+auto AuthorityReducer::on(ShardRead const &Happened) -> void {
+  auto it = Subject.Authority.Shards.find(Happened.Shard);
+  if (it == Subject.Authority.Shards.end())
+    return;
+  auto &shard = it->second;
+  shard.IsReading = false;
+  auto interval = Subject.Options.LeaseDuration / RenewalsPerLease;
+  shard.NextRead = now() + interval;
+  auto phase = shard.Lease.phase();
+  auto isUncertain = phase == LeasePhase::AcquireUncertain ||
+                     phase == LeasePhase::RenewUncertain;
+  if (!isUncertain && phase != LeasePhase::Following)
+    return;
+  if (!shard.HasRead || Happened.Version != shard.Version)
+    shard.VersionSeen = now();
+  shard.HasRead = true;
+  shard.Version = Happened.Version;
+  shard.Record = Happened.Record;
+  if (!isUncertain)
+    return;
+  auto isOwn = Happened.Version != 0 && !Happened.Record.IsReleased &&
+               Happened.Record.HolderRun == Subject.Self.Run &&
+               Happened.Record.Fencing == shard.Pending->Fencing;
+  auto hasLanded =
+      isOwn && Happened.Record.WriteNumber == shard.Pending->WriteNumber;
+  shard.Pending.reset();
+  if (!isOwn) {
+    shard.Lease.readBackOther();
+    return lose(it->first, shard);
+  }
+  shard.Lease.readBackOwn();
+  if (hasLanded)
+    return adopt(it->first, shard);
+  // The write did not land; what was valid before stays so until it ends.
+  shard.NextRenewal = now();
+  OrderReducer(Subject, Out).followRecord(shard);
+}
+
+auto AuthorityReducer::lose(ShardName const &Name, Shard &Target) -> void {
+  if (Target.ValidUntil != Instant{}) {
+    emit(CountOne{CountMetric::LeaseChanges, {}, Name.text()});
+    log(LogLevel::Warning, "lease-lost", {{"shard", Name.text()}});
+  }
+  Target.ValidUntil = {};
+  Target.FenceRaised.clear();
+  OrderReducer(Subject, Out).abandonAll(Name, Target);
+}
+
+auto AuthorityReducer::on(ShardReadFailed const &Happened) -> void {
+  auto it = Subject.Authority.Shards.find(Happened.Shard);
+  if (it == Subject.Authority.Shards.end())
+    return;
+  it->second.IsReading = false;
+  it->second.NextRead =
+      now() + Subject.Options.LeaseDuration / RenewalsPerLease;
+}
+
+auto AuthorityReducer::raiseFences(ShardName const & /*Name*/, Shard &Target)
+    -> void {
+  if (!Target.AllCheckFencing || !isValidHolder(Target, now()))
+    return;
+  for (auto const &id : Target.Engines) {
+    auto view = Subject.Backends.Engines.find(id);
+    if (view == Subject.Backends.Engines.end() || !view->second.Report)
+      continue;
+    if (view->second.Report->HighestFencing >= Target.Record.Fencing)
+      continue;
+    auto &raised = Target.FenceRaised[id];
+    if (raised != Instant{} && now() - raised < FenceInterval)
+      continue;
+    raised = now();
+    emit(RaiseFence{id, view->second.Address, Target.Record.Fencing});
+  }
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/Libraries/LibControl/BackendHealth.cpp
@@ -0,0 +1,46 @@
+#include "LibControl/BackendHealth.h"
+
+#include <algorithm>
+
+namespace dotterel {
+
+namespace {
+
+constexpr auto FailuresBeforeEjection = 3U;
+constexpr auto FirstEjection = Duration{1s};
+constexpr auto LongestEjection = Duration{30s};
+constexpr auto MaximumDoublings = 5U;
+constexpr auto SlowStart = Duration{10s};
+constexpr auto SlowStartExtraCost = 4.0;
+
+} // namespace
+
+auto BackendHealth::recordSuccess() -> void {
+  ConsecutiveFailures = 0;
+  Ejections = 0;
+}
+
+auto BackendHealth::recordFailure(Instant Now) -> void {
+  ++ConsecutiveFailures;
+  if (ConsecutiveFailures < FailuresBeforeEjection)
+    return;
+  auto doublings = std::min(Ejections, MaximumDoublings);
+  auto span = std::min(FirstEjection * (1U << doublings), LongestEjection);
+  EjectedUntil = Now + span;
+  ++Ejections;
+  ConsecutiveFailures = 0;
+}
+
+auto BackendHealth::isEjected(Instant Now) const -> bool {
+  return Now < EjectedUntil;
+}
+
+auto BackendHealth::slowStartFactor(Instant Now) const -> double {
+  if (EjectedUntil == Instant{} || Now >= EjectedUntil + SlowStart)
+    return 1;
+  auto elapsed = toSeconds(std::max(Now - EjectedUntil, Duration{}));
+  auto remaining = 1 - elapsed / toSeconds(SlowStart);
+  return 1 + SlowStartExtraCost * remaining;
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/Libraries/LibControl/BackendReducer.cpp
@@ -0,0 +1,118 @@
+#include "LibControl/BackendReducer.h"
+
+#include <algorithm>
+
+namespace dotterel {
+
+namespace {
+
+constexpr auto BusyPollInterval = Duration{200ms};
+constexpr auto IdlePollInterval = Duration{1s};
+/// Time after the last announcement until a drain is no longer honoured: its
+/// holder is gone, and a later holder would have announced it again.
+constexpr auto DrainExpiry = Duration{30s};
+
+} // namespace
+
+auto BackendReducer::rebuild() -> void {
+  auto const &configuration = *Subject.Configuration.Current;
+  auto &table = Subject.Backends;
+  std::erase_if(table.Engines, [&](auto const &Item) {
+    return configuration.findEngine(Item.first) == nullptr;
+  });
+  for (auto const &it : configuration.engines())
+    table.Engines[it.Id].Address = it.Address;
+  std::erase_if(table.Servers, [&](auto const &Item) {
+    return std::ranges::find(configuration.servers(), Item.first,
+                             &ServerDeclaration::Id) ==
+           configuration.servers().end();
+  });
+  for (auto const &it : configuration.servers())
+    table.Servers.try_emplace(it.Id);
+}
+
+auto BackendReducer::on(EngineReported const &Happened) -> void {
+  auto it = Subject.Backends.Engines.find(Happened.Engine);
+  if (it == Subject.Backends.Engines.end())
+    return;
+  auto &view = it->second;
+  view.IsPolling = false;
+  view.NextPoll = now() + pollInterval(it->first, view);
+  if (view.Report && Happened.ObservedNoEarlierThan < view.ReportObserved)
+    return;
+  if (view.Report && view.Report->Run != Happened.Report.Run)
+    Subject.Calls.Prefixes.forget(it->first);
+  view.Report = Happened.Report;
+  view.ReportObserved = Happened.ObservedNoEarlierThan;
+  std::erase_if(view.UnreportedSends, [&](UnreportedSend const &Send) {
+    return Send.At <= view.ReportObserved;
+  });
+}
+
+auto BackendReducer::on(EngineUnreachable const &Happened) -> void {
+  auto it = Subject.Backends.Engines.find(Happened.Engine);
+  if (it == Subject.Backends.Engines.end())
+    return;
+  it->second.IsPolling = false;
+  it->second.NextPoll = now() + pollInterval(it->first, it->second);
+  it->second.Health.recordFailure(now());
+}
+
+auto BackendReducer::on(Tick const & /*Happened*/) -> void {
+  pollDueEngines();
+  expireDrains();
+}
+
+auto BackendReducer::pollDueEngines() -> void {
+  for (auto &it : Subject.Backends.Engines) {
+    if (it.second.IsPolling || it.second.NextPoll > now())
+      continue;
+    it.second.IsPolling = true;
+    emit(PollEngine{it.first, it.second.Address});
+  }
+}
+
+auto BackendReducer::pollInterval(EngineId const &Engine,
+                                  EngineView const &View) const -> Duration {
+  auto isBusy = View.OwnCalls > 0 || Subject.Backends.Drains.contains(Engine);
+  return isBusy ? BusyPollInterval : IdlePollInterval;
+}
+
+auto BackendReducer::expireDrains() -> void {
+  std::erase_if(Subject.Backends.Drains, [&](auto const &Item) {
+    return now() - Item.second.LastAnnounced > DrainExpiry;
+  });
+}
+
+auto BackendReducer::honour(ShardAnnouncement const &Announcement) -> bool {
+  auto &table = Subject.Backends;
+  auto &highest = table.HighestFencing[Announcement.Shard];
+  if (Announcement.Fencing < highest)
+    return false;
+  highest = Announcement.Fencing;
+  auto removed = std::erase_if(table.Drains, [&](auto const &Item) {
+    if (Item.second.Shard != Announcement.Shard)
+      return false;
+    auto reference = DrainReference{Item.first, Item.second.Order};
+    return std::ranges::find(Announcement.Drains, reference) ==
+           Announcement.Drains.end();
+  });
+  auto changed = removed > 0;
+  for (auto const &it : Announcement.Drains) {
+    auto [drain, isNew] = table.Drains.try_emplace(it.Engine);
+    if (isNew) {
+      drain->second = {Announcement.Shard, it.Order, 0, now(), {}};
+      emit(CountOne{CountMetric::Drains, {}, it.Engine.text()});
+      changed = true;
+    }
+    drain->second.Fencing = Announcement.Fencing;
+    drain->second.LastAnnounced = now();
+    // The engine's reports decide when the order may be sent.
+    auto engine = table.Engines.find(it.Engine);
+    if (isNew && engine != table.Engines.end())
+      engine->second.NextPoll = now();
+  }
+  return changed;
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/Libraries/LibControl/CallReducer.cpp
@@ -0,0 +1,466 @@
+#include "LibControl/CallReducer.h"
+
+#include "LibControl/KeyReducer.h"
+#include "LibControl/Placement.h"
+#include "LibCore/Hash.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace dotterel {
+
+namespace {
+
+using AttemptPhase = AttemptLifecycle::Phase;
+
+constexpr auto MaximumAttempts = 8U;
+constexpr auto ShortRetryAfter = Duration{1s};
+constexpr auto ShareTolerance = 1.5;
+/// Part of the time to the deadline that the first token may take before the
+/// fleet counts as full and shares between callers are enforced.
+constexpr auto FullFleetRatio = 0.5;
+
+auto isIdempotent(FleetConfiguration const &Configuration,
+                  CallRequest const &Request) -> bool {
+  if (Request.Kind == CallKind::Completion)
+    return true;
+  if (Request.Method == "GET" || Request.Method == "HEAD")
+    return true;
+  auto const *service = Configuration.findService(Request.Service);
+  return service != nullptr &&
+         std::ranges::find(service->IdempotentPaths, Request.Path) !=
+             service->IdempotentPaths.end();
+}
+
+} // namespace
+
+auto workOf(Call const &Target) -> double {
+  return static_cast<double>(Target.Request.PromptTokens) +
+         static_cast<double>(Target.Request.MaximumTokens);
+}
+
+auto CallReducer::find(CallId Id) -> Call * {
+  auto it = Subject.Calls.Calls.find(Id);
+  return it == Subject.Calls.Calls.end() ? nullptr : &it->second;
+}
+
+auto CallReducer::findCurrent(AttemptId const &Id) -> Call * {
+  auto *call = find(Id.Call);
+  if (call == nullptr || !call->Current || call->Current->Number != Id.Number)
+    return nullptr;
+  return call;
+}
+
+auto CallReducer::on(CallArrived const &Happened) -> void {
+  auto &call = Subject.Calls.Calls[Happened.Call];
+  call.Request = Happened.Request;
+  call.Origin = Happened.Origin;
+  call.Arrived = now();
+  Subject.Calls.Retries.deposit();
+  addWork(call.Request.Caller, workOf(call));
+  // Classified before anything can be refused: only a call that may not be
+  // repeated can have run under its key before.
+  call.IsIdempotent =
+      Subject.Configuration.Current
+          ? isIdempotent(*Subject.Configuration.Current, call.Request)
+          : call.Request.Kind == CallKind::Completion;
+  auto phase = Subject.Lifecycle.phase();
+  if (!Subject.Configuration.Current)
+    return reject(Happened.Call, ResultCode::NotConfigured, ShortRetryAfter);
+  if (phase == InstanceLifecycle::Phase::Draining ||
+      phase == InstanceLifecycle::Phase::Stopped)
+    return reject(Happened.Call, ResultCode::InstanceLeaving, Duration{});
+  admit(Happened.Call);
+}
+
+auto CallReducer::addWork(CallerName const &Caller, double Tokens) -> void {
+  auto &work = Subject.Calls.CallerWork;
+  if (Tokens == 0)
+    return;
+  auto it = work.try_emplace(Caller).first;
+  it->second += Tokens;
+  if (it->second <= 0)
+    work.erase(it);
+}
+
+auto CallReducer::admit(CallId Id) -> void {
+  auto &call = *find(Id);
+  if (auto problem = describeRoute(call))
+    return reject(Id, *problem);
+  auto isKeyed = !call.IsIdempotent && !call.Request.Key.empty();
+  if (isKeyed)
+    return KeyReducer(Subject, Out).admit(Id);
+  place(Id);
+}
+
+auto CallReducer::describeRoute(Call &Target) const
+    -> std::optional<ResultCode> {
+  auto const &configuration = *Subject.Configuration.Current;
+  auto const &request = Target.Request;
+  auto isCompletion = request.Kind == CallKind::Completion;
+  if (isCompletion && !configuration.hasModel(request.Model))
+    return ResultCode::UnknownModel;
+  if (!isCompletion && configuration.findService(request.Service) == nullptr)
+    return ResultCode::UnknownService;
+  auto const *route =
+      isCompletion
+          ? configuration.findModelRoute(request.Caller, request.Model)
+          : configuration.findServiceRoute(request.Caller, request.Service);
+  if (route == nullptr)
+    return ResultCode::NoRoute;
+  Target.RouteName = route->Declaration.Name;
+  Target.Class = route->Declaration.Class;
+  auto deadline = route->Declaration.Deadline;
+  if (request.RequestedDeadline)
+    deadline = std::min(deadline, *request.RequestedDeadline);
+  Target.Deadline = Target.Arrived + deadline;
+  return std::nullopt;
+}
+
+auto CallReducer::place(CallId Id) -> void {
+  auto *call = find(Id);
+  if (call == nullptr)
+    return;
+  call->Wait = CallWait::None;
+  if (call->Request.Kind == CallKind::Completion)
+    return placeCompletion(Id, *call);
+  placeService(Id, *call);
+}
+
+auto CallReducer::placeCompletion(CallId Id, Call &Target) -> void {
+  auto choice = Placement(Subject).chooseEngine(Id, Target);
+  auto isFirst = Target.AttemptsMade == 0;
+  if (!choice) {
+    if (isFirst)
+      return reject(Id, ResultCode::NoBackendAvailable, ShortRetryAfter);
+    Target.Wait = CallWait::Backend;
+    return;
+  }
+  auto expected = now() + choice->Forecast.Completion;
+  if (isFirst && expected > Target.Deadline)
+    return reject(Id, ResultCode::DeadlineInfeasible,
+                  expected - Target.Deadline);
+  if (isFirst && exceedsShare(Target, choice->Forecast))
+    return reject(Id, ResultCode::CallerOverShare, choice->Forecast.FirstToken);
+  auto &view = Subject.Backends.Engines.at(choice->Engine);
+  view.OwnCalls += 1;
+  view.UnreportedSends.push_back({now(), choice->PrefillTokens});
+  Subject.Calls.Prefixes.record(choice->Engine, Target.Request.PrefixHashes);
+  auto next = Attempt{};
+  next.Engine = choice->Engine;
+  next.PrefillTokens = choice->PrefillTokens;
+  next.QueuedPrefillTokens = choice->QueuedPrefillTokens;
+  next.BatchSize = choice->BatchSize;
+  startAttempt(Id, Target, std::move(next), view.Address);
+}
+
+auto CallReducer::placeService(CallId Id, Call &Target) -> void {
+  auto chosen = Placement(Subject).chooseServer(Id, Target);
+  if (!chosen) {
+    if (Target.AttemptsMade == 0)
+      return reject(Id, ResultCode::NoBackendAvailable, ShortRetryAfter);
+    Target.AvoidedServers.clear();
+    Target.Wait = CallWait::Backend;
+    return;
+  }
+  auto const &servers = Subject.Configuration.Current->servers();
+  auto server = std::ranges::find(servers, *chosen, &ServerDeclaration::Id);
+  Subject.Backends.Servers.at(*chosen).OwnCalls += 1;
+  auto next = Attempt{};
+  next.Server = *chosen;
+  startAttempt(Id, Target, std::move(next), server->Address);
+}
+
+auto CallReducer::startAttempt(CallId Id, Call &Target, Attempt Next,
+                               std::string const &Address) -> void {
+  Next.Number = ++Target.AttemptsMade;
+  Next.ConnectStarted = now();
+  auto id = AttemptId{Id, Next.Number};
+  Target.Current = std::move(Next);
+  emit(ConnectAttempt{id, Address});
+}
+
+auto CallReducer::exceedsShare(Call const &Target,
+                               EngineForecast const &Forecast) const -> bool {
+  auto timeLeft = toSeconds(Target.Deadline - now());
+  if (toSeconds(Forecast.FirstToken) < FullFleetRatio * timeLeft)
+    return false;
+  auto const &configuration = *Subject.Configuration.Current;
+  auto totalWork = 0.0;
+  auto totalShare = 0.0;
+  for (auto const &it : Subject.Calls.CallerWork) {
+    totalWork += it.second;
+    totalShare += configuration.share(it.first);
+  }
+  auto const &caller = Target.Request.Caller;
+  auto own = Subject.Calls.CallerWork.at(caller);
+  auto fair = configuration.share(caller) / totalShare * totalWork;
+  return own > ShareTolerance * fair;
+}
+
+auto CallReducer::endAttempt(Call &Target) -> void {
+  if (!Target.Current)
+    return;
+  auto engine = Subject.Backends.Engines.find(Target.Current->Engine);
+  if (engine != Subject.Backends.Engines.end() && engine->second.OwnCalls > 0)
+    engine->second.OwnCalls -= 1;
+  auto server = Subject.Backends.Servers.find(Target.Current->Server);
+  if (server != Subject.Backends.Servers.end() && server->second.OwnCalls > 0)
+    server->second.OwnCalls -= 1;
+  Target.Current->Lifecycle.ended();
+  Target.Current.reset();
+}
+
+auto CallReducer::on(AttemptConnected const &Happened) -> void {
+  auto *call = findCurrent(Happened.Attempt);
+  if (call == nullptr) {
+    emit(CancelAttempt{Happened.Attempt});
+    return;
+  }
+  if (checkDeadline(Happened.Attempt.Call))
+    return;
+  if (!call->Current->Lifecycle.sent())
+    return;
+  call->MayHaveRun = true;
+  call->Current->SentAt = now();
+  auto send = SendAttempt{};
+  send.Attempt = Happened.Attempt;
+  send.Kind = call->Request.Kind;
+  send.Body = call->Request.Body;
+  send.ContentType = call->Request.ContentType;
+  send.Method = call->Request.Method;
+  send.Path = call->Request.Path;
+  send.Key = call->Request.Key;
+  send.ResumeAfter = call->TokensForwarded;
+  if (send.ResumeAfter > 0)
+    emit(CountOne{CountMetric::Resumes, call->Request.Caller, call->Class});
+  emit(std::move(send));
+}
+
+auto CallReducer::on(AttemptUnreachable const &Happened) -> void {
+  auto *call = findCurrent(Happened.Attempt);
+  if (call == nullptr)
+    return;
+  recordFailure(*call);
+  retry(Happened.Attempt.Call, /*IsFailure=*/true,
+        ResultCode::BackendUnreachable);
+}
+
+auto CallReducer::on(AttemptRefused const &Happened) -> void {
+  auto *call = findCurrent(Happened.Attempt);
+  if (call == nullptr)
+    return;
+  // The server works and said that it did not start: nothing has run.
+  call->MayHaveRun = call->TokensForwarded > 0;
+  retry(Happened.Attempt.Call, /*IsFailure=*/false,
+        ResultCode::NoBackendAvailable);
+}
+
+auto CallReducer::on(AttemptBroken const &Happened) -> void {
+  auto *call = findCurrent(Happened.Attempt);
+  if (call == nullptr)
+    return;
+  recordFailure(*call);
+  if (!call->IsIdempotent)
+    return finish(Happened.Attempt.Call, Outcome::Unknown,
+                  ResultCode::AnswerLost);
+  retry(Happened.Attempt.Call, /*IsFailure=*/true,
+        ResultCode::RetriesExhausted);
+}
+
+auto CallReducer::recordFailure(Call const &Target) -> void {
+  auto engine = Subject.Backends.Engines.find(Target.Current->Engine);
+  if (engine != Subject.Backends.Engines.end())
+    engine->second.Health.recordFailure(now());
+  auto server = Subject.Backends.Servers.find(Target.Current->Server);
+  if (server != Subject.Backends.Servers.end())
+    server->second.Health.recordFailure(now());
+}
+
+auto CallReducer::retry(CallId Id, bool IsFailure, ResultCode Code) -> void {
+  auto &call = *find(Id);
+  call.AvoidedEngines.insert(call.Current->Engine);
+  call.AvoidedServers.insert(call.Current->Server);
+  endAttempt(call);
+  auto isAllowed = call.AttemptsMade < MaximumAttempts;
+  if (IsFailure)
+    isAllowed = isAllowed && Subject.Calls.Retries.withdraw();
+  if (!isAllowed) {
+    if (call.MayHaveRun)
+      return finish(Id, Outcome::Unknown, ResultCode::RetriesExhausted,
+                    ShortRetryAfter);
+    return reject(Id, Code, ShortRetryAfter);
+  }
+  emit(CountOne{CountMetric::Retries, call.Request.Caller, call.Class});
+  place(Id);
+}
+
+auto CallReducer::on(AttemptToken const &Happened) -> void {
+  auto *call = findCurrent(Happened.Attempt);
+  if (call == nullptr)
+    return;
+  if (Happened.Index <= call->TokensForwarded)
+    return;
+  if (Happened.Index > call->TokensForwarded + 1) {
+    emit(CancelAttempt{Happened.Attempt});
+    return on(AttemptBroken{Happened.Attempt});
+  }
+  call->Current->Lifecycle.answerBegan();
+  observeToken(*call);
+  call->TokensForwarded += 1;
+  call->LastToken = now();
+  emit(ForwardToken{Happened.Attempt.Call, Happened.Data});
+}
+
+auto CallReducer::observeToken(Call &Target) -> void {
+  auto const &attempt = *Target.Current;
+  auto engine = Subject.Backends.Engines.find(attempt.Engine);
+  auto isFirstOfAttempt = Target.LastToken < attempt.SentAt;
+  if (engine != Subject.Backends.Engines.end()) {
+    auto &model = engine->second.Model;
+    if (isFirstOfAttempt && now() > attempt.SentAt)
+      model.observeFirstToken(attempt.PrefillTokens +
+                                  attempt.QueuedPrefillTokens,
+                              now() - attempt.SentAt);
+    else
+      model.observeBetweenTokens(engine->second.Report
+                                     ? engine->second.Report->Running
+                                     : attempt.BatchSize,
+                                 now() - Target.LastToken);
+  }
+  auto isFirst = Target.TokensForwarded == 0;
+  emit(ObserveDuration{isFirst ? DurationMetric::FirstToken
+                               : DurationMetric::BetweenTokens,
+                       Target.Request.Caller, Target.Class,
+                       now() - (isFirst ? Target.Arrived : Target.LastToken)});
+}
+
+auto CallReducer::on(AttemptCompleted const &Happened) -> void {
+  auto *call = findCurrent(Happened.Attempt);
+  if (call == nullptr)
+    return;
+  auto engine = Subject.Backends.Engines.find(call->Current->Engine);
+  if (engine != Subject.Backends.Engines.end())
+    engine->second.Health.recordSuccess();
+  auto server = Subject.Backends.Servers.find(call->Current->Server);
+  if (server != Subject.Backends.Servers.end())
+    server->second.Health.recordSuccess();
+  endAttempt(*call);
+  finish(Happened.Attempt.Call,
+         StoredAnswer{Outcome::Completed, ResultCode::Completed,
+                      Happened.HttpStatus, Happened.ContentType,
+                      Happened.Body});
+}
+
+auto CallReducer::on(CallerDisconnected const &Happened) -> void {
+  auto *call = find(Happened.Call);
+  if (call == nullptr)
+    return;
+  // A call that may not be repeated runs to its end, so that a retry with the
+  // same key finds its answer.
+  if (!call->IsIdempotent && (call->MayHaveRun || call->OwnsKey))
+    return;
+  reject(Happened.Call, ResultCode::CallerDisconnected);
+}
+
+auto CallReducer::on(Tick const & /*Happened*/) -> void {
+  auto ids = std::vector<CallId>{};
+  ids.reserve(Subject.Calls.Calls.size());
+  for (auto const &it : Subject.Calls.Calls)
+    ids.push_back(it.first);
+  for (auto id : ids) {
+    auto *call = find(id);
+    if (call == nullptr || checkDeadline(id))
+      continue;
+    if (call->Wait == CallWait::Backend)
+      place(id);
+    else if (call->Current)
+      checkAttempt(id);
+  }
+}
+
+auto CallReducer::checkDeadline(CallId Id) -> bool {
+  auto *call = find(Id);
+  if (call == nullptr || now() < call->Deadline)
+    return false;
+  auto mayRunElsewhere =
+      call->Wait == CallWait::Home || call->Wait == CallWait::SameKey;
+  if (call->MayHaveRun || mayRunElsewhere)
+    finish(Id, Outcome::Unknown, ResultCode::DeadlinePassed, ShortRetryAfter);
+  else
+    reject(Id, ResultCode::DeadlineInfeasible, ShortRetryAfter);
+  return true;
+}
+
+auto CallReducer::redirectAddress() const -> std::string {
+  auto address = std::string{};
+  auto fewest = std::uint32_t{0};
+  for (auto const &it : Subject.Members.Peers) {
+    auto const &peer = it.second;
+    if (!isAlive(peer, now()) || isLeaving(peer))
+      continue;
+    auto outstanding = peer.Heartbeat.OutstandingCalls;
+    if (!address.empty() && outstanding >= fewest)
+      continue;
+    address = peer.CallerAddress;
+    fewest = outstanding;
+  }
+  return address;
+}
+
+auto CallReducer::finish(CallId Id, Outcome Result, ResultCode Code,
+                         std::optional<Duration> RetryAfter) -> void {
+  auto const &entry = describe(Code);
+  auto answer = StoredAnswer{Result, Code, entry.HttpStatus, {}, {}};
+  finish(Id, answer, RetryAfter);
+}
+
+auto CallReducer::reject(CallId Id, ResultCode Code,
+                         std::optional<Duration> RetryAfter) -> void {
+  auto const *call = find(Id);
+  if (call == nullptr)
+    return;
+  auto mayHaveRun =
+      call->MayHaveRun || KeyReducer(Subject, Out).mayHaveRunElsewhere(*call);
+  finish(Id, mayHaveRun ? Outcome::Unknown : Outcome::NotRun, Code, RetryAfter);
+}
+
+auto CallReducer::finish(CallId Id, StoredAnswer const &Answer,
+                         std::optional<Duration> RetryAfter) -> void {
+  auto node = Subject.Calls.Calls.extract(Id);
+  if (node.empty())
+    return;
+  auto &call = node.mapped();
+  if (call.Current) {
+    emit(CancelAttempt{{Id, call.Current->Number}});
+    endAttempt(call);
+  }
+  addWork(call.Request.Caller, -workOf(call));
+  auto waiters = KeyReducer(Subject, Out).settle(Id, call, Answer);
+  deliver(Id, call, Answer, RetryAfter);
+  for (auto waiter : waiters)
+    finish(waiter, Answer, RetryAfter);
+}
+
+auto CallReducer::deliver(CallId Id, Call const &Target,
+                          StoredAnswer const &Answer,
+                          std::optional<Duration> RetryAfter) -> void {
+  auto code = fmt::format("{}", static_cast<int>(Answer.Code));
+  emit(CountOne{CountMetric::Calls, Target.Request.Caller, code});
+  emit(ObserveDuration{DurationMetric::Whole, Target.Request.Caller,
+                       Target.Class, now() - Target.Arrived});
+  if (Target.Origin) {
+    auto const &origin = *Target.Origin;
+    emit(SendPeer{origin.Peer,
+                  ForwardedAnswer{origin.PeerCall, origin.PeerRun,
+                                  Answer.Result, Answer.Code, Answer.HttpStatus,
+                                  Answer.ContentType, Answer.Body}});
+    return;
+  }
+  auto finish = FinishCall{Id, Answer, RetryAfter, {}};
+  if (Answer.Code == ResultCode::InstanceLeaving)
+    finish.RedirectAddress = redirectAddress();
+  emit(std::move(finish));
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/Libraries/LibControl/Event.h
@@ -0,0 +1,260 @@
+/// \file
+/// Everything that can happen to an instance. Time, randomness and identity
+/// arrive here; the reducer has no other input.
+#pragma once
+
+#include "LibConfiguration/FleetConfiguration.h"
+#include "LibControl/ShardRecord.h"
+#include "LibCore/Identifier.h"
+#include "LibCore/Time.h"
+#include "LibPeer/Message.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace dotterel {
+
+enum class CallKind : std::uint8_t { Completion, Service };
+
+/// A call as it was received. The reducer passes Body on and never reads it.
+struct CallRequest {
+  CallKind Kind = CallKind::Completion;
+  CallerName Caller;
+  std::shared_ptr<std::string const> Body;
+  std::string ContentType;
+  std::optional<Duration> RequestedDeadline;
+
+  ModelName Model;
+  std::uint32_t PromptTokens = 0;
+  std::uint32_t MaximumTokens = 0;
+  std::vector<std::uint64_t> PrefixHashes;
+
+  ServiceName Service;
+  std::string Method;
+  std::string Path;
+  IdempotencyKey Key;
+};
+
+/// The peer and its call number, for calls that a peer forwarded.
+struct ForwardOrigin {
+  InstanceId Peer;
+  Incarnation PeerRun = 0;
+  CallId PeerCall = 0;
+  Incarnation Home = 0;
+};
+
+struct CallArrived {
+  CallId Call = 0;
+  CallRequest Request;
+  std::optional<ForwardOrigin> Origin;
+};
+
+/// The caller closed its connection.
+struct CallerDisconnected {
+  CallId Call = 0;
+};
+
+/// A connection for the attempt stands; nothing was sent yet.
+struct AttemptConnected {
+  AttemptId Attempt;
+};
+
+/// No connection could be made; nothing was sent.
+struct AttemptUnreachable {
+  AttemptId Attempt;
+};
+
+/// The backend server refused before it started to work.
+struct AttemptRefused {
+  AttemptId Attempt;
+};
+
+/// One token of a stream; Data is the payload for the caller.
+struct AttemptToken {
+  AttemptId Attempt;
+  std::uint32_t Index = 0;
+  std::string Data;
+};
+
+/// The backend server said that its answer is whole.
+struct AttemptCompleted {
+  AttemptId Attempt;
+  std::uint16_t HttpStatus = 0;
+  std::string ContentType;
+  std::string Body;
+};
+
+/// The connection broke, or the answer was malformed, after sending began.
+struct AttemptBroken {
+  AttemptId Attempt;
+};
+
+/// What an engine reports of itself. Reports lag.
+struct EngineReport {
+  /// Distinguishes two runs of the engine.
+  std::uint64_t Run = 0;
+  EngineRole Role = EngineRole::Mixed;
+  std::vector<ModelName> Models;
+  /// The engine is changing its role or models, or stopped halfway.
+  bool IsChanging = false;
+  OrderId LastOrder = 0;
+  FencingNumber HighestFencing = 0;
+  std::uint32_t Running = 0;
+  std::uint64_t QueuedPrefillTokens = 0;
+  std::uint64_t FreeCacheTokens = 0;
+};
+
+struct EngineReported {
+  EngineId Engine;
+  EngineReport Report;
+  /// The state was observed no earlier than this.
+  Instant ObservedNoEarlierThan;
+};
+
+struct EngineUnreachable {
+  EngineId Engine;
+};
+
+/// A connection for the order stands; nothing was sent yet.
+struct OrderConnected {
+  ShardName Shard;
+  EngineId Engine;
+  OrderId Order = 0;
+};
+
+enum class OrderAnswer : std::uint8_t {
+  Accepted,
+  RefusedStaleFencing,
+  RefusedBusy,
+  Lost,
+};
+
+struct OrderAnswered {
+  ShardName Shard;
+  EngineId Engine;
+  OrderId Order = 0;
+  OrderAnswer Answer = OrderAnswer::Lost;
+};
+
+/// A shard object as read; Version is zero if the object does not exist.
+struct ShardRead {
+  ShardName Shard;
+  std::uint64_t Version = 0;
+  ShardRecord Record;
+};
+
+struct ShardReadFailed {
+  ShardName Shard;
+};
+
+enum class WriteResult : std::uint8_t {
+  Committed,
+  Conflict,
+  /// The answer was lost: the write may or may not have taken effect.
+  Unknown,
+};
+
+struct ShardWritten {
+  ShardName Shard;
+  std::uint64_t WriteNumber = 0;
+  WriteResult Result = WriteResult::Unknown;
+  std::uint64_t Version = 0;
+};
+
+struct ClaimWritten {
+  CallId Call = 0;
+  WriteResult Result = WriteResult::Unknown;
+  std::uint64_t Version = 0;
+};
+
+/// A claim object as read; Version is zero if the object does not exist.
+struct ClaimRead {
+  CallId Call = 0;
+  std::uint64_t Version = 0;
+  ClaimRecord Record;
+};
+
+struct ClaimReadFailed {
+  CallId Call = 0;
+};
+
+/// The object API delivered a configuration.
+struct ConfigurationReceived {
+  std::shared_ptr<FleetConfiguration const> Configuration;
+};
+
+/// A watch or read of the configuration ended without a newer one.
+struct ConfigurationWatchEnded {
+  bool IsApiReachable = false;
+};
+
+/// One row of the platform's instance list.
+struct ListedInstance {
+  InstanceId Id;
+  std::string CallerAddress;
+  std::string PeerAddress;
+  FailureDomain Domain;
+  bool IsLeaving = false;
+};
+
+struct InstancesListed {
+  std::vector<ListedInstance> Instances;
+};
+
+struct InstanceListFailed {};
+
+struct PeerConnected {
+  InstanceId Peer;
+  Incarnation Run = 0;
+};
+
+struct PeerDisconnected {
+  InstanceId Peer;
+};
+
+struct PeerHeartbeatReceived {
+  InstanceId Peer;
+  PeerHeartbeat Heartbeat;
+};
+
+struct ConfigurationRequested {
+  InstanceId Peer;
+};
+
+struct ForwardedAnswerReceived {
+  InstanceId Peer;
+  ForwardedAnswer Answer;
+};
+
+/// A caller asked which instances to use.
+struct SteeringRequested {
+  CallId Call = 0;
+  CallerName Caller;
+};
+
+/// The process was asked to stop.
+struct LeaveRequested {};
+
+/// Time passed; arrives at least once per tick interval.
+struct Tick {};
+
+using EventBody = std::variant<
+    CallArrived, CallerDisconnected, AttemptConnected, AttemptUnreachable,
+    AttemptRefused, AttemptToken, AttemptCompleted, AttemptBroken,
+    EngineReported, EngineUnreachable, OrderConnected, OrderAnswered, ShardRead,
+    ShardReadFailed, ShardWritten, ClaimWritten, ClaimRead, ClaimReadFailed,
+    ConfigurationReceived, ConfigurationWatchEnded, InstancesListed,
+    InstanceListFailed, PeerConnected, PeerDisconnected, PeerHeartbeatReceived,
+    ConfigurationRequested, ForwardedAnswerReceived, SteeringRequested,
+    LeaveRequested, Tick>;
+
+/// An event and the time at which it was seen. Times never fall.
+struct Event {
+  Instant At;
+  EventBody Body;
+};
+
+} // namespace dotterel
--- /dev/null
+++ b/Libraries/LibControl/Placement.h
@@ -0,0 +1,49 @@
+/// \file
+/// Chooses the backend server for one attempt.
+#pragma once
+
+#include "LibControl/State.h"
+
+#include <optional>
+
+namespace dotterel {
+
+/// An engine and what is expected of it.
+struct EngineChoice {
+  EngineId Engine;
+  EngineForecast Forecast;
+  double PrefillTokens = 0;
+  double QueuedPrefillTokens = 0;
+  double BatchSize = 0;
+};
+
+/// Chooses among a few candidates: those that probably hold the prompt's
+/// prefix, and others drawn by hash, so that instances with the same stale
+/// reports do not all pick the same engine.
+class Placement {
+public:
+  explicit Placement(State const &Subject) : Subject(Subject) {}
+
+  /// Returns the engine that should complete \p Wanted first, or nothing if
+  /// none may take it. Engines in AvoidedEngines are used only as a last
+  /// resort.
+  [[nodiscard]] auto chooseEngine(CallId Id, Call const &Wanted) const
+      -> std::optional<EngineChoice>;
+
+  /// Returns a server of the service with few calls of this instance.
+  [[nodiscard]] auto chooseServer(CallId Id, Call const &Wanted) const
+      -> std::optional<ServerId>;
+
+private:
+  [[nodiscard]] auto eligibleEngines(Call const &Wanted, bool MayAvoid) const
+      -> std::vector<EngineId>;
+  [[nodiscard]] auto candidates(CallId Id, Call const &Wanted,
+                                std::vector<EngineId> Eligible) const
+      -> std::vector<EngineId>;
+  [[nodiscard]] auto evaluate(Call const &Wanted, EngineId const &Engine) const
+      -> EngineChoice;
+
+  State const &Subject; // NOLINT: lives for one decision
+};
+
+} // namespace dotterel
--- /dev/null
+++ b/Libraries/LibControl/PrefixMemory.cpp
@@ -0,0 +1,39 @@
+#include "LibControl/Call.h"
+
+namespace dotterel {
+
+namespace {
+
+constexpr auto MaximumEntries = std::size_t{20000};
+
+} // namespace
+
+auto PrefixMemory::countKnown(EngineId const &Engine,
+                              std::span<std::uint64_t const> Hashes) const
+    -> std::size_t {
+  auto n = std::size_t{0};
+  while (n < Hashes.size() && Known.contains({Hashes[n], Engine}))
+    ++n;
+  return n;
+}
+
+auto PrefixMemory::record(EngineId const &Engine,
+                          std::span<std::uint64_t const> Hashes) -> void {
+  for (auto hash : Hashes) {
+    auto entry = Entry{hash, Engine};
+    if (!Known.insert(entry).second)
+      continue;
+    Order.push_back(entry);
+    if (Order.size() <= MaximumEntries)
+      continue;
+    Known.erase(Order.front());
+    Order.pop_front();
+  }
+}
+
+auto PrefixMemory::forget(EngineId const &Engine) -> void {
+  std::erase_if(Known, [&](Entry const &it) { return it.Engine == Engine; });
+  std::erase_if(Order, [&](Entry const &it) { return it.Engine == Engine; });
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/Libraries/LibControl/ShardRecord.cpp
@@ -0,0 +1,113 @@
+#include "LibControl/ShardRecord.h"
+
+#include "LibCore/Error.h"
+
+#include <nlohmann/json.hpp>
+
+namespace dotterel {
+
+namespace {
+
+using nlohmann::json;
+
+auto toJson(DesiredEngineState const &State) -> json {
+  auto models = json::array();
+  for (auto const &it : State.Models)
+    models.push_back(it.text());
+  return {{"role", toString(State.Role)}, {"models", std::move(models)}};
+}
+
+auto stateFrom(json const &In) -> DesiredEngineState {
+  auto state = DesiredEngineState{};
+  state.Role = parseEngineRole(In.at("role").get<std::string>());
+  for (auto const &it : In.at("models"))
+    state.Models.emplace_back(it.get<std::string>());
+  return state;
+}
+
+auto shardFrom(json const &In) -> ShardRecord {
+  auto record = ShardRecord{};
+  record.Holder = InstanceId(In.at("holder").get<std::string>());
+  record.HolderRun = In.at("holderRun").get<Incarnation>();
+  record.Fencing = In.at("fencing").get<FencingNumber>();
+  record.LeaseDuration =
+      std::chrono::milliseconds(In.at("leaseMs").get<std::int64_t>());
+  record.WriteNumber = In.at("write").get<std::uint64_t>();
+  record.IsReleased = In.at("released").get<bool>();
+  record.LastOrder = In.at("lastOrder").get<OrderId>();
+  for (auto const &it : In.at("orders"))
+    record.Orders[EngineId(it.at("engine").get<std::string>())] = {
+        it.at("id").get<OrderId>(), stateFrom(it.at("state"))};
+  return record;
+}
+
+auto claimFrom(json const &In) -> ClaimRecord {
+  auto record = ClaimRecord{};
+  record.HolderRun = In.at("holderRun").get<Incarnation>();
+  record.Call = In.at("call").get<CallId>();
+  record.State = static_cast<ClaimState>(In.at("state").get<std::uint8_t>());
+  record.Answer.Result =
+      static_cast<Outcome>(In.at("outcome").get<std::uint8_t>());
+  record.Answer.Code =
+      static_cast<ResultCode>(In.at("code").get<std::uint16_t>());
+  record.Answer.HttpStatus = In.at("status").get<std::uint16_t>();
+  record.Answer.ContentType = In.at("contentType").get<std::string>();
+  record.Answer.Body = In.at("body").get<std::string>();
+  return record;
+}
+
+template <typename Record, typename Function>
+auto decodeWith(std::string_view Text, Function Decode)
+    -> std::optional<Record> {
+  auto in = json::parse(Text, nullptr, false);
+  if (!in.is_object())
+    return std::nullopt;
+  try {
+    return Decode(in);
+  } catch (json::exception const &) {
+    return std::nullopt;
+  } catch (Error const &) {
+    return std::nullopt;
+  }
+}
+
+} // namespace
+
+auto encodeShardRecord(ShardRecord const &Record) -> std::string {
+  auto orders = json::array();
+  for (auto const &it : Record.Orders)
+    orders.push_back({{"engine", it.first.text()},
+                      {"id", it.second.Id},
+                      {"state", toJson(it.second.State)}});
+  return json{{"holder", Record.Holder.text()},
+              {"holderRun", Record.HolderRun},
+              {"fencing", Record.Fencing},
+              {"leaseMs", toMilliseconds(Record.LeaseDuration)},
+              {"write", Record.WriteNumber},
+              {"released", Record.IsReleased},
+              {"lastOrder", Record.LastOrder},
+              {"orders", std::move(orders)}}
+      .dump();
+}
+
+auto decodeShardRecord(std::string_view Text) -> std::optional<ShardRecord> {
+  return decodeWith<ShardRecord>(Text, shardFrom);
+}
+
+auto encodeClaimRecord(ClaimRecord const &Record) -> std::string {
+  return json{{"holderRun", Record.HolderRun},
+              {"call", Record.Call},
+              {"state", static_cast<std::uint8_t>(Record.State)},
+              {"outcome", static_cast<std::uint8_t>(Record.Answer.Result)},
+              {"code", static_cast<std::uint16_t>(Record.Answer.Code)},
+              {"status", Record.Answer.HttpStatus},
+              {"contentType", Record.Answer.ContentType},
+              {"body", Record.Answer.Body}}
+      .dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+auto decodeClaimRecord(std::string_view Text) -> std::optional<ClaimRecord> {
+  return decodeWith<ClaimRecord>(Text, claimFrom);
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/Libraries/LibControl/State.h
@@ -0,0 +1,39 @@
+/// \file
+/// Everything that one instance knows. Changed by the reducer only.
+#pragma once
+
+#include "LibControl/Authority.h"
+#include "LibControl/Call.h"
+#include "LibControl/EngineTable.h"
+#include "LibControl/InstanceIdentity.h"
+#include "LibControl/InstanceLifecycle.h"
+#include "LibControl/Membership.h"
+
+#include <memory>
+
+namespace dotterel {
+
+/// The configuration in force and how newer ones are found.
+struct ConfigurationState {
+  std::shared_ptr<FleetConfiguration const> Current;
+  bool IsWatching = false;
+  Instant NextWatch;
+  bool IsApiReachable = false;
+};
+
+/// State of one instance.
+struct State {
+  InstanceIdentity Self;
+  ControlOptions Options;
+  Instant Started;
+  Instant Now;
+  InstanceLifecycle Lifecycle;
+  Instant LeaveRequestedAt;
+  ConfigurationState Configuration;
+  Membership Members;
+  BackendTable Backends;
+  CallTable Calls;
+  AuthorityTable Authority;
+};
+
+} // namespace dotterel
