--- /dev/null
+++ b/Libraries/LibNet/Asio.h
@@ -0,0 +1,45 @@
+/// \file
+/// Boost.Asio and Boost.Beast, included in the one order that works here.
+#pragma once
+
+// Boost.Asio 1.74 uses std::exchange without including its header.
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace dotterel {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+template <typename T> using Awaitable = asio::awaitable<T>;
+
+/// Starts \p Work on \p Context and lets it run to its end. An exception that
+/// leaves \p Work ends the process: each task handles its own errors.
+template <typename Context, typename Task>
+auto spawnTask(Context &&Executor, Task &&Work) -> void {
+  asio::co_spawn(std::forward<Context>(Executor), std::forward<Task>(Work),
+                 [](std::exception_ptr Problem) {
+                   if (Problem)
+                     std::rethrow_exception(Problem);
+                 });
+}
+
+/// Returns a completion token that stores the error in \p ec.
+[[nodiscard]] inline auto useError(boost::system::error_code &ec) {
+  return asio::redirect_error(asio::use_awaitable, ec);
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/Libraries/LibNet/Endpoint.cpp
@@ -0,0 +1,24 @@
+#include "LibNet/Endpoint.h"
+
+#include <charconv>
+#include <stdexcept>
+#include <string>
+
+namespace dotterel {
+
+auto parseEndpoint(std::string_view Address) -> asio::ip::tcp::endpoint {
+  auto colon = Address.rfind(':');
+  if (colon == std::string_view::npos)
+    throw std::invalid_argument("an address needs the form ip:port");
+  auto text = Address.substr(colon + 1);
+  auto port = std::uint16_t{0};
+  auto const *end = text.data() + text.size();
+  auto result = std::from_chars(text.data(), end, port);
+  auto ec = boost::system::error_code{};
+  auto ip = asio::ip::make_address(std::string(Address.substr(0, colon)), ec);
+  if (result.ec != std::errc{} || result.ptr != end || ec)
+    throw std::invalid_argument("an address needs the form ip:port");
+  return {ip, port};
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -0,0 +1,361 @@
+#include "LibNet/HttpServer.h"
+
+#include "LibCore/Log.h"
+#include "LibNet/Endpoint.h"
+
+#include <sys/socket.h>
+
+namespace dotterel {
+
+namespace {
+
+using asio::ip::tcp;
+
+auto toView(beast::string_view Text) -> std::string_view {
+  return {Text.data(), Text.size()};
+}
+
+/// Cancels what a socket waits for when time runs out, and leaves it open so
+/// that an answer can still be written.
+class ReadDeadline {
+public:
+  ReadDeadline(beast::tcp_stream &Stream, Duration Timeout)
+      : Timer(Stream.get_executor()), HasPassed(std::make_shared<bool>(false)) {
+    Timer.expires_after(Timeout);
+    Timer.async_wait(
+        [&Stream, passed = HasPassed](boost::system::error_code const &ec) {
+          if (ec)
+            return;
+          *passed = true;
+          auto ignored = boost::system::error_code{};
+          Stream.socket().cancel(ignored);
+        });
+  }
+
+  [[nodiscard]] auto hasPassed() const -> bool { return *HasPassed; }
+
+private:
+  asio::steady_timer Timer;
+  std::shared_ptr<bool> HasPassed;
+};
+
+/// The exchange over one connection.
+class Exchange final : public HttpExchange {
+public:
+  Exchange(beast::tcp_stream &Stream, http::request<http::string_body> Request,
+           Duration WriteTimeout)
+      : Stream(Stream), Request(std::move(Request)),
+        WriteTimeout(WriteTimeout) {}
+
+  [[nodiscard]] auto method() const -> std::string_view override {
+    return toView(Request.method_string());
+  }
+
+  [[nodiscard]] auto path() const -> std::string_view override {
+    auto target = toView(Request.target());
+    return target.substr(0, target.find('?'));
+  }
+
+  [[nodiscard]] auto query(std::string_view Name) const
+      -> std::string override {
+    auto target = toView(Request.target());
+    auto mark = target.find('?');
+    if (mark == std::string_view::npos)
+      return {};
+    auto rest = target.substr(mark + 1);
+    while (!rest.empty()) {
+      auto end = std::min(rest.find('&'), rest.size());
+      auto item = rest.substr(0, end);
+      rest.remove_prefix(std::min(end + 1, rest.size()));
+      auto equals = item.find('=');
+      if (equals != std::string_view::npos && item.substr(0, equals) == Name)
+        return std::string(item.substr(equals + 1));
+    }
+    return {};
+  }
+
+  [[nodiscard]] auto field(std::string_view Name) const
+      -> std::string override {
+    return std::string(toView(Request[{Name.data(), Name.size()}]));
+  }
+
+  [[nodiscard]] auto body() -> std::string & override { return Request.body(); }
+
+  auto respond(HttpReply Reply) -> Awaitable<void> override {
+    auto message = http::response<http::string_body>{
+        http::int_to_status(Reply.Status), Request.version()};
+    message.keep_alive(Request.keep_alive());
+    if (!Reply.ContentType.empty())
+      message.set(http::field::content_type, Reply.ContentType);
+    for (auto const &it : Reply.Fields)
+      message.set(it.Name, it.Value);
+    message.body() = std::move(Reply.Body);
+    message.prepare_payload();
+    Stream.expires_after(WriteTimeout);
+    co_await http::async_write(Stream, message, asio::use_awaitable);
+    HasAnswered = true;
+  }
+
+  auto beginStream(std::string ContentType, std::vector<HttpField> Fields)
+      -> Awaitable<void> override {
+    auto message =
+        http::response<http::empty_body>{http::status::ok, Request.version()};
+    message.keep_alive(Request.keep_alive());
+    message.set(http::field::content_type, ContentType);
+    message.set(http::field::cache_control, "no-cache");
+    for (auto const &it : Fields)
+      message.set(it.Name, it.Value);
+    message.chunked(true);
+    auto serializer = http::response_serializer<http::empty_body>{message};
+    Stream.expires_after(WriteTimeout);
+    co_await http::async_write_header(Stream, serializer, asio::use_awaitable);
+  }
+
+  auto writeChunk(std::string_view Data) -> Awaitable<void> override {
+    Stream.expires_after(WriteTimeout);
+    co_await asio::async_write(
+        Stream, http::make_chunk(asio::buffer(Data.data(), Data.size())),
+        asio::use_awaitable);
+  }
+
+  auto endStream() -> Awaitable<void> override {
+    Stream.expires_after(WriteTimeout);
+    co_await asio::async_write(Stream, http::make_chunk_last(),
+                               asio::use_awaitable);
+    HasAnswered = true;
+  }
+
+  auto notifyOnDisconnect(std::function<void()> Callback) -> void override {
+    IsWatched = std::make_shared<bool>(true);
+    watch(Stream, IsWatched, std::move(Callback));
+  }
+
+  auto abort() -> void override { Stream.close(); }
+
+  /// Returns whether the connection can take another request.
+  auto finish() -> bool {
+    if (IsWatched) {
+      *IsWatched = false;
+      auto ec = boost::system::error_code{};
+      Stream.socket().cancel(ec);
+    }
+    return HasAnswered && Request.keep_alive();
+  }
+
+private:
+  static auto watch(beast::tcp_stream &Stream,
+                    std::shared_ptr<bool> const &IsWatched,
+                    std::function<void()> Callback) -> void {
+    Stream.socket().async_wait(
+        tcp::socket::wait_read,
+        [&Stream, IsWatched,
+         callback = std::move(Callback)](boost::system::error_code const &ec) {
+          if (!*IsWatched)
+            return;
+          auto byte = char{};
+          auto n = ec ? 0
+                      : ::recv(Stream.socket().native_handle(), &byte, 1,
+                               MSG_PEEK | MSG_DONTWAIT);
+          // Readable with data means that the next request came early.
+          if (n <= 0)
+            callback();
+        });
+  }
+
+  beast::tcp_stream &Stream; // NOLINT: owned by the session
+  http::request<http::string_body> Request;
+  Duration WriteTimeout;
+  bool HasAnswered = false;
+  std::shared_ptr<bool> IsWatched;
+};
+
+auto refusalCode(boost::system::error_code const &ec) -> ResultCode {
+  if (ec == http::error::header_limit)
+    return ResultCode::HeadersTooLarge;
+  if (ec == http::error::body_limit)
+    return ResultCode::BodyTooLarge;
+  return ResultCode::MalformedRequest;
+}
+
+auto isConnectionError(boost::system::error_code const &ec) -> bool {
+  return ec == http::error::end_of_stream ||
+         ec == http::error::partial_message ||
+         ec.category() == boost::system::system_category() ||
+         ec.category() == asio::error::get_misc_category();
+}
+
+} // namespace
+
+struct HttpServer::Implementation
+    : std::enable_shared_from_this<HttpServer::Implementation> {
+  Implementation(asio::io_context &Context, std::string_view Address,
+                 HttpLimits Limits, HttpHandler Handler, HttpRefusal Refusal)
+      : Acceptor(Context), Endpoint(parseEndpoint(Address)), Limits(Limits),
+        Handler(std::move(Handler)), Refusal(std::move(Refusal)) {}
+
+  auto accept() -> Awaitable<void> {
+    auto self = shared_from_this();
+    while (Acceptor.is_open()) {
+      auto ec = boost::system::error_code{};
+      auto socket = co_await Acceptor.async_accept(useError(ec));
+      if (ec) {
+        // Out of descriptors, most likely: let some be closed first.
+        co_await pause(AcceptRetryInterval);
+        continue;
+      }
+      socket.set_option(tcp::no_delay(true), ec);
+      spawnTask(Acceptor.get_executor(),
+                [self, stream = std::make_shared<beast::tcp_stream>(
+                           std::move(socket))]() -> Awaitable<void> {
+                  ++self->Connections;
+                  co_await self->serve(*stream);
+                  --self->Connections;
+                });
+    }
+  }
+
+  auto pause(Duration Span) -> Awaitable<void> {
+    auto timer = asio::steady_timer(Acceptor.get_executor(), Span);
+    auto ec = boost::system::error_code{};
+    co_await timer.async_wait(useError(ec));
+  }
+
+  auto serve(beast::tcp_stream &Stream) -> Awaitable<void> {
+    auto buffer = beast::flat_buffer{};
+    if (Connections > Limits.Connections) {
+      co_await refuse(Stream, buffer, ResultCode::TooManyConnections);
+      co_return;
+    }
+    try {
+      while (co_await waitForRequest(Stream, buffer) &&
+             co_await serveOne(Stream, buffer)) {
+      }
+    } catch (boost::system::system_error const &) {
+      // The caller is gone or does not read; its connection ends here.
+    }
+    Stream.close();
+  }
+
+  /// Waits until the first byte of a request has arrived.
+  auto waitForRequest(beast::tcp_stream &Stream, beast::flat_buffer &Buffer)
+      -> Awaitable<bool> {
+    if (Buffer.size() > 0)
+      co_return true;
+    auto ec = boost::system::error_code{};
+    Stream.expires_after(Limits.IdleTimeout);
+    auto n = co_await Stream.async_read_some(Buffer.prepare(FirstReadBytes),
+                                             useError(ec));
+    Buffer.commit(n);
+    co_return !ec;
+  }
+
+  auto serveOne(beast::tcp_stream &Stream, beast::flat_buffer &Buffer)
+      -> Awaitable<bool> {
+    auto parser = http::request_parser<http::string_body>{};
+    parser.header_limit(static_cast<std::uint32_t>(Limits.HeaderBytes));
+    parser.body_limit(Limits.BodyBytes);
+    auto ec = co_await receive(Stream, Buffer, parser);
+    if (ec == asio::error::timed_out) {
+      co_await refuse(Stream, Buffer, ResultCode::RequestTimeout);
+      co_return false;
+    }
+    if (ec && isConnectionError(ec))
+      co_return false;
+    if (ec) {
+      co_await refuse(Stream, Buffer, refusalCode(ec));
+      co_return false;
+    }
+    auto exchange = Exchange(Stream, parser.release(), Limits.WriteTimeout);
+    co_await Handler(exchange);
+    co_return exchange.finish();
+  }
+
+  template <typename Parser>
+  auto receive(beast::tcp_stream &Stream, beast::flat_buffer &Buffer,
+               Parser &Target) -> Awaitable<boost::system::error_code> {
+    auto ec = boost::system::error_code{};
+    Stream.expires_never();
+    auto deadline = ReadDeadline(Stream, Limits.ReadTimeout);
+    co_await http::async_read_header(Stream, Buffer, Target, useError(ec));
+    if (!ec && isContinueExpected(Target))
+      co_await asio::async_write(Stream, asio::buffer(ContinueReply),
+                                 useError(ec));
+    if (!ec)
+      co_await http::async_read(Stream, Buffer, Target, useError(ec));
+    if (ec && deadline.hasPassed())
+      co_return asio::error::timed_out;
+    co_return ec;
+  }
+
+  template <typename Parser>
+  static auto isContinueExpected(Parser const &Target) -> bool {
+    return beast::iequals(Target.get()[http::field::expect], "100-continue");
+  }
+
+  /// Answers and closes, after reading what was sent, so that the answer is
+  /// not lost to a reset.
+  auto refuse(beast::tcp_stream &Stream, beast::flat_buffer &Buffer,
+              ResultCode Code) -> Awaitable<void> {
+    auto reply = Refusal(Code);
+    auto message = http::response<http::string_body>{
+        http::int_to_status(reply.Status), 11};
+    message.keep_alive(false);
+    message.set(http::field::content_type, reply.ContentType);
+    for (auto const &it : reply.Fields)
+      message.set(it.Name, it.Value);
+    message.body() = std::move(reply.Body);
+    message.prepare_payload();
+    auto ec = boost::system::error_code{};
+    Stream.expires_after(RefusalTimeout);
+    co_await http::async_write(Stream, message, useError(ec));
+    Stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+    for (auto n = std::size_t{0}; !ec && n < MaximumDrainedBytes;) {
+      Buffer.clear();
+      n += co_await Stream.async_read_some(Buffer.prepare(FirstReadBytes),
+                                           useError(ec));
+    }
+    Stream.close();
+  }
+
+  static constexpr auto FirstReadBytes = std::size_t{2048};
+  static constexpr auto MaximumDrainedBytes = std::size_t{8} << 20U;
+  static constexpr auto AcceptRetryInterval = Duration{20ms};
+  static constexpr auto RefusalTimeout = Duration{1s};
+  static constexpr auto ContinueReply =
+      std::string_view{"HTTP/1.1 100 Continue\r\n\r\n"};
+
+  tcp::acceptor Acceptor;
+  tcp::endpoint Endpoint;
+  HttpLimits Limits;
+  HttpHandler Handler;
+  HttpRefusal Refusal;
+  std::size_t Connections = 0;
+};
+
+HttpServer::HttpServer(asio::io_context &Context, std::string_view Address,
+                       HttpLimits Limits, HttpHandler Handler,
+                       HttpRefusal Refusal)
+    : Self(std::make_shared<Implementation>(
+          Context, Address, Limits, std::move(Handler), std::move(Refusal))) {}
+
+HttpServer::~HttpServer() { stop(); }
+
+auto HttpServer::start() -> void {
+  Self->Acceptor.open(Self->Endpoint.protocol());
+  Self->Acceptor.set_option(tcp::acceptor::reuse_address(true));
+  Self->Acceptor.bind(Self->Endpoint);
+  Self->Acceptor.listen();
+  spawnTask(Self->Acceptor.get_executor(),
+            [self = Self]() { return self->accept(); });
+}
+
+auto HttpServer::stop() -> void {
+  auto ec = boost::system::error_code{};
+  Self->Acceptor.close(ec);
+}
+
+auto HttpServer::connectionCount() const -> std::size_t {
+  return Self->Connections;
+}
+
+} // namespace dotterel
