--- /dev/null
+++ b/Libraries/LibInstance/CallParser.cpp
@@ -0,0 +1,146 @@
+#include "LibInstance/CallParser.h"
+
+#include "LibCore/Error.h"
+#include "LibCore/Hash.h"
+
+#include <charconv>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace dotterel {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr auto BytesPerToken = std::size_t{4};
+constexpr auto BytesPerPiece = std::size_t{8000};
+constexpr auto DefaultMaximumTokens = std::int64_t{256};
+constexpr auto LargestMaximumTokens = std::int64_t{131072};
+constexpr auto LongestName = std::size_t{128};
+constexpr auto LongestKey = std::size_t{256};
+constexpr auto ServicePrefix = std::string_view{"/services/"};
+
+[[noreturn]] auto fail(std::string const &Message) -> void {
+  throw Error(ResultCode::MalformedRequest, Message);
+}
+
+auto parseObject(std::string const &Text) -> json {
+  auto body = json::parse(Text, nullptr, false);
+  if (!body.is_object())
+    fail("the body is not a JSON object");
+  return body;
+}
+
+auto promptOf(json const &Body, bool IsChat) -> std::string {
+  if (!IsChat) {
+    if (!Body.contains("prompt") || !Body.at("prompt").is_string())
+      fail("field 'prompt' must be a string");
+    return Body.at("prompt").get<std::string>();
+  }
+  if (!Body.contains("messages") || !Body.at("messages").is_array() ||
+      Body.at("messages").empty())
+    fail("field 'messages' must be a non-empty array");
+  for (auto const &it : Body.at("messages"))
+    if (!it.is_object() || !it.contains("role") || !it.contains("content"))
+      fail("each of 'messages' needs 'role' and 'content'");
+  return Body.at("messages").dump();
+}
+
+auto maximumTokensOf(json const &Body) -> std::uint32_t {
+  if (!Body.contains("max_tokens"))
+    return DefaultMaximumTokens;
+  auto const &field = Body.at("max_tokens");
+  if (!field.is_number_integer() || field.get<std::int64_t>() < 1 ||
+      field.get<std::int64_t>() > LargestMaximumTokens)
+    fail(fmt::format("field 'max_tokens' must be an integer from 1 to {}",
+                     LargestMaximumTokens));
+  return field.get<std::uint32_t>();
+}
+
+auto modelOf(json const &Body) -> ModelName {
+  if (!Body.contains("model") || !Body.at("model").is_string())
+    fail("field 'model' must be a string");
+  return ModelName(Body.at("model").get<std::string>());
+}
+
+auto isStreaming(json const &Body) -> bool {
+  if (!Body.contains("stream"))
+    return false;
+  if (!Body.at("stream").is_boolean())
+    fail("field 'stream' must be true or false");
+  return Body.at("stream").get<bool>();
+}
+
+auto deadlineOf(HttpExchange const &Target) -> std::optional<Duration> {
+  auto text = Target.field("Dotterel-Deadline-Ms");
+  if (text.empty())
+    return std::nullopt;
+  auto number = std::int32_t{0};
+  auto const *end = text.data() + text.size();
+  auto result = std::from_chars(text.data(), end, number);
+  if (result.ec != std::errc{} || result.ptr != end || number <= 0)
+    fail("header 'Dotterel-Deadline-Ms' must be a positive integer");
+  return std::chrono::milliseconds(number);
+}
+
+auto promptTokens(std::string const &Prompt) -> std::uint32_t {
+  return static_cast<std::uint32_t>(Prompt.size() / BytesPerToken + 1);
+}
+
+} // namespace
+
+auto callerOf(HttpExchange const &Target) -> CallerName {
+  auto name = Target.field("Dotterel-Caller");
+  if (name.size() > LongestName)
+    fail("header 'Dotterel-Caller' is too long");
+  return CallerName(std::move(name));
+}
+
+auto parseCompletion(HttpExchange &Target, bool IsChat) -> CompletionRequest {
+  auto body = parseObject(Target.body());
+  auto request = CompletionRequest{};
+  auto &call = request.Call;
+  request.IsStreaming = isStreaming(body);
+  call.Kind = CallKind::Completion;
+  call.Caller = callerOf(Target);
+  call.RequestedDeadline = deadlineOf(Target);
+  call.Model = modelOf(body);
+  auto prompt = promptOf(body, IsChat);
+  call.PromptTokens = promptTokens(prompt);
+  call.PrefixHashes = hashPrefixes(prompt, BytesPerPiece);
+  call.MaximumTokens = maximumTokensOf(body);
+  call.Method = "POST";
+  call.Path = std::string(Target.path());
+  call.ContentType = "application/json";
+  body["stream"] = true;
+  body["max_tokens"] = call.MaximumTokens;
+  call.Body = std::make_shared<std::string const>(
+      body.dump(-1, ' ', false, json::error_handler_t::replace));
+  // The request's text is not needed again while the answer streams.
+  std::string().swap(Target.body());
+  return request;
+}
+
+auto parseServiceCall(HttpExchange &Target) -> CallRequest {
+  auto rest = Target.path().substr(ServicePrefix.size());
+  auto slash = rest.find('/');
+  if (slash == 0 || slash == std::string_view::npos)
+    throw Error(ResultCode::UnknownPath, "expected /services/{name}/{path}");
+  auto call = CallRequest{};
+  call.Kind = CallKind::Service;
+  call.Caller = callerOf(Target);
+  call.RequestedDeadline = deadlineOf(Target);
+  call.Service = ServiceName(std::string(rest.substr(0, slash)));
+  call.Path = std::string(rest.substr(slash));
+  call.Method = std::string(Target.method());
+  auto key = Target.field("Idempotency-Key");
+  if (key.size() > LongestKey)
+    fail("header 'Idempotency-Key' is too long");
+  call.Key = IdempotencyKey(std::move(key));
+  call.ContentType = Target.field("Content-Type");
+  call.Body = std::make_shared<std::string const>(std::move(Target.body()));
+  return call;
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/Libraries/LibInstance/Metrics.cpp
@@ -0,0 +1,175 @@
+#include "LibInstance/Metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+#include <set>
+
+namespace dotterel {
+
+namespace {
+
+using prometheus::Counter;
+using prometheus::Family;
+using prometheus::Gauge;
+using prometheus::Histogram;
+
+/// Callers beyond this many share one label, so that a flood of made-up names
+/// cannot fill the memory.
+constexpr auto MaximumCallerLabels = std::size_t{1000};
+
+auto durationBuckets() -> Histogram::BucketBoundaries {
+  return {0.005, 0.01, 0.02, 0.029, 0.05, 0.1, 0.2, 0.38, 0.8, 2, 5, 15, 60};
+}
+
+auto histogramFamily(prometheus::Registry &Target, std::string const &Name,
+                     std::string const &Help) -> Family<Histogram> & {
+  return prometheus::BuildHistogram().Name(Name).Help(Help).Register(Target);
+}
+
+auto counterFamily(prometheus::Registry &Target, std::string const &Name,
+                   std::string const &Help) -> Family<Counter> & {
+  return prometheus::BuildCounter().Name(Name).Help(Help).Register(Target);
+}
+
+auto gauge(prometheus::Registry &Target, std::string const &Name,
+           std::string const &Help) -> Gauge & {
+  return prometheus::BuildGauge().Name(Name).Help(Help).Register(Target).Add(
+      {});
+}
+
+/// Label under which the refinement of a counter is shown.
+auto labelName(CountMetric Metric) -> std::string {
+  switch (Metric) {
+  case CountMetric::Calls:
+    return "code";
+  case CountMetric::Retries:
+  case CountMetric::Resumes:
+    return "class";
+  case CountMetric::Drains:
+  case CountMetric::Orders:
+  case CountMetric::RoleChanges:
+    return "engine";
+  case CountMetric::LeaseChanges:
+    return "shard";
+  case CountMetric::PeerConflicts:
+    return "peer";
+  }
+  return "label";
+}
+
+} // namespace
+
+struct Metrics::Implementation {
+  prometheus::Registry Registry;
+  Family<Histogram> &FirstToken =
+      histogramFamily(Registry, "dotterel_first_token_seconds",
+                      "Time from arrival to the first token");
+  Family<Histogram> &BetweenTokens = histogramFamily(
+      Registry, "dotterel_between_tokens_seconds", "Time between two tokens");
+  Family<Histogram> &Whole = histogramFamily(Registry, "dotterel_call_seconds",
+                                             "Time from arrival to the answer");
+  Family<Counter> &Calls =
+      counterFamily(Registry, "dotterel_calls_total", "Calls by result code");
+  Family<Counter> &Retries = counterFamily(Registry, "dotterel_retries_total",
+                                           "Attempts after the first");
+  Family<Counter> &Resumes = counterFamily(Registry, "dotterel_resumes_total",
+                                           "Streams continued elsewhere");
+  Family<Counter> &Drains = counterFamily(Registry, "dotterel_drains_total",
+                                          "Drains that were honoured");
+  Family<Counter> &Orders =
+      counterFamily(Registry, "dotterel_orders_total", "Orders sent");
+  Family<Counter> &RoleChanges = counterFamily(
+      Registry, "dotterel_role_changes_total", "Orders seen carried out");
+  Family<Counter> &LeaseChanges =
+      counterFamily(Registry, "dotterel_lease_changes_total",
+                    "Leases taken or lost by this instance");
+  Family<Counter> &PeerConflicts = counterFamily(
+      Registry, "dotterel_peers_refused_total", "Peers with a wrong key");
+  Gauge &Outstanding = gauge(Registry, "dotterel_calls_in_progress",
+                             "Calls without a final answer");
+  Gauge &Revision = gauge(Registry, "dotterel_configuration_revision",
+                          "Revision of the configuration in force");
+  Gauge &Peers = gauge(Registry, "dotterel_peers", "Connected other instances");
+  std::set<std::string> Callers;
+
+  auto callerLabel(CallerName const &Caller) -> std::string {
+    if (Callers.contains(Caller.text()))
+      return Caller.text();
+    if (Callers.size() >= MaximumCallerLabels)
+      return "other";
+    Callers.insert(Caller.text());
+    return Caller.text();
+  }
+
+  auto family(CountMetric Metric) -> Family<Counter> & {
+    switch (Metric) {
+    case CountMetric::Calls:
+      return Calls;
+    case CountMetric::Retries:
+      return Retries;
+    case CountMetric::Resumes:
+      return Resumes;
+    case CountMetric::Drains:
+      return Drains;
+    case CountMetric::Orders:
+      return Orders;
+    case CountMetric::RoleChanges:
+      return RoleChanges;
+    case CountMetric::LeaseChanges:
+      return LeaseChanges;
+    case CountMetric::PeerConflicts:
+      return PeerConflicts;
+    }
+    return Calls;
+  }
+
+  auto family(DurationMetric Metric) -> Family<Histogram> & {
+    switch (Metric) {
+    case DurationMetric::FirstToken:
+      return FirstToken;
+    case DurationMetric::BetweenTokens:
+      return BetweenTokens;
+    case DurationMetric::Whole:
+      return Whole;
+    }
+    return Whole;
+  }
+};
+
+Metrics::Metrics() : Self(std::make_unique<Implementation>()) {}
+Metrics::~Metrics() = default;
+
+auto Metrics::run(ObserveDuration const &What) -> void {
+  Self->family(What.Metric)
+      .Add({{"caller", Self->callerLabel(What.Caller)}, {"class", What.Class}},
+           durationBuckets())
+      .Observe(toSeconds(What.Value));
+}
+
+auto Metrics::run(CountOne const &What) -> void {
+  auto labels = std::map<std::string, std::string>{};
+  if (!What.Caller.empty())
+    labels["caller"] = Self->callerLabel(What.Caller);
+  if (!What.Label.empty())
+    labels[labelName(What.Metric)] = What.Label;
+  Self->family(What.Metric).Add(labels).Increment();
+}
+
+auto Metrics::show(State const &Subject) -> void {
+  Self->Outstanding.Set(static_cast<double>(Subject.Calls.Calls.size()));
+  auto const &current = Subject.Configuration.Current;
+  Self->Revision.Set(current ? static_cast<double>(current->revision()) : 0);
+  auto connected = 0;
+  for (auto const &it : Subject.Members.Peers)
+    connected += it.second.IsConnected ? 1 : 0;
+  Self->Peers.Set(connected);
+}
+
+auto Metrics::text() const -> std::string {
+  return prometheus::TextSerializer{}.Serialize(Self->Registry.Collect());
+}
+
+} // namespace dotterel
