--- /dev/null
+++ b/Programs/dotterelstream/ServeCommand.cpp
@@ -0,0 +1,51 @@
+/// \file
+/// "serve" runs an instance; "check" validates its settings or a
+/// configuration without side effects.
+#include "CommandLine.h"
+
+#include "LibConfiguration/FleetConfiguration.h"
+#include "LibConfiguration/Settings.h"
+#include "LibCore/Log.h"
+#include "LibInstance/Instance.h"
+
+#include <fmt/format.h>
+
+namespace dotterel {
+
+auto serveCommand(Arguments const &Given) -> void {
+  auto line = CommandLine(
+      "serve", "Runs an instance until SIGTERM, then lets it finish its calls "
+               "and leave.");
+  auto path = TCLAP::ValueArg<std::string>(
+      "s", "settings", "Settings of the instance (docs/SETTINGS.md)", true, "",
+      "file", line);
+  if (!line.parseArguments(Given))
+    return;
+  auto settings = Settings::load(path.getValue());
+  setLogLevel(parseLogLevel(settings.LogLevel));
+  Instance(std::move(settings)).run();
+}
+
+auto checkCommand(Arguments const &Given) -> void {
+  auto line = CommandLine("check", "Validates a settings file, a "
+                                   "configuration file, or both.");
+  auto settings = TCLAP::ValueArg<std::string>(
+      "s", "settings", "Settings to validate", false, "", "file", line);
+  auto configuration = TCLAP::ValueArg<std::string>(
+      "f", "file", "Configuration to validate", false, "", "file", line);
+  if (!line.parseArguments(Given))
+    return;
+  if (!settings.isSet() && !configuration.isSet())
+    throw Error(ResultCode::InvalidUsage, "give --settings or --file");
+  if (settings.isSet())
+    (void)Settings::load(settings.getValue());
+  if (!configuration.isSet())
+    return fmt::print("valid\n");
+  auto text = readFile(configuration.getValue());
+  auto compiled = FleetConfiguration::compile(text, 0);
+  for (auto const &it : compiled->warnings())
+    fmt::print("warning: {}\n", it);
+  fmt::print("valid\n");
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/Programs/standin/PlainService.h
@@ -0,0 +1,26 @@
+/// \file
+/// Stand-in for a plain service that counts executions by key.
+#pragma once
+
+#include "Support.h"
+
+#include <map>
+
+namespace dotterel::standin {
+
+class PlainService {
+public:
+  explicit PlainService(std::string Name) : Name(std::move(Name)) {}
+
+  auto handle(HttpExchange &Target) -> Awaitable<void>;
+
+private:
+  auto control(HttpExchange &Target) -> Awaitable<void>;
+
+  std::string Name;
+  std::map<std::string, int> Executions;
+  int DelayMs = 0;
+  int AnswersToLose = 0;
+};
+
+} // namespace dotterel::standin
