LibControl: Keep engines that ignore fencing from late orders

Cause: shards were cut by position in the configuration, and only a removal from the instance list proved that a former holder was harmless. Now a shard depends on the engine's name alone; the record names former holders, and engines that ignore the number get no order until each has ended, runs again under another incarnation, or has itself said that it knows of the later number and has no order on its way. A drain for coverage no longer blocks an order that operators declared for every engine.

--- a/Libraries/LibControl/Authority.h
+++ b/Libraries/LibControl/Authority.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace dotterel {
@@ -22,10 +23,17 @@
   Instant NextStep;
 };
 
+/// An order that left this process and has had no definite answer.
+struct UnansweredOrder {
+  EngineId Engine;
+  OrderId Order = 0;
+  auto operator<=>(UnansweredOrder const &) const = default;
+};
+
 /// One shard as this instance sees it.
 struct Shard {
+  ShardName Name;
   std::vector<EngineId> Engines;
-  bool AllCheckFencing = true;
   LeaseLifecycle Lease;
   /// The record as last read or committed, and its version.
   ShardRecord Record;
@@ -38,9 +46,12 @@
   std::optional<ShardRecord> Pending;
   Instant PendingSent;
   Instant NextRenewal;
+  /// When this instance took the lease.
+  Instant TakenAt;
   /// Until when this holder may act; monotonic, counted from before sending.
   Instant ValidUntil;
   std::map<EngineId, OrderProgress> Orders;
+  std::set<UnansweredOrder> Unanswered;
   /// When this instance last told each engine to raise its fence.
   std::map<EngineId, Instant> FenceRaised;
 };
@@ -51,10 +62,9 @@
   std::uint64_t NextWriteNumber = 1;
 };
 
-/// Returns the shard that \p Engine belongs to; \p Position is its place among
-/// the engines of its failure domain that check fencing alike.
-[[nodiscard]] auto shardOf(EngineDeclaration const &Engine,
-                           std::size_t Position) -> ShardName;
+/// Returns the shard that \p Engine belongs to. It depends on the name alone,
+/// so that no change of configuration moves an engine between holders.
+[[nodiscard]] auto shardOf(EngineId const &Engine) -> ShardName;
 
 /// Returns whether the holder of \p Subject may act at \p Now.
 [[nodiscard]] auto isValidHolder(Shard const &Subject, Instant Now) -> bool;
--- a/Libraries/LibControl/AuthorityReducer.cpp
+++ b/Libraries/LibControl/AuthorityReducer.cpp
@@ -12,7 +12,8 @@
 
 using LeasePhase = LeaseLifecycle::Phase;
 
-constexpr auto EnginesPerShard = std::size_t{100};
+/// Never changed: it decides which holder orders an engine.
+constexpr auto ShardCount = std::uint64_t{8};
 /// Instances that watch a shard's lease, ready to take it.
 constexpr auto CandidatesPerShard = 2;
 constexpr auto RenewalsPerLease = 3;
@@ -25,11 +26,9 @@
 
 } // namespace
 
-auto shardOf(EngineDeclaration const &Engine, std::size_t Position)
-    -> ShardName {
-  return ShardName(fmt::format("{}-{}-{}", Engine.Domain.text(),
-                               Engine.ChecksFencing ? "fenced" : "unfenced",
-                               Position / EnginesPerShard));
+auto shardOf(EngineId const &Engine) -> ShardName {
+  return ShardName(
+      fmt::format("engines-{}", hashText(Engine.text()) % ShardCount));
 }
 
 auto isHolder(Shard const &Subject) -> bool {
@@ -46,12 +45,11 @@
   auto &shards = Subject.Authority.Shards;
   for (auto &it : shards)
     it.second.Engines.clear();
-  auto positions = std::map<std::string, std::size_t>{};
   for (auto const &it : Subject.Configuration.Current->engines()) {
-    auto group = it.Domain.text() + (it.ChecksFencing ? "+" : "-");
-    auto &shard = shards[shardOf(it, positions[group]++)];
+    auto name = shardOf(it.Id);
+    auto &shard = shards[name];
+    shard.Name = name;
     shard.Engines.push_back(it.Id);
-    shard.AllCheckFencing = it.ChecksFencing;
   }
   // A held shard without engines stays until its orders are resolved.
   std::erase_if(shards, [](auto const &Item) {
@@ -98,7 +96,8 @@
     return release(Name, Target);
   raiseFences(Name, Target);
   auto next = OrderReducer(Subject, Out).composeRecord(Target);
-  auto hasNews = next.Orders != Target.Record.Orders;
+  auto hasNews = next.Orders != Target.Record.Orders ||
+                 next.FormerHolders != Target.Record.FormerHolders;
   if (!hasNews && Target.NextRenewal > now())
     return;
   Target.Lease.renewSent();
@@ -125,6 +124,10 @@
 
 auto AuthorityReducer::acquire(ShardName const &Name, Shard &Target) -> void {
   auto record = Target.Record;
+  auto wasHeld = Target.Version != 0 && !record.IsReleased &&
+                 record.HolderRun != Subject.Self.Run;
+  if (wasHeld)
+    record.FormerHolders.push_back({record.Holder, record.HolderRun});
   record.Fencing += 1;
   record.IsReleased = false;
   Target.Lease.acquireSent();
@@ -152,13 +155,7 @@
     return now() >= Target.VersionSeen + turn;
   auto lease =
       scaled(Target.Record.LeaseDuration, 1 + 2 * options.MaximumClockDrift);
-  if (now() < Target.VersionSeen + lease + turn)
-    return false;
-  // An engine that ignores fencing numbers would obey a paused holder, so
-  // authority over it moves only when that holder has ended.
-  return Target.AllCheckFencing ||
-         Target.Record.HolderRun == Subject.Self.Run ||
-         hasEnded(Subject, Target.Record.Holder, Target.Record.HolderRun);
+  return now() >= Target.VersionSeen + lease + turn;
 }
 
 auto AuthorityReducer::candidateRank(ShardName const &Name) const -> int {
@@ -202,6 +199,7 @@
       Target.PendingSent + scaled(lease, 1 - Subject.Options.MaximumClockDrift);
   Target.NextRenewal = now() + lease / RenewalsPerLease;
   if (isNew) {
+    Target.TakenAt = now();
     emit(CountOne{CountMetric::LeaseChanges, {}, Name.text()});
     log(LogLevel::Info, "lease-taken",
         {{"shard", Name.text()},
@@ -270,9 +268,12 @@
 
 auto AuthorityReducer::raiseFences(ShardName const & /*Name*/, Shard &Target)
     -> void {
-  if (!Target.AllCheckFencing || !isValidHolder(Target, now()))
+  if (!isValidHolder(Target, now()))
     return;
   for (auto const &id : Target.Engines) {
+    auto const *engine = Subject.Configuration.Current->findEngine(id);
+    if (engine == nullptr || !engine->ChecksFencing)
+      continue;
     auto view = Subject.Backends.Engines.find(id);
     if (view == Subject.Backends.Engines.end() || !view->second.Report)
       continue;
--- a/Libraries/LibControl/MembershipReducer.cpp
+++ b/Libraries/LibControl/MembershipReducer.cpp
@@ -164,11 +164,12 @@
   heartbeat.Announcements = announcementsOf(Subject);
   for (auto const &it : Subject.Backends.Drains)
     heartbeat.HonouredDrains.push_back({it.first, it.second.Order});
+  heartbeat.Yields = yieldsOf(Subject);
   return heartbeat;
 }
 
-auto hasEnded(State const &Subject, InstanceId const &Holder, Incarnation Run)
-    -> bool {
+auto hasEnded(State const &Subject, InstanceId const &Holder, Incarnation Run,
+              Instant KnownSince) -> bool {
   if (Run == Subject.Self.Run)
     return false;
   // Two runs of one instance cannot hold its addresses at once.
@@ -177,9 +178,14 @@
   auto const &members = Subject.Members;
   if (members.EndedRuns.contains(Run))
     return true;
-  auto isKnown = members.Peers.contains(Holder);
-  return members.HasList && !isKnown &&
-         Subject.Now - Subject.Started > RemovalBound;
+  auto it = members.Peers.find(Holder);
+  if (it == members.Peers.end())
+    return members.HasList && Subject.Now - Subject.Started > RemovalBound;
+  // Another run still speaks well after this one was known to have run, so it
+  // is the later of the two.
+  auto const &peer = it->second;
+  return peer.Run != Run && isAlive(peer, Subject.Now) &&
+         Subject.Now - KnownSince > RemovalBound;
 }
 
 } // namespace dotterel
--- a/Libraries/LibControl/MembershipReducer.h
+++ b/Libraries/LibControl/MembershipReducer.h
@@ -30,8 +30,9 @@
 };
 
 /// Returns whether the process that ran as \p Run of \p Holder has ended, by
-/// the platform's list or by a later run of the same instance.
+/// the platform's list or by a later run of the same instance. \p KnownSince
+/// is when this instance learned of \p Run.
 [[nodiscard]] auto hasEnded(State const &Subject, InstanceId const &Holder,
-                            Incarnation Run) -> bool;
+                            Incarnation Run, Instant KnownSince) -> bool;
 
 } // namespace dotterel
--- a/Libraries/LibControl/OrderLifecycle.cpp
+++ b/Libraries/LibControl/OrderLifecycle.cpp
@@ -32,6 +32,7 @@
       Move<In<Phase::Connecting>, NotSent, In<Phase::AwaitingIdle>>,
       Move<In<Phase::Sent>, Answered, In<Phase::Confirming>>,
       Move<In<Phase::Sent>, RefusedBusy, In<Phase::AwaitingIdle>>,
+      Move<In<Phase::Recording>, ReportedDone, In<Phase::Resolved>>,
       Move<In<Phase::Draining>, ReportedDone, In<Phase::Resolved>>,
       Move<In<Phase::AwaitingIdle>, ReportedDone, In<Phase::Resolved>>,
       Move<In<Phase::Confirming>, ReportedDone, In<Phase::Resolved>>,
--- a/Libraries/LibControl/OrderReducer.cpp
+++ b/Libraries/LibControl/OrderReducer.cpp
@@ -57,6 +57,20 @@
   return announcements;
 }
 
+auto yieldsOf(State const &Subject) -> std::vector<ShardYield> {
+  auto yields = std::vector<ShardYield>{};
+  for (auto const &it : Subject.Authority.Shards) {
+    auto const &shard = it.second;
+    auto wasHolder = shard.TakenAt != Instant{} && !isHolder(shard);
+    auto highest = Subject.Backends.HighestFencing.find(it.first);
+    if (!wasHolder || !shard.Unanswered.empty() ||
+        highest == Subject.Backends.HighestFencing.end())
+      continue;
+    yields.push_back({it.first, highest->second});
+  }
+  return yields;
+}
+
 auto OrderReducer::on(Tick const & /*Happened*/) -> void {
   auto changed = false;
   for (auto const &it : announcementsOf(Subject))
@@ -66,8 +80,11 @@
   for (auto &it : Subject.Authority.Shards) {
     if (!isValidHolder(it.second, now()))
       continue;
-    for (auto &order : it.second.Orders)
+    for (auto &order : it.second.Orders) {
+      if (mayOrder(it.second, order.first))
+        order.second.Lifecycle.intentCommitted();
       step(it.first, order.first, order.second);
+    }
   }
 }
 
@@ -166,12 +183,17 @@
   }
   found.Progress->Lifecycle.sent();
   found.Progress->SentAt = now();
+  found.Owner->Unanswered.insert({Happened.Engine, Happened.Order});
   emit(CountOne{CountMetric::Orders, {}, Happened.Engine.text()});
   emit(SendOrder{Happened.Shard, Happened.Engine, Happened.Order,
                  found.Owner->Record.Fencing, found.Progress->Record.State});
 }
 
 auto OrderReducer::on(OrderAnswered const &Happened) -> void {
+  auto shard = Subject.Authority.Shards.find(Happened.Shard);
+  auto isDefinite = Happened.Answer != OrderAnswer::Lost;
+  if (shard != Subject.Authority.Shards.end() && isDefinite)
+    shard->second.Unanswered.erase({Happened.Engine, Happened.Order});
   auto found = locate(Happened.Shard, Happened.Engine, Happened.Order);
   if (found.Progress == nullptr)
     return;
@@ -218,12 +240,16 @@
   for (auto const &it : Target.Orders)
     if (it.second.Lifecycle.phase() == OrderPhase::Resolved)
       record.Orders.erase(it.first);
+  std::erase_if(record.FormerHolders,
+                [&](FormerHolder const &it) { return isHarmless(Target, it); });
   if (Subject.LeaveRequestedAt != Instant{})
     return record;
   for (auto const &id : Target.Engines) {
     if (record.Orders.size() >= OrdersPerShard)
       break;
-    if (Target.Orders.contains(id) || !wantsOrder(id) || !isCovered(id))
+    if (Target.Orders.contains(id) || !mayOrder(Target, id))
+      continue;
+    if (!wantsOrder(id) || !isCovered(id))
       continue;
     auto wanted = Subject.Configuration.Current->desiredState(id);
     record.Orders[id] = {++record.LastOrder, *wanted};
@@ -231,6 +257,22 @@
   return record;
 }
 
+auto OrderReducer::isHarmless(Shard const &Target,
+                              FormerHolder const &Former) const -> bool {
+  if (Former.Run == Subject.Self.Run)
+    return Target.Unanswered.empty();
+  if (hasEnded(Subject, Former.Instance, Former.Run, Target.TakenAt))
+    return true;
+  auto it = Subject.Members.Peers.find(Former.Instance);
+  if (it == Subject.Members.Peers.end() || it->second.Run != Former.Run)
+    return false;
+  auto const &name = Target.Name;
+  return std::ranges::any_of(
+      it->second.Heartbeat.Yields, [&](ShardYield const &Yield) {
+        return Yield.Shard == name && Yield.Fencing >= Target.Record.Fencing;
+      });
+}
+
 auto OrderReducer::wantsOrder(EngineId const &Engine) const -> bool {
   auto wanted = Subject.Configuration.Current->desiredState(Engine);
   auto view = Subject.Backends.Engines.find(Engine);
@@ -242,6 +284,14 @@
   return report.IsChanging || !showsState(report, *wanted);
 }
 
+auto OrderReducer::mayOrder(Shard const &Target, EngineId const &Engine) const
+    -> bool {
+  auto const *engine = Subject.Configuration.Current->findEngine(Engine);
+  if (engine != nullptr && engine->ChecksFencing)
+    return true;
+  return Target.Record.FormerHolders.empty();
+}
+
 auto OrderReducer::isCovered(EngineId const &Engine) const -> bool {
   auto const &table = Subject.Backends;
   auto const &configuration = *Subject.Configuration.Current;
@@ -253,12 +303,13 @@
       return Other.Id != Engine &&
              isRoutable(table, Other.Id, Model, Subject.Now);
     };
-    // A model that no rule asks for any more needs no cover.
+    // A model that no rule asks any engine to serve needs no cover.
     auto isAskedFor = std::ranges::any_of(
         configuration.engines(), [&](EngineDeclaration const &Other) {
           auto wanted = configuration.desiredState(Other.Id);
-          return wanted && std::ranges::find(wanted->Models, Model) !=
-                               wanted->Models.end();
+          return wanted && wanted->Role == EngineRole::Mixed &&
+                 std::ranges::find(wanted->Models, Model) !=
+                     wanted->Models.end();
         });
     return !isAskedFor || std::ranges::any_of(configuration.engines(), serves);
   });
@@ -274,7 +325,8 @@
       continue;
     order->second = OrderProgress{};
     order->second.Record = it.second;
-    order->second.Lifecycle.intentCommitted();
+    if (mayOrder(Target, it.first))
+      order->second.Lifecycle.intentCommitted();
     log(LogLevel::Info, "order-recorded",
         {{"engine", it.first.text()},
          {"order", fmt::format("{}", it.second.Id)},
--- a/Libraries/LibControl/OrderReducer.h
+++ b/Libraries/LibControl/OrderReducer.h
@@ -40,6 +40,10 @@
   auto resolveIfDone(EngineId const &Engine, EngineView const &View,
                      OrderProgress &Progress) -> bool;
   [[nodiscard]] auto isAcknowledged(DrainReference const &Drain) const -> bool;
+  [[nodiscard]] auto mayOrder(Shard const &Target, EngineId const &Engine) const
+      -> bool;
+  [[nodiscard]] auto isHarmless(Shard const &Target,
+                                FormerHolder const &Former) const -> bool;
   [[nodiscard]] auto isCovered(EngineId const &Engine) const -> bool;
   [[nodiscard]] auto wantsOrder(EngineId const &Engine) const -> bool;
 };
@@ -48,6 +52,10 @@
 [[nodiscard]] auto announcementsOf(State const &Subject)
     -> std::vector<ShardAnnouncement>;
 
+/// Returns the shards that this instance held before and has no order for on
+/// its way.
+[[nodiscard]] auto yieldsOf(State const &Subject) -> std::vector<ShardYield>;
+
 /// Returns whether an order of \p Subject may be on its way to an engine.
 [[nodiscard]] auto hasOrderInFlight(Shard const &Subject) -> bool;
 
--- a/Libraries/LibControl/ShardRecord.cpp
+++ b/Libraries/LibControl/ShardRecord.cpp
@@ -38,6 +38,10 @@
   for (auto const &it : In.at("orders"))
     record.Orders[EngineId(it.at("engine").get<std::string>())] = {
         it.at("id").get<OrderId>(), stateFrom(it.at("state"))};
+  for (auto const &it : In.at("formerHolders"))
+    record.FormerHolders.push_back(
+        {InstanceId(it.at("instance").get<std::string>()),
+         it.at("run").get<Incarnation>()});
   return record;
 }
 
@@ -79,7 +83,12 @@
     orders.push_back({{"engine", it.first.text()},
                       {"id", it.second.Id},
                       {"state", toJson(it.second.State)}});
+  auto formerHolders = json::array();
+  for (auto const &it : Record.FormerHolders)
+    formerHolders.push_back(
+        {{"instance", it.Instance.text()}, {"run", it.Run}});
   return json{{"holder", Record.Holder.text()},
+              {"formerHolders", std::move(formerHolders)},
               {"holderRun", Record.HolderRun},
               {"fencing", Record.Fencing},
               {"leaseMs", toMilliseconds(Record.LeaseDuration)},
--- a/Libraries/LibControl/ShardRecord.h
+++ b/Libraries/LibControl/ShardRecord.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace dotterel {
 
@@ -20,6 +21,15 @@
   auto operator==(OrderRecord const &) const -> bool = default;
 };
 
+/// A holder whose lease lapsed without a release. It may be paused with an
+/// order on its way, so engines that ignore fencing numbers get no orders
+/// until its process has ended.
+struct FormerHolder {
+  InstanceId Instance;
+  Incarnation Run = 0;
+  auto operator==(FormerHolder const &) const -> bool = default;
+};
+
 /// Content of a shard object. Written only conditionally on its version.
 struct ShardRecord {
   InstanceId Holder;
@@ -32,6 +42,7 @@
   bool IsReleased = false;
   OrderId LastOrder = 0;
   std::map<EngineId, OrderRecord> Orders;
+  std::vector<FormerHolder> FormerHolders;
   auto operator==(ShardRecord const &) const -> bool = default;
 };
 
--- a/Libraries/LibPeer/Codec.cpp
+++ b/Libraries/LibPeer/Codec.cpp
@@ -61,6 +61,21 @@
   return json::array({static_cast<std::uint8_t>(Type)});
 }
 
+auto toJson(std::vector<ShardYield> const &Yields) -> json {
+  auto list = json::array();
+  for (auto const &it : Yields)
+    list.push_back(json::array({it.Shard.text(), it.Fencing}));
+  return list;
+}
+
+auto yieldsFrom(json const &List) -> std::vector<ShardYield> {
+  auto yields = std::vector<ShardYield>{};
+  for (auto const &it : List)
+    yields.push_back({ShardName(it.at(0).get<std::string>()),
+                      it.at(1).get<FencingNumber>()});
+  return yields;
+}
+
 struct Encoder {
   auto operator()(PeerHello const &Message) const -> json {
     auto out = envelope(MessageType::Hello);
@@ -81,6 +96,7 @@
     out.push_back(Message.KeyPrefix);
     out.push_back(toJson(Message.Announcements));
     out.push_back(toJson(Message.HonouredDrains));
+    out.push_back(toJson(Message.Yields));
     return out;
   }
 
@@ -146,6 +162,7 @@
   message.KeyPrefix = In.at(6).get<std::string>();
   message.Announcements = announcementsFrom(In.at(7));
   message.HonouredDrains = drainsFrom(In.at(8));
+  message.Yields = yieldsFrom(In.at(9));
   return message;
 }
 
--- a/Libraries/LibPeer/Message.h
+++ b/Libraries/LibPeer/Message.h
@@ -31,6 +31,13 @@
   std::vector<DrainReference> Drains;
 };
 
+/// A former holder's word that no order of its own for the shard is on its
+/// way, and that it knows of the later fencing number.
+struct ShardYield {
+  ShardName Shard;
+  FencingNumber Fencing = 0;
+};
+
 /// First message on a connection, in both directions.
 struct PeerHello {
   std::uint32_t Version = PeerProtocolVersion;
@@ -49,6 +56,7 @@
   std::string KeyPrefix;
   std::vector<ShardAnnouncement> Announcements;
   std::vector<DrainReference> HonouredDrains;
+  std::vector<ShardYield> Yields;
 };
 
 /// Asks for the configuration that the receiver holds.
--- a/Programs/standin/ModelEngine.cpp
+++ b/Programs/standin/ModelEngine.cpp
@@ -215,8 +215,8 @@
     HighestFencing = fencing;
   if (body.value("fence_only", false))
     co_return co_await respondJson(Target, 200, json::object());
-  auto isRepeated = number == CurrentOrder || number == LastOrder;
-  if (IsChanging && isRepeated && CurrentOrder != 0)
+  auto isRepeated = IsChanging ? number == CurrentOrder : number == LastOrder;
+  if (isRepeated)
     co_return co_await respondJson(Target, 200, json::object());
   auto isBusy = Running > 0 || (IsChanging && CurrentOrder != 0);
   if (isBusy && body.value("if_idle", false)) {
