--- /dev/null
+++ b/Tests/Process/Configuration.sh
@@ -0,0 +1,67 @@
+#!/usr/bin/env bash
+# Accepted configurations: in force soon, never older again, one winner.
+source "$(dirname "$0")/Support.sh"
+start_fleet 3 2 1 true
+
+revision_is() { # WANTED INSTANCE...
+  local wanted=$1 n
+  shift
+  for n in "$@"; do equals "$wanted" "$(status_field "$n" revision)" || return 1; done
+}
+
+$program label --object-api "$(address 0)" caller dispatch tier=silver >/dev/null
+check InForceWithinTwoSeconds wait_for 2 revision_is 2 1 2 3
+
+race() {
+  local n codes=()
+  $program get --object-api "$(address 0)" >"$fleet_dir/read" 2>/dev/null
+  for n in 1 2 3 4; do
+    sed "s/silver/metal$n/" "$fleet_dir/read" >"$fleet_dir/race$n.json"
+    $program apply --object-api "$(address 0)" --revision 2 \
+      --file "$fleet_dir/race$n.json" >/dev/null 2>"$fleet_dir/race$n.log" &
+    codes+=($!)
+  done
+  local won=0 lost=0 pid
+  for pid in "${codes[@]}"; do
+    wait "$pid"
+    case $? in 0) won=$((won + 1)) ;; 4) lost=$((lost + 1)) ;; esac
+  done
+  equals '1 3' "$won $lost"
+}
+check OneOfFourOperatorsWins race
+check LoserSeesBothVersions grep -lq 'refused:' "$fleet_dir"/race*.log
+check RaceIsInForce wait_for 2 revision_is 3 1 2 3
+
+# A paused instance catches up.
+kill -STOP "$(pid_of instance3)"
+$program label --object-api "$(address 0)" caller dispatch tier=gold >/dev/null
+sleep 1
+kill -CONT "$(pid_of instance3)"
+check PausedInstanceCatchesUp wait_for 5 revision_is 4 1 2 3
+
+# A start during an outage takes the configuration from peers.
+control 0 '{"outage": true}' >/dev/null
+kill -KILL "$(pid_of instance1)"
+sleep 0.5
+start_instance 1
+check StartDuringOutageUsesPeers wait_for 10 revision_is 4 1
+check StartDuringOutageServes wait_for 10 complete 1 3
+control 0 '{"outage": false}' >/dev/null
+
+# What is refused changes nothing, and says where it is wrong.
+sed 's/"callers":\s*""/"callers": "teir=gold"/' "$fleet_dir/configuration.json" \
+  >"$fleet_dir/wrong.json"
+$program apply --object-api "$(address 0)" --revision 4 \
+  --file "$fleet_dir/wrong.json" >/dev/null 2>"$fleet_dir/wrong.log"
+check WrongSelectorIsRefused equals 3 $?
+check WrongSelectorIsNamed grep -q "unknown label 'teir'" "$fleet_dir/wrong.log"
+check NothingChanged revision_is 4 1 2 3
+
+$program status --instance "$(address 109)" >/dev/null 2>&1
+check UnreachableInstanceExitCode equals 5 $?
+$program explain --instance "$(address 101)" --model roster >"$fleet_dir/explained"
+check ExplainNamesTheRoute grep -q '^route rosters' "$fleet_dir/explained"
+$program label --object-api "$(address 0)" engine e77 a=b 2>/dev/null
+check UnknownObjectExitCode equals 6 $?
+$program frobnicate 2>/dev/null
+check UnknownCommandExitCode equals 2 $?
