--- a/Libraries/LibControl/CallReducer.cpp
+++ b/Libraries/LibControl/CallReducer.cpp
@@ -321,7 +321,7 @@
     if (isFirstOfAttempt && now() > attempt.SentAt)
       model.observeFirstToken(attempt.PrefillTokens +
                                   attempt.QueuedPrefillTokens,
-                              now() - attempt.SentAt);
+                              attempt.BatchSize, now() - attempt.SentAt);
     else
       model.observeBetweenTokens(engine->second.Report
                                      ? engine->second.Report->Running
--- a/Libraries/LibControl/EngineModel.cpp
+++ b/Libraries/LibControl/EngineModel.cpp
@@ -9,6 +9,7 @@
 constexpr auto PrefillLearningRate = 0.1;
 constexpr auto DecodeLearningRate = 0.02;
 constexpr auto SmallestInformativePrefillTokens = 200.0;
+constexpr auto SmallestPrefillShare = 0.2;
 constexpr auto LowestPrefillRate = 50.0;
 constexpr auto LowestDecodeBaseSeconds = 0.0005;
 constexpr auto BatchScale = 64.0;
@@ -27,11 +28,15 @@
           fromSeconds(firstToken + perToken * Work.OutputTokens)};
 }
 
-auto EngineModel::observeFirstToken(double PrefillTokens, Duration Elapsed)
-    -> void {
+auto EngineModel::observeFirstToken(double PrefillTokens, double BatchSize,
+                                    Duration Elapsed) -> void {
   if (PrefillTokens < SmallestInformativePrefillTokens)
     return;
-  auto rate = PrefillTokens / toSeconds(Elapsed);
+  // The first token takes a decode step after its prefill.
+  auto elapsed = toSeconds(Elapsed);
+  auto prefill = std::max(elapsed - decodeSeconds(BatchSize + 1),
+                          SmallestPrefillShare * elapsed);
+  auto rate = PrefillTokens / prefill;
   PrefillRate += PrefillLearningRate * (rate - PrefillRate);
   PrefillRate = std::max(PrefillRate, LowestPrefillRate);
 }
--- a/Libraries/LibControl/EngineModel.h
+++ b/Libraries/LibControl/EngineModel.h
@@ -30,9 +30,10 @@
   [[nodiscard]] auto forecast(EngineWork const &Work) const -> EngineForecast;
 
   /// Records that the first token of a request came \p Elapsed after sending,
-  /// with \p PrefillTokens of prefill before it.
-  /// Precondition: \p Elapsed is positive.
-  auto observeFirstToken(double PrefillTokens, Duration Elapsed) -> void;
+  /// with \p PrefillTokens of prefill before it and \p BatchSize others
+  /// running. Precondition: \p Elapsed is positive.
+  auto observeFirstToken(double PrefillTokens, double BatchSize,
+                         Duration Elapsed) -> void;
 
   /// Records the time between two tokens while \p BatchSize requests ran.
   auto observeBetweenTokens(double BatchSize, Duration Elapsed) -> void;
