--- a/Libraries/LibPeer/Codec.cpp
+++ b/Libraries/LibPeer/Codec.cpp
@@ -225,6 +225,44 @@
   return std::nullopt;
 }
 
+/// Follows a document without building it, and stops at nesting that no
+/// message has: the library decodes by recursion.
+class ShapeCheck final : public nlohmann::json_sax<json> {
+public:
+  auto null() -> bool override { return true; }
+  auto boolean(bool /*Value*/) -> bool override { return true; }
+  auto number_integer(number_integer_t /*Value*/) -> bool override {
+    return true;
+  }
+  auto number_unsigned(number_unsigned_t /*Value*/) -> bool override {
+    return true;
+  }
+  auto number_float(number_float_t /*Value*/, string_t const & /*Text*/)
+      -> bool override {
+    return true;
+  }
+  auto string(string_t & /*Value*/) -> bool override { return true; }
+  auto binary(binary_t & /*Value*/) -> bool override { return true; }
+  auto start_object(std::size_t /*Count*/) -> bool override { return false; }
+  auto key(string_t & /*Name*/) -> bool override { return false; }
+  auto end_object() -> bool override { return false; }
+  auto start_array(std::size_t /*Count*/) -> bool override {
+    return ++Depth <= MaximumDepth;
+  }
+  auto end_array() -> bool override {
+    --Depth;
+    return true;
+  }
+  auto parse_error(std::size_t /*Position*/, std::string const & /*Token*/,
+                   json::exception const & /*Problem*/) -> bool override {
+    return false;
+  }
+
+private:
+  static constexpr auto MaximumDepth = 8;
+  int Depth = 0;
+};
+
 } // namespace
 
 auto encodePeerMessage(PeerMessage const &Message)
@@ -234,11 +272,13 @@
 
 auto decodePeerMessage(std::span<std::uint8_t const> Bytes)
     -> std::optional<PeerMessage> {
-  auto in = json::from_cbor(Bytes, /*strict=*/true,
-                            /*allow_exceptions=*/false);
-  if (!in.is_array() || in.empty())
+  auto shape = ShapeCheck{};
+  if (!json::sax_parse(Bytes, &shape, json::input_format_t::cbor))
     return std::nullopt;
   try {
+    auto in = json::from_cbor(Bytes);
+    if (!in.is_array() || in.empty())
+      return std::nullopt;
     return messageFrom(in);
   } catch (json::exception const &) {
     return std::nullopt;
--- /dev/null
+++ b/Tests/Fuzz/FuzzCallerFront.cpp
@@ -0,0 +1,111 @@
+/// \file
+/// Fuzzes what callers and engines send: HTTP requests, completion and service
+/// calls, event streams, selectors and configurations.
+#include "LibConfiguration/FleetConfiguration.h"
+#include "LibConfiguration/Settings.h"
+#include "LibCore/Error.h"
+#include "LibInstance/CallParser.h"
+#include "LibInstance/EventStream.h"
+
+namespace {
+
+using dotterel::Awaitable;
+
+/// A request that was parsed from the input.
+class ParsedExchange final : public dotterel::HttpExchange {
+public:
+  using Request = dotterel::http::request<dotterel::http::string_body>;
+
+  explicit ParsedExchange(Request Given) : Given(std::move(Given)) {}
+
+  [[nodiscard]] auto method() const -> std::string_view override {
+    return {Given.method_string().data(), Given.method_string().size()};
+  }
+  [[nodiscard]] auto path() const -> std::string_view override {
+    return {Given.target().data(), Given.target().size()};
+  }
+  [[nodiscard]] auto query(std::string_view /*Name*/) const
+      -> std::string override {
+    return {};
+  }
+  [[nodiscard]] auto field(std::string_view Name) const
+      -> std::string override {
+    auto value = Given[{Name.data(), Name.size()}];
+    return {value.data(), value.size()};
+  }
+  [[nodiscard]] auto body() -> std::string & override { return Given.body(); }
+  auto respond(dotterel::HttpReply /*Reply*/) -> Awaitable<void> override {
+    co_return;
+  }
+  auto beginStream(std::string /*ContentType*/,
+                   std::vector<dotterel::HttpField> /*Fields*/)
+      -> Awaitable<void> override {
+    co_return;
+  }
+  auto writeChunk(std::string_view /*Data*/) -> Awaitable<void> override {
+    co_return;
+  }
+  auto endStream() -> Awaitable<void> override { co_return; }
+  auto notifyOnDisconnect(std::function<void()> /*Callback*/) -> void override {
+  }
+  auto abort() -> void override {}
+
+private:
+  Request Given;
+};
+
+template <typename Function> auto ignoringErrors(Function Work) -> void {
+  try {
+    Work();
+  } catch (dotterel::Error const &) {
+    // A coded refusal is the right answer to most inputs.
+  }
+}
+
+auto fuzzRequest(std::string_view Text) -> void {
+  auto parser = dotterel::http::request_parser<dotterel::http::string_body>{};
+  auto ec = boost::system::error_code{};
+  parser.eager(true);
+  parser.put(boost::asio::buffer(Text.data(), Text.size()), ec);
+  if (ec || !parser.is_header_done())
+    return;
+  auto exchange = ParsedExchange(parser.get());
+  ignoringErrors([&] { (void)dotterel::parseCompletion(exchange, false); });
+  ignoringErrors([&] { (void)dotterel::parseCompletion(exchange, true); });
+  if (exchange.path().starts_with("/services/"))
+    ignoringErrors([&] { (void)dotterel::parseServiceCall(exchange); });
+}
+
+auto fuzzStream(std::string_view Text) -> void {
+  auto parser = dotterel::EventStreamParser{};
+  parser.buffer().assign(Text);
+  while (parser.next()) {
+  }
+}
+
+} // namespace
+
+extern "C" auto LLVMFuzzerTestOneInput(std::uint8_t const *Data,
+                                       std::size_t Size) -> int {
+  if (Size == 0)
+    return 0;
+  auto text =
+      std::string_view(reinterpret_cast<char const *>(Data + 1), Size - 1);
+  switch (Data[0] % 4) {
+  case 0:
+    fuzzRequest(text);
+    break;
+  case 1:
+    fuzzStream(text);
+    break;
+  case 2:
+    ignoringErrors([&] { (void)dotterel::Selector::parse(text); });
+    break;
+  default:
+    ignoringErrors(
+        [&] { (void)dotterel::FleetConfiguration::compile(text, 1); });
+    ignoringErrors([&] { (void)dotterel::Settings::parse(text); });
+    break;
+  }
+  return 0;
+}
--- /dev/null
+++ b/Tests/Fuzz/FuzzPeerCodec.cpp
@@ -0,0 +1,16 @@
+/// \file
+/// Fuzzes the decoding of peer messages: what decodes must encode again to
+/// something that decodes.
+#include "LibPeer/Codec.h"
+
+#include <cstdlib>
+
+extern "C" auto LLVMFuzzerTestOneInput(std::uint8_t const *Data,
+                                       std::size_t Size) -> int {
+  auto message = dotterel::decodePeerMessage({Data, Size});
+  if (!message)
+    return 0;
+  if (!dotterel::decodePeerMessage(dotterel::encodePeerMessage(*message)))
+    std::abort();
+  return 0;
+}
--- a/Tests/LibPeer/TestCodec.cpp
+++ b/Tests/LibPeer/TestCodec.cpp
@@ -71,6 +71,24 @@
     cr_assert_not(decodePeerMessage(std::span(whole).first(n)).has_value());
 }
 
+Test(Codec, ExcessiveLengthsAreRefused) {
+  for (auto type : {0x9b, 0xbb, 0x5b, 0x7b}) {
+    auto bytes = std::vector<std::uint8_t>(9, 0xff);
+    bytes[0] = static_cast<std::uint8_t>(type);
+    cr_assert_not(decodePeerMessage(bytes).has_value());
+    bytes.insert(bytes.begin(), 0x9f);
+    cr_assert_not(decodePeerMessage(bytes).has_value());
+  }
+}
+
+Test(Codec, DeepNestingIsRefused) {
+  for (auto type : {0x9f, 0xbf, 0x81, 0xc1}) {
+    auto bytes =
+        std::vector<std::uint8_t>(4U << 20U, static_cast<std::uint8_t>(type));
+    cr_assert_not(decodePeerMessage(bytes).has_value());
+  }
+}
+
 Test(Codec, OutcomeThatIsNotKnownBecomesUnknown) {
   auto answer = ForwardedAnswer{};
   answer.Result = static_cast<Outcome>(77);
