LibInstance: Refuse requests that nest too deeply

Cause: the JSON library writes a parsed document by recursion; a 2 MB body of brackets overflowed the stack and ended the instance for every caller.

--- a/Libraries/LibInstance/CallParser.cpp
+++ b/Libraries/LibInstance/CallParser.cpp
@@ -19,13 +19,41 @@
 constexpr auto LargestMaximumTokens = std::int64_t{131072};
 constexpr auto LongestName = std::size_t{128};
 constexpr auto LongestKey = std::size_t{256};
+constexpr auto MaximumNesting = 64;
 constexpr auto ServicePrefix = std::string_view{"/services/"};
 
 [[noreturn]] auto fail(std::string const &Message) -> void {
   throw Error(ResultCode::MalformedRequest, Message);
 }
 
+/// Returns whether the text nests deeper than any request does. The library
+/// writes and destroys documents by recursion.
+auto isNestedTooDeeply(std::string_view Text) -> bool {
+  auto depth = 0;
+  auto isInString = false;
+  for (auto n = std::size_t{0}; n < Text.size(); ++n) {
+    auto c = Text[n];
+    if (isInString && c == '\\') {
+      ++n;
+      continue;
+    }
+    if (c == '"')
+      isInString = !isInString;
+    if (isInString)
+      continue;
+    if (c == '[' || c == '{')
+      ++depth;
+    if (c == ']' || c == '}')
+      --depth;
+    if (depth > MaximumNesting)
+      return true;
+  }
+  return false;
+}
+
 auto parseObject(std::string const &Text) -> json {
+  if (isNestedTooDeeply(Text))
+    fail(fmt::format("the body nests deeper than {} levels", MaximumNesting));
   auto body = json::parse(Text, nullptr, false);
   if (!body.is_object())
     fail("the body is not a JSON object");
--- a/Tests/Process/BadInput.sh
+++ b/Tests/Process/BadInput.sh
@@ -29,6 +29,15 @@
   "$(code_of "$here/v1/instances" -H "X-Large: $(head -c 20000 "$fleet_dir/large")")"
 check BadDeadline equals 1101 "$(code_of "$here/v1/completions" \
   -H 'Dotterel-Deadline-Ms: soon' -d '{"model": "roster", "prompt": "x"}')"
+deep_nesting() {
+  { printf '{"model": "roster", "prompt": "x", "y": '
+    head -c 1000000 /dev/zero | tr '\0' '['
+    head -c 1000000 /dev/zero | tr '\0' ']'
+    printf '}'; } >"$fleet_dir/deep"
+  equals 1101 \
+    "$(code_of "$here/v1/completions" --data-binary @"$fleet_dir/deep")"
+}
+check DeepNesting deep_nesting
 not_http() {
   exec 5<>/dev/tcp/127.0.0.1/$((fleet_base + 101))
   printf 'hello there\r\n\r\n' >&5
