--- a/Libraries/LibConfiguration/FleetConfigurationCompiler.cpp
+++ b/Libraries/LibConfiguration/FleetConfigurationCompiler.cpp
@@ -288,8 +288,8 @@
         if (!KnownKeys.contains(key))
           problem(Field, name, "selector uses unknown label '" + key + "'");
       return parsed;
-    } catch (Error const &Problem) {
-      problem(Field, name, Problem.what());
+    } catch (Error const &caught) {
+      problem(Field, name, caught.what());
       return {};
     }
   }
--- a/Libraries/LibInstance/CallerFrontend.cpp
+++ b/Libraries/LibInstance/CallerFrontend.cpp
@@ -178,8 +178,8 @@
       co_await handleAdmin(Target);
     else
       co_await handleHealth(Target);
-  } catch (Error const &Thrown) {
-    problem = Thrown;
+  } catch (Error const &thrown) {
+    problem = thrown;
   } catch (boost::system::system_error const &) {
     // The caller is gone; the reducer hears of it below.
   }
--- a/Libraries/LibInstance/Instance.cpp
+++ b/Libraries/LibInstance/Instance.cpp
@@ -101,9 +101,9 @@
     try {
       Heart.feed(ConfigurationReceived{
           FleetConfiguration::compile(Message.Text, Message.Number)});
-    } catch (Error const &Problem) {
+    } catch (Error const &problem) {
       log(LogLevel::Error, "configuration-invalid",
-          {{"peer", Peer.text()}, {"problem", Problem.what()}});
+          {{"peer", Peer.text()}, {"problem", problem.what()}});
     }
   }
 
--- a/Libraries/LibInstance/PlatformClient.cpp
+++ b/Libraries/LibInstance/PlatformClient.cpp
@@ -168,9 +168,9 @@
       if (auto object = objectFrom(*result.Reply))
         Owner.feed(ConfigurationReceived{
             FleetConfiguration::compile(object->Body, object->Version)});
-    } catch (Error const &Problem) {
+    } catch (Error const &problem) {
       log(LogLevel::Error, "configuration-invalid",
-          {{"problem", Problem.what()}});
+          {{"problem", problem.what()}});
       isReachable = false;
     }
   }
@@ -187,9 +187,9 @@
   }
   try {
     Owner.feed(InstancesListed{instancesFrom(*result.Reply)});
-  } catch (json::exception const &Problem) {
+  } catch (json::exception const &problem) {
     log(LogLevel::Error, "instance-list-invalid",
-        {{"problem", Problem.what()}});
+        {{"problem", problem.what()}});
     Owner.feed(InstanceListFailed{});
   }
 }
--- a/Libraries/LibNet/Asio.h
+++ b/Libraries/LibNet/Asio.h
@@ -31,7 +31,7 @@
 template <typename Context, typename Task>
 auto spawnTask(Context &&Executor, Task &&Work) -> void {
   asio::co_spawn(std::forward<Context>(Executor), std::forward<Task>(Work),
-                 [](std::exception_ptr Problem) {
+                 [](std::exception_ptr const &Problem) {
                    if (Problem)
                      std::rethrow_exception(Problem);
                  });
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -48,7 +48,7 @@
 /// One connection to a server. Thread safety: none; used on one executor.
 class HttpConnection {
 public:
-  explicit HttpConnection(asio::any_io_executor Executor);
+  explicit HttpConnection(asio::any_io_executor const &Executor);
   ~HttpConnection();
   HttpConnection(HttpConnection const &) = delete;
   auto operator=(HttpConnection const &) -> HttpConnection & = delete;
--- a/Programs/dotterelstream/CommandLine.cpp
+++ b/Programs/dotterelstream/CommandLine.cpp
@@ -23,9 +23,9 @@
   arguments.insert(arguments.begin(), "dotterelstream " + Command);
   try {
     parse(arguments);
-  } catch (TCLAP::ArgException &Problem) {
+  } catch (TCLAP::ArgException &problem) {
     throw Error(ResultCode::InvalidUsage,
-                Problem.error() + " " + Problem.argId());
+                problem.error() + " " + problem.argId());
   }
   return true;
 }
--- a/Programs/dotterelstream/CommandLine.h
+++ b/Programs/dotterelstream/CommandLine.h
@@ -30,7 +30,7 @@
   auto value = std::optional<T>{};
   auto failure = std::exception_ptr{};
   asio::co_spawn(context, std::move(Work),
-                 [&](std::exception_ptr Problem, T Result) {
+                 [&](std::exception_ptr const &Problem, T Result) {
                    failure = Problem;
                    value = std::move(Result);
                  });
--- a/Programs/dotterelstream/Main.cpp
+++ b/Programs/dotterelstream/Main.cpp
@@ -83,12 +83,12 @@
   try {
     it->Run(Given);
     return ExitCode::Success;
-  } catch (Error const &Problem) {
-    fmt::print(stderr, "error {} {}: {}\n", static_cast<int>(Problem.code()),
-               describe(Problem.code()).Name, Problem.what());
-    return exitCodeFor(Problem.code());
-  } catch (std::exception const &Problem) {
-    fmt::print(stderr, "error: {}\n", Problem.what());
+  } catch (Error const &problem) {
+    fmt::print(stderr, "error {} {}: {}\n", static_cast<int>(problem.code()),
+               describe(problem.code()).Name, problem.what());
+    return exitCodeFor(problem.code());
+  } catch (std::exception const &problem) {
+    fmt::print(stderr, "error: {}\n", problem.what());
     return ExitCode::Failure;
   }
 }
--- a/Programs/standin/Main.cpp
+++ b/Programs/standin/Main.cpp
@@ -114,9 +114,9 @@
 auto main(int ArgumentCount, char **Arguments) -> int {
   try {
     dotterel::standin::parseAndRun(ArgumentCount, Arguments);
-  } catch (std::exception const &Problem) {
+  } catch (std::exception const &problem) {
     fmt::print(stderr, "level=error event=standin-failed problem=\"{}\"\n",
-               Problem.what());
+               problem.what());
     return 1;
   }
   return 0;
--- a/Tests/LibConfiguration/TestFleetConfiguration.cpp
+++ b/Tests/LibConfiguration/TestFleetConfiguration.cpp
@@ -39,8 +39,8 @@
 auto problemOf(json const &Document) -> std::string {
   try {
     (void)compile(Document);
-  } catch (Error const &Problem) {
-    return Problem.what();
+  } catch (Error const &problem) {
+    return problem.what();
   }
   return "";
 }
--- a/Tests/LibConfiguration/TestSelector.cpp
+++ b/Tests/LibConfiguration/TestSelector.cpp
@@ -15,8 +15,8 @@
 auto problemOf(char const *Text) -> std::string {
   try {
     (void)Selector::parse(Text);
-  } catch (Error const &Problem) {
-    return Problem.what();
+  } catch (Error const &problem) {
+    return problem.what();
   }
   return "";
 }
--- a/Tests/LibConfiguration/TestSettings.cpp
+++ b/Tests/LibConfiguration/TestSettings.cpp
@@ -23,9 +23,9 @@
 auto problemOf(json const &Document) -> std::string {
   try {
     (void)Settings::parse(Document.dump());
-  } catch (Error const &Problem) {
-    cr_assert_eq(Problem.code(), ResultCode::InvalidSettings);
-    return Problem.what();
+  } catch (Error const &problem) {
+    cr_assert_eq(problem.code(), ResultCode::InvalidSettings);
+    return problem.what();
   }
   return "";
 }
--- a/Tests/LibControl/FakeFleet.cpp
+++ b/Tests/LibControl/FakeFleet.cpp
@@ -44,16 +44,17 @@
 
   [[nodiscard]] auto run() const -> Incarnation { return Run; }
 
-  auto answer(Duration After, EventBody Happened) const -> void {
+  auto answer(Duration After, EventBody const &Happened) const -> void {
     Fleet.schedule(After, [&fleet = Fleet, id = From.Identity.Id, run = run(),
                            Happened] { fleet.deliver(id, run, Happened); });
   }
 
   /// Runs \p Work at the object API unless it is out, then answers.
-  auto atApi(std::function<EventBody()> Work, EventBody Failed) const -> void {
+  auto atApi(std::function<EventBody()> Work, EventBody const &Failed) const
+      -> void {
     ++Fleet.ApiCalls;
     if (!Fleet.apiAnswers(From))
-      return answer(ApiTimeout, std::move(Failed));
+      return answer(ApiTimeout, Failed);
     Fleet.schedule(ApiDelay, [*this, work = std::move(Work)] {
       answer(ApiDelay, work());
     });
@@ -628,9 +629,10 @@
   return fmt::format("{:x}", hashText(Prompt, Index));
 }
 
-auto FakeFleet::streamTokens(EngineId Engine, SendAttempt What, InstanceId From,
-                             Incarnation Run, std::uint64_t EngineRun,
-                             std::uint32_t Index) -> void {
+auto FakeFleet::streamTokens(EngineId const &Engine, SendAttempt const &What,
+                             InstanceId const &From, Incarnation Run,
+                             std::uint64_t EngineRun, std::uint32_t Index)
+    -> void {
   auto &engine = Engines[Engine];
   if (engine.IsDown || engine.Report.Run != EngineRun)
     return deliver(From, Run, AttemptBroken{What.Attempt});
@@ -683,7 +685,8 @@
   return OrderAnswer::Accepted;
 }
 
-auto FakeFleet::finishOrder(EngineId Engine, SendOrder What) -> void {
+auto FakeFleet::finishOrder(EngineId const &Engine, SendOrder const &What)
+    -> void {
   auto &engine = Engines[Engine];
   if (engine.CurrentOrder != What.Order)
     return;
--- a/Tests/LibControl/FakeFleet.h
+++ b/Tests/LibControl/FakeFleet.h
@@ -150,11 +150,11 @@
   auto publish() -> void;
   auto isReachable(InstanceId const &Left, InstanceId const &Right) const
       -> bool;
-  auto streamTokens(EngineId Engine, SendAttempt What, InstanceId From,
-                    Incarnation Run, std::uint64_t EngineRun,
-                    std::uint32_t Index) -> void;
+  auto streamTokens(EngineId const &Engine, SendAttempt const &What,
+                    InstanceId const &From, Incarnation Run,
+                    std::uint64_t EngineRun, std::uint32_t Index) -> void;
   auto executeOrder(SendOrder const &What, Incarnation Sender) -> OrderAnswer;
-  auto finishOrder(EngineId Engine, SendOrder What) -> void;
+  auto finishOrder(EngineId const &Engine, SendOrder const &What) -> void;
   auto violate(std::string What) -> void;
   auto checkNotRun(SubmittedCall const &Told) -> void;
   auto checkAnswer(SubmittedCall const &Told) -> void;
--- a/Tests/LibControl/TestPromises.cpp
+++ b/Tests/LibControl/TestPromises.cpp
@@ -172,11 +172,12 @@
     Fleet.advance(std::chrono::milliseconds(What.Second * 10));
   }
 
-  auto book(int Instance, std::string Key) -> void {
+  auto book(int Instance, std::string const &Key) -> void {
     if (!Fleet.isRunning(Instance))
       return;
-    Keys.push_back(Key);
     Fleet.submitBooking(Instance, Key);
+    // Key may be one of Keys, so that it is not used after this.
+    Keys.push_back(std::string(Key));
   }
 
   int Prompts = 0;
