--- a/Libraries/LibConfiguration/Settings.cpp
+++ b/Libraries/LibConfiguration/Settings.cpp
@@ -98,9 +98,35 @@
               fmt::format("{}", fmt::join(lines, "\n")));
 }
 
+/// Says in words what a field of the schema takes.
+auto describeAllowed(nlohmann::json const &Field) -> std::string {
+  if (Field.contains("enum"))
+    return fmt::format("one of {}", Field.at("enum").dump());
+  if (Field.contains("minimum"))
+    return fmt::format("{} from {} to {}", Field.at("type").get<std::string>(),
+                       Field.at("minimum").dump(), Field.at("maximum").dump());
+  if (Field.contains("minLength"))
+    return fmt::format("{} to {} characters", Field.at("minLength").dump(),
+                       Field.at("maxLength").dump());
+  return "ip:port";
+}
+
 } // namespace
 
-auto Settings::schemaText() -> std::string_view { return SettingsSchema; }
+auto Settings::describeFields() -> std::string {
+  auto schema = nlohmann::json::parse(SettingsSchema);
+  auto table = std::string{"| Field | Allowed | Default | Meaning |\n"
+                           "| --- | --- | --- | --- |\n"};
+  for (auto const &it : schema.at("properties").items()) {
+    auto const &field = it.value();
+    auto fallback = field.contains("default") ? field.at("default").dump()
+                                              : std::string{"required"};
+    table += fmt::format("| `{}` | {} | {} | {} |\n", it.key(),
+                         describeAllowed(field), fallback,
+                         field.at("description").get<std::string>());
+  }
+  return table;
+}
 
 auto Settings::parse(std::string_view Text) -> Settings {
   auto document = nlohmann::json::parse(Text, nullptr, false);
--- a/Libraries/LibConfiguration/Settings.h
+++ b/Libraries/LibConfiguration/Settings.h
@@ -41,8 +41,9 @@
   /// Reads and parses the file at \p Path. Errors: as parse.
   [[nodiscard]] static auto load(std::string const &Path) -> Settings;
 
-  /// Returns the JSON Schema that parse applies.
-  [[nodiscard]] static auto schemaText() -> std::string_view;
+  /// Returns a table of the fields, in Markdown, from the schema that parse
+  /// applies.
+  [[nodiscard]] static auto describeFields() -> std::string;
 };
 
 /// Reads a whole file. Errors: dotterel::Error InvalidUsage.
--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -15,6 +15,13 @@
     timeout 600 "build/Tests/Test$library" --tap 2>&1 | tee -a "$results"
 done
 
+echo "== pages"
+if Meta/settings-page.sh --check; then
+  echo 'ok - Pages::SettingsPageMatchesTheSchema'
+else
+  echo 'not ok - Pages::SettingsPageMatchesTheSchema'
+fi | tee -a "$results"
+
 echo "== models"
 Meta/model-mutations.sh |
   sed -u -E 's/^(holds|violated) +(.*)$/ok - Models::\1 \2/; /FAILED/s/.*/not ok - Models::see the line above/' |
--- a/Programs/dotterelstream/ServeCommand.cpp
+++ b/Programs/dotterelstream/ServeCommand.cpp
@@ -33,8 +33,13 @@
       "s", "settings", "Settings to validate", false, "", "file", line);
   auto configuration = TCLAP::ValueArg<std::string>(
       "f", "file", "Configuration to validate", false, "", "file", line);
+  auto list = TCLAP::SwitchArg(
+      "l", "list-settings",
+      "Print the settings with what is allowed and the defaults", line);
   if (!line.parseArguments(Given))
     return;
+  if (list.getValue())
+    return fmt::print("{}", Settings::describeFields());
   if (!settings.isSet() && !configuration.isSet())
     throw Error(ResultCode::InvalidUsage, "give --settings or --file");
   if (settings.isSet())
