--- a/Libraries/LibControl/CallReducer.cpp
+++ b/Libraries/LibControl/CallReducer.cpp
@@ -130,6 +130,7 @@
 auto CallReducer::placeCompletion(CallId Id, Call &Target) -> void {
   auto choice = Placement(Subject).chooseEngine(Id, Target);
   auto isFirst = Target.AttemptsMade == 0;
+  auto isChecked = isFirst && Subject.Options.Chooser == nullptr;
   if (!choice) {
     if (isFirst)
       return reject(Id, ResultCode::NoBackendAvailable, ShortRetryAfter);
@@ -137,10 +138,10 @@
     return;
   }
   auto expected = now() + choice->Forecast.Completion;
-  if (isFirst && expected > Target.Deadline)
+  if (isChecked && expected > Target.Deadline)
     return reject(Id, ResultCode::DeadlineInfeasible,
                   expected - Target.Deadline);
-  if (isFirst && exceedsShare(Target, choice->Forecast))
+  if (isChecked && exceedsShare(Target, choice->Forecast))
     return reject(Id, ResultCode::CallerOverShare, choice->Forecast.FirstToken);
   auto &view = Subject.Backends.Engines.at(choice->Engine);
   view.OwnCalls += 1;
--- a/Libraries/LibControl/Placement.cpp
+++ b/Libraries/LibControl/Placement.cpp
@@ -103,6 +103,8 @@
     eligible = eligibleEngines(Wanted, /*MayAvoid=*/false);
   if (eligible.empty())
     return std::nullopt;
+  if (auto const &chooser = Subject.Options.Chooser)
+    return evaluate(Wanted, eligible[chooser->choose(Subject, Id, eligible)]);
   auto best = std::optional<EngineChoice>{};
   auto bestCost = 0.0;
   for (auto const &id : candidates(Id, Wanted, std::move(eligible))) {
--- a/Libraries/LibInstance/Instance.cpp
+++ b/Libraries/LibInstance/Instance.cpp
@@ -32,7 +32,7 @@
 }
 
 auto optionsFrom(Settings const &Given) -> ControlOptions {
-  return {Given.LeaseDuration, Given.LeaveGrace, Given.MaximumClockDrift};
+  return {Given.LeaseDuration, Given.LeaveGrace, Given.MaximumClockDrift, {}};
 }
 
 auto requestFrom(ForwardedCall &&Message) -> CallRequest {
