LibControl: Place by the work that a request adds

Each of 18 instances had sent only a few of the prompts itself, so it took a cached prefix for a missing one and spread it by load; and it counted a miss as the request's own delay, though prefill holds up every stream at the engine.

--- a/Libraries/LibControl/BackendReducer.cpp
+++ b/Libraries/LibControl/BackendReducer.cpp
@@ -8,6 +8,7 @@
 
 constexpr auto BusyPollInterval = Duration{200ms};
 constexpr auto IdlePollInterval = Duration{1s};
+constexpr auto ShortestPrefillSample = Duration{100ms};
 /// Time after the last announcement until a drain is no longer honoured: its
 /// holder is gone, and a later holder would have announced it again.
 constexpr auto DrainExpiry = Duration{30s};
@@ -43,6 +44,7 @@
     return;
   if (view.Report && view.Report->Run != Happened.Report.Run)
     Subject.Calls.Prefixes.forget(it->first);
+  observePrefill(view, Happened);
   view.Report = Happened.Report;
   view.ReportObserved = Happened.ObservedNoEarlierThan;
   std::erase_if(view.UnreportedSends, [&](UnreportedSend const &Send) {
@@ -50,6 +52,21 @@
   });
 }
 
+auto BackendReducer::observePrefill(EngineView const &View,
+                                    EngineReported const &Next) -> void {
+  if (!View.Report || View.Report->Run != Next.Report.Run)
+    return;
+  // Between two reports with prefill waiting the engine was never short of it.
+  if (View.Report->QueuedPrefillTokens == 0 ||
+      Next.Report.QueuedPrefillTokens == 0)
+    return;
+  auto elapsed = Next.ObservedNoEarlierThan - View.ReportObserved;
+  auto tokens = Next.Report.PrefilledTokens - View.Report->PrefilledTokens;
+  if (elapsed < ShortestPrefillSample || Next.Report.PrefilledTokens == 0)
+    return;
+  Subject.Backends.Model.observePrefill(static_cast<double>(tokens), elapsed);
+}
+
 auto BackendReducer::on(EngineUnreachable const &Happened) -> void {
   auto it = Subject.Backends.Engines.find(Happened.Engine);
   if (it == Subject.Backends.Engines.end())
--- a/Libraries/LibControl/BackendReducer.h
+++ b/Libraries/LibControl/BackendReducer.h
@@ -22,6 +22,8 @@
   auto honour(ShardAnnouncement const &Announcement) -> bool;
 
 private:
+  auto observePrefill(EngineView const &View, EngineReported const &Next)
+      -> void;
   auto pollDueEngines() -> void;
   auto expireDrains() -> void;
   [[nodiscard]] auto pollInterval(EngineId const &Engine,
--- a/Libraries/LibControl/Call.h
+++ b/Libraries/LibControl/Call.h
@@ -25,6 +25,8 @@
   double PrefillTokens = 0;
   double QueuedPrefillTokens = 0;
   double BatchSize = 0;
+  /// Sent to the engine that every instance prefers for the prompt's prefix.
+  bool IsPreferred = false;
 };
 
 /// What a call waits for while it has no attempt.
@@ -82,6 +84,10 @@
                                 std::span<std::uint64_t const> Hashes) const
       -> std::size_t;
 
+  /// Returns how many of \p Hashes, from the first on, any engine was sent.
+  [[nodiscard]] auto countSeen(std::span<std::uint64_t const> Hashes) const
+      -> std::size_t;
+
   /// Records that \p Engine was sent a prompt with \p Hashes.
   auto record(EngineId const &Engine, std::span<std::uint64_t const> Hashes)
       -> void;
@@ -100,6 +106,19 @@
   std::deque<Entry> Order;
 };
 
+/// How often prompts of one caller find their prefix in an engine's cache,
+/// although this instance never sent it. Thread safety: none.
+class PrefixReuse {
+public:
+  /// Records whether a prompt's prefix was found.
+  auto observe(bool WasFound) -> void;
+
+  [[nodiscard]] auto probability() const -> double { return Probability; }
+
+private:
+  double Probability = 0.5;
+};
+
 /// All calls of this instance.
 struct CallTable {
   std::map<CallId, Call> Calls;
@@ -107,6 +126,7 @@
   std::map<CallerName, double> CallerWork;
   RetryBudget Retries;
   PrefixMemory Prefixes;
+  std::map<CallerName, PrefixReuse> Reuse;
   KeyTable Keys;
 };
 
--- a/Libraries/LibControl/CallReducer.cpp
+++ b/Libraries/LibControl/CallReducer.cpp
@@ -146,12 +146,15 @@
   auto &view = Subject.Backends.Engines.at(choice->Engine);
   view.OwnCalls += 1;
   view.UnreportedSends.push_back({now(), choice->PrefillTokens});
-  Subject.Calls.Prefixes.record(choice->Engine, Target.Request.PrefixHashes);
   auto next = Attempt{};
+  Subject.Calls.Prefixes.record(choice->Engine, Target.Request.PrefixHashes);
   next.Engine = choice->Engine;
   next.PrefillTokens = choice->PrefillTokens;
   next.QueuedPrefillTokens = choice->QueuedPrefillTokens;
   next.BatchSize = choice->BatchSize;
+  auto const &hashes = Target.Request.PrefixHashes;
+  next.IsPreferred =
+      choice->IsPreferred && Subject.Calls.Prefixes.countSeen(hashes) == 0;
   startAttempt(Id, Target, std::move(next), view.Address);
 }
 
@@ -315,20 +318,11 @@
 
 auto CallReducer::observeToken(Call &Target) -> void {
   auto const &attempt = *Target.Current;
-  auto engine = Subject.Backends.Engines.find(attempt.Engine);
   auto isFirstOfAttempt = Target.LastToken < attempt.SentAt;
-  if (engine != Subject.Backends.Engines.end()) {
-    auto &model = engine->second.Model;
-    if (isFirstOfAttempt && now() > attempt.SentAt)
-      model.observeFirstToken(attempt.PrefillTokens +
-                                  attempt.QueuedPrefillTokens,
-                              attempt.BatchSize, now() - attempt.SentAt);
-    else
-      model.observeBetweenTokens(engine->second.Report
-                                     ? engine->second.Report->Running
-                                     : attempt.BatchSize,
-                                 now() - Target.LastToken);
-  }
+  if (isFirstOfAttempt)
+    observeReuse(Target);
+  else
+    observeBetweenTokens(Target);
   auto isFirst = Target.TokensForwarded == 0;
   emit(ObserveDuration{isFirst ? DurationMetric::FirstToken
                                : DurationMetric::BetweenTokens,
@@ -336,6 +330,33 @@
                        now() - (isFirst ? Target.Arrived : Target.LastToken)});
 }
 
+auto CallReducer::observeReuse(Call const &Target) -> void {
+  auto const &attempt = *Target.Current;
+  if (!attempt.IsPreferred || Target.AttemptsMade > 1)
+    return;
+  auto rate = Subject.Backends.Model.prefillTokensPerSecond();
+  auto uncached = fromSeconds(Target.Request.PromptTokens / rate);
+  auto wasFound = now() - attempt.SentAt < uncached / 2;
+  // Behind others even a prefix that was found takes long.
+  if (!wasFound && attempt.QueuedPrefillTokens > 0)
+    return;
+  Subject.Calls.Reuse[Target.Request.Caller].observe(wasFound);
+}
+
+auto CallReducer::observeBetweenTokens(Call const &Target) -> void {
+  auto engine = Subject.Backends.Engines.find(Target.Current->Engine);
+  if (engine == Subject.Backends.Engines.end() || !engine->second.Report)
+    return;
+  // While prefill holds the streams up, the gap says little about decoding.
+  if (engine->second.Report->QueuedPrefillTokens > 0)
+    return;
+  auto batch = engine->second.Report->Running;
+  auto elapsed = now() - Target.LastToken;
+  auto &model = Subject.Backends.Model;
+  engine->second.Slowness.observe(elapsed, model.betweenTokens(batch));
+  model.observeBetweenTokens(batch, elapsed);
+}
+
 auto CallReducer::on(AttemptCompleted const &Happened) -> void {
   auto *call = findCurrent(Happened.Attempt);
   if (call == nullptr)
--- a/Libraries/LibControl/CallReducer.h
+++ b/Libraries/LibControl/CallReducer.h
@@ -52,6 +52,8 @@
   auto retry(CallId Id, bool IsFailure, ResultCode Code) -> void;
   auto recordFailure(Call const &Target) -> void;
   auto observeToken(Call &Target) -> void;
+  auto observeReuse(Call const &Target) -> void;
+  auto observeBetweenTokens(Call const &Target) -> void;
   auto checkDeadline(CallId Id) -> bool;
   auto checkAttempt(CallId Id) -> void;
   auto migrateFromDrain(CallId Id, Call &Target) -> void;
--- a/Libraries/LibControl/CallSupervision.cpp
+++ b/Libraries/LibControl/CallSupervision.cpp
@@ -11,7 +11,11 @@
 using AttemptPhase = AttemptLifecycle::Phase;
 
 constexpr auto ConnectTimeout = Duration{1s};
-constexpr auto ShortestStall = Duration{3s};
+/// Silence after which an engine that does not report either is given up.
+constexpr auto UnreachableStall = Duration{1s};
+/// Silence after which an engine is given up although it reports: it is slow
+/// under load far more often than it is stuck.
+constexpr auto ReportingStall = Duration{10s};
 /// Factor over the forecast first token at which a silent engine is given up.
 constexpr auto StallFactor = 4;
 /// Time that a stream may go on at a draining engine before it is resumed at
@@ -42,8 +46,10 @@
                          attempt.BatchSize};
   auto expected = phase == AttemptPhase::Answering
                       ? Duration{}
-                      : engine->second.Model.forecast(work).FirstToken;
-  auto limit = std::max(ShortestStall, expected * StallFactor);
+                      : Subject.Backends.Model.forecast(work).FirstToken;
+  auto limit = isUnreachable(engine->second)
+                   ? UnreachableStall
+                   : std::max(ReportingStall, expected * StallFactor);
   if (now() - std::max(attempt.SentAt, call.LastToken) < limit)
     return;
   emit(CancelAttempt{id});
--- a/Libraries/LibControl/EngineModel.cpp
+++ b/Libraries/LibControl/EngineModel.cpp
@@ -6,16 +6,22 @@
 
 namespace {
 
-constexpr auto PrefillLearningRate = 0.1;
+constexpr auto PrefillLearningRate = 0.05;
 constexpr auto DecodeLearningRate = 0.02;
-constexpr auto SmallestInformativePrefillTokens = 200.0;
-constexpr auto SmallestPrefillShare = 0.2;
 constexpr auto LowestPrefillRate = 50.0;
 constexpr auto LowestDecodeBaseSeconds = 0.0005;
+constexpr auto SlownessLearningRate = 0.01;
+/// Engines between chunks of prefill and without them differ by less.
+constexpr auto OrdinaryRatio = 2.0;
+constexpr auto LargestRatio = 10.0;
 constexpr auto BatchScale = 64.0;
 
 } // namespace
 
+auto EngineModel::betweenTokens(double BatchSize) const -> Duration {
+  return fromSeconds(decodeSeconds(BatchSize));
+}
+
 auto EngineModel::decodeSeconds(double BatchSize) const -> double {
   return DecodeBaseSeconds + DecodeSecondsPerRequest * BatchSize;
 }
@@ -28,15 +34,8 @@
           fromSeconds(firstToken + perToken * Work.OutputTokens)};
 }
 
-auto EngineModel::observeFirstToken(double PrefillTokens, double BatchSize,
-                                    Duration Elapsed) -> void {
-  if (PrefillTokens < SmallestInformativePrefillTokens)
-    return;
-  // The first token takes a decode step after its prefill.
-  auto elapsed = toSeconds(Elapsed);
-  auto prefill = std::max(elapsed - decodeSeconds(BatchSize + 1),
-                          SmallestPrefillShare * elapsed);
-  auto rate = PrefillTokens / prefill;
+auto EngineModel::observePrefill(double Tokens, Duration Elapsed) -> void {
+  auto rate = Tokens / toSeconds(Elapsed);
   PrefillRate += PrefillLearningRate * (rate - PrefillRate);
   PrefillRate = std::max(PrefillRate, LowestPrefillRate);
 }
@@ -53,4 +52,14 @@
       std::max(DecodeSecondsPerRequest + step * scaled / BatchScale, 0.0);
 }
 
+auto EngineSlowness::observe(Duration Elapsed, Duration Expected) -> void {
+  auto ratio = toSeconds(Elapsed) / toSeconds(Expected);
+  Ratio += SlownessLearningRate *
+           (std::clamp(ratio, 1 / LargestRatio, LargestRatio) - Ratio);
+}
+
+auto EngineSlowness::factor() const -> double {
+  return Ratio < OrdinaryRatio ? 1 : Ratio;
+}
+
 } // namespace dotterel
--- a/Libraries/LibControl/EngineModel.h
+++ b/Libraries/LibControl/EngineModel.h
@@ -1,5 +1,6 @@
 /// \file
-/// A model of one engine's speed, fitted to what this instance observes.
+/// A model of the engines' speed, fitted to what this instance observes, and
+/// how far one engine departs from it.
 #pragma once
 
 #include "LibCore/Time.h"
@@ -22,22 +23,25 @@
   Duration Completion{};
 };
 
-/// Prefill rate and batch-dependent decode time of one engine.
+/// Prefill rate and batch-dependent decode time. One model serves all engines:
+/// a single engine shows too few samples, and fits that differ by chance draw
+/// requests away from the engines that hold their prefixes.
 /// Thread safety: none.
 class EngineModel {
 public:
   /// Forecasts a request from now on.
   [[nodiscard]] auto forecast(EngineWork const &Work) const -> EngineForecast;
 
-  /// Records that the first token of a request came \p Elapsed after sending,
-  /// with \p PrefillTokens of prefill before it and \p BatchSize others
-  /// running. Precondition: \p Elapsed is positive.
-  auto observeFirstToken(double PrefillTokens, double BatchSize,
-                         Duration Elapsed) -> void;
+  /// Records that an engine with prefill waiting worked off \p Tokens of it in
+  /// \p Elapsed. Precondition: \p Elapsed is positive.
+  auto observePrefill(double Tokens, Duration Elapsed) -> void;
 
   /// Records the time between two tokens while \p BatchSize requests ran.
   auto observeBetweenTokens(double BatchSize, Duration Elapsed) -> void;
 
+  /// Returns the time expected between two tokens.
+  [[nodiscard]] auto betweenTokens(double BatchSize) const -> Duration;
+
   [[nodiscard]] auto prefillTokensPerSecond() const -> double {
     return PrefillRate;
   }
@@ -50,4 +54,18 @@
   double DecodeSecondsPerRequest = 0.0005;
 };
 
+/// How much slower one engine is than the model. Thread safety: none.
+class EngineSlowness {
+public:
+  /// Records a time between tokens and what the model expected.
+  /// Precondition: \p Expected is positive.
+  auto observe(Duration Elapsed, Duration Expected) -> void;
+
+  /// Returns the factor on forecasts; 1 while the engine is ordinary.
+  [[nodiscard]] auto factor() const -> double;
+
+private:
+  double Ratio = 1;
+};
+
 } // namespace dotterel
--- a/Libraries/LibControl/EngineTable.cpp
+++ b/Libraries/LibControl/EngineTable.cpp
@@ -16,6 +16,10 @@
   return View.Report && Now - View.ReportObserved < ReportMaximumAge;
 }
 
+auto isUnreachable(EngineView const &View) -> bool {
+  return View.FailedPolls > ToleratedFailedPolls;
+}
+
 auto isRoutable(BackendTable const &Table, EngineId const &Engine,
                 ModelName const &Model, Instant Now) -> bool {
   auto it = Table.Engines.find(Engine);
@@ -24,7 +28,7 @@
   auto const &report = *it->second.Report;
   if (report.IsChanging || report.Role != EngineRole::Mixed)
     return false;
-  if (it->second.FailedPolls > ToleratedFailedPolls)
+  if (isUnreachable(it->second))
     return false;
   if (Table.Drains.contains(Engine) || it->second.Health.isEjected(Now))
     return false;
--- a/Libraries/LibControl/EngineTable.h
+++ b/Libraries/LibControl/EngineTable.h
@@ -26,7 +26,7 @@
   Instant NextPoll;
   bool IsPolling = false;
   std::uint32_t FailedPolls = 0;
-  EngineModel Model;
+  EngineSlowness Slowness;
   BackendHealth Health;
   std::uint32_t OwnCalls = 0;
   /// Requests that this instance sent and the report may not show yet.
@@ -51,6 +51,7 @@
 /// All backend servers of the current configuration.
 struct BackendTable {
   std::map<EngineId, EngineView> Engines;
+  EngineModel Model;
   std::map<ServerId, ServerView> Servers;
   std::map<EngineId, HonouredDrain> Drains;
   /// Highest fencing number seen per shard; announcements below it are late.
@@ -60,6 +61,9 @@
 /// Returns whether \p View says what the engine is, recently enough.
 [[nodiscard]] auto hasFreshReport(EngineView const &View, Instant Now) -> bool;
 
+/// Returns whether the last polls of the engine failed.
+[[nodiscard]] auto isUnreachable(EngineView const &View) -> bool;
+
 /// Returns whether new requests for \p Model may go to \p Engine.
 [[nodiscard]] auto isRoutable(BackendTable const &Table, EngineId const &Engine,
                               ModelName const &Model, Instant Now) -> bool;
--- a/Libraries/LibControl/Event.h
+++ b/Libraries/LibControl/Event.h
@@ -105,6 +105,9 @@
   std::uint32_t Running = 0;
   std::uint64_t QueuedPrefillTokens = 0;
   std::uint64_t FreeCacheTokens = 0;
+  /// Prompt tokens worked off since the run began, cached ones not counted;
+  /// zero if the engine does not say.
+  std::uint64_t PrefilledTokens = 0;
 };
 
 struct EngineReported {
--- a/Libraries/LibControl/Placement.cpp
+++ b/Libraries/LibControl/Placement.cpp
@@ -11,8 +11,15 @@
 
 constexpr auto AffineCandidates = std::size_t{2};
 constexpr auto RandomCandidates = std::size_t{2};
+/// Prefill holds up every other request at the engine, not only its own; this
+/// many of its own seconds are added to the cost for them.
+constexpr auto AddedWorkWeight = 8.0;
 constexpr auto TokensPerPiece = 2000.0;
 
+auto scaled(Duration Span, double Factor) -> Duration {
+  return fromSeconds(toSeconds(Span) * Factor);
+}
+
 auto routeOf(State const &Subject, Call const &Wanted)
     -> CompiledRoute const * {
   auto const &configuration = *Subject.Configuration.Current;
@@ -69,14 +76,33 @@
   return Eligible;
 }
 
-auto Placement::evaluate(Call const &Wanted, EngineId const &Engine) const
-    -> EngineChoice {
+auto Placement::expectedCachedPieces(CallRequest const &Request,
+                                     EngineId const &Engine,
+                                     bool IsPreferred) const -> double {
+  auto const &calls = Subject.Calls;
+  auto const &hashes = Request.PrefixHashes;
+  auto known = static_cast<double>(calls.Prefixes.countKnown(Engine, hashes));
+  if (!IsPreferred)
+    return known;
+  // What this instance sent anywhere, the others sent to the preferred engine;
+  // what it never sent, they may have sent there.
+  auto seen = static_cast<double>(calls.Prefixes.countSeen(hashes));
+  auto reuse = calls.Reuse.find(Request.Caller);
+  auto probability = reuse == calls.Reuse.end() ? PrefixReuse{}.probability()
+                                                : reuse->second.probability();
+  return std::max(
+      {known, seen, probability * static_cast<double>(hashes.size())});
+}
+
+auto Placement::evaluate(Call const &Wanted, EngineId const &Engine,
+                         bool IsPreferred) const -> EngineChoice {
   auto const &view = Subject.Backends.Engines.at(Engine);
   auto const &request = Wanted.Request;
-  auto known = Subject.Calls.Prefixes.countKnown(Engine, request.PrefixHashes);
-  auto cached = static_cast<double>(known) * TokensPerPiece;
+  auto cached =
+      expectedCachedPieces(request, Engine, IsPreferred) * TokensPerPiece;
   auto choice = EngineChoice{};
   choice.Engine = Engine;
+  choice.IsPreferred = IsPreferred;
   choice.PrefillTokens =
       std::max(static_cast<double>(request.PromptTokens) - cached, 1.0) +
       Wanted.TokensForwarded;
@@ -92,7 +118,11 @@
   work.OutputTokens =
       static_cast<double>(request.MaximumTokens - Wanted.TokensForwarded);
   work.BatchSize = choice.BatchSize;
-  choice.Forecast = view.Model.forecast(work);
+  choice.Forecast = Subject.Backends.Model.forecast(work);
+  choice.Forecast.FirstToken =
+      scaled(choice.Forecast.FirstToken, view.Slowness.factor());
+  choice.Forecast.Completion =
+      scaled(choice.Forecast.Completion, view.Slowness.factor());
   return choice;
 }
 
@@ -104,14 +134,20 @@
   if (eligible.empty())
     return std::nullopt;
   if (auto const &chooser = Subject.Options.Chooser)
-    return evaluate(Wanted, eligible[chooser->choose(Subject, Id, eligible)]);
+    return evaluate(Wanted, eligible[chooser->choose(Subject, Id, eligible)],
+                    false);
   auto best = std::optional<EngineChoice>{};
   auto bestCost = 0.0;
+  auto isPreferred = !Wanted.Request.PrefixHashes.empty();
   for (auto const &id : candidates(Id, Wanted, std::move(eligible))) {
-    auto choice = evaluate(Wanted, id);
+    auto choice = evaluate(Wanted, id, isPreferred);
+    isPreferred = false;
     auto const &health = Subject.Backends.Engines.at(id).Health;
-    auto cost = toSeconds(choice.Forecast.Completion) *
-                health.slowStartFactor(Subject.Now);
+    auto addedWork =
+        choice.PrefillTokens / Subject.Backends.Model.prefillTokensPerSecond();
+    auto seconds =
+        toSeconds(choice.Forecast.Completion) + AddedWorkWeight * addedWork;
+    auto cost = seconds * health.slowStartFactor(Subject.Now);
     if (best && cost >= bestCost)
       continue;
     best = std::move(choice);
--- a/Libraries/LibControl/Placement.h
+++ b/Libraries/LibControl/Placement.h
@@ -15,6 +15,7 @@
   double PrefillTokens = 0;
   double QueuedPrefillTokens = 0;
   double BatchSize = 0;
+  bool IsPreferred = false;
 };
 
 /// Chooses among a few candidates: those that probably hold the prompt's
@@ -37,11 +38,17 @@
 private:
   [[nodiscard]] auto eligibleEngines(Call const &Wanted, bool MayAvoid) const
       -> std::vector<EngineId>;
+  /// Returns how many pieces of the prompt's prefix \p Engine probably holds.
+  [[nodiscard]] auto expectedCachedPieces(CallRequest const &Request,
+                                          EngineId const &Engine,
+                                          bool IsPreferred) const -> double;
   [[nodiscard]] auto candidates(CallId Id, Call const &Wanted,
                                 std::vector<EngineId> Eligible) const
       -> std::vector<EngineId>;
-  [[nodiscard]] auto evaluate(Call const &Wanted, EngineId const &Engine) const
-      -> EngineChoice;
+  /// \p IsPreferred marks the engine that every instance sends the prompt's
+  /// prefix to.
+  [[nodiscard]] auto evaluate(Call const &Wanted, EngineId const &Engine,
+                              bool IsPreferred) const -> EngineChoice;
 
   State const &Subject; // NOLINT: lives for one decision
 };
--- a/Libraries/LibCore/Time.h
+++ b/Libraries/LibCore/Time.h
@@ -10,7 +10,6 @@
 /// A point on this process's monotonic clock.
 using Instant = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
-using std::chrono_literals::operator""us;
 using std::chrono_literals::operator""ms;
 using std::chrono_literals::operator""s;
 using std::chrono_literals::operator""min;
--- a/Libraries/LibInstance/BackendClient.cpp
+++ b/Libraries/LibInstance/BackendClient.cpp
@@ -42,6 +42,7 @@
   report.Running = In.at("running").get<std::uint32_t>();
   report.QueuedPrefillTokens =
       In.at("queued_prefill_tokens").get<std::uint64_t>();
+  report.PrefilledTokens = In.value("prefilled_tokens", std::uint64_t{0});
   report.FreeCacheTokens = In.at("free_cache_tokens").get<std::uint64_t>();
   return report;
 }
--- a/Programs/bench/BatchingEngine.cpp
+++ b/Programs/bench/BatchingEngine.cpp
@@ -76,6 +76,7 @@
     return produced;
   auto &head = Queued.front();
   head.PrefillLeft -= ChunkInStep;
+  Prefilled += ChunkInStep;
   if (head.PrefillLeft > 0.5)
     return produced;
   remember(head.Pieces);
@@ -106,6 +107,7 @@
     queued += it.PrefillLeft;
   report.QueuedPrefillTokens = static_cast<std::uint64_t>(queued);
   report.FreeCacheTokens = CacheTokens;
+  report.PrefilledTokens = static_cast<std::uint64_t>(Prefilled);
   return report;
 }
 
--- a/Programs/bench/BatchingEngine.h
+++ b/Programs/bench/BatchingEngine.h
@@ -53,6 +53,8 @@
   [[nodiscard]] auto report() const -> EngineReport;
   auto setSlowness(double Factor) -> void { Slowness = Factor; }
 
+  [[nodiscard]] auto prefilledTokens() const -> double { return Prefilled; }
+
   bool IsDown = false;
   bool IsStepping = false;
 
@@ -63,6 +65,7 @@
   std::uint64_t Run;
   double Slowness = 1;
   double ChunkInStep = 0;
+  double Prefilled = 0;
   std::deque<EngineRequest> Queued;
   std::vector<EngineRequest> Running;
   std::set<std::uint64_t> Cache;
--- a/Programs/bench/Simulation.cpp
+++ b/Programs/bench/Simulation.cpp
@@ -382,6 +382,9 @@
       ++late;
     }
   }
+  auto prefilled = 0.0;
+  for (auto const &it : Engines)
+    prefilled += it.prefilledTokens();
   auto offered = std::max<std::size_t>(Traces.size(), 1);
   return json{
       {"scenario", Given.Name},
@@ -393,6 +396,9 @@
       {"classes", classes},
       {"rejected", rejected},
       {"late", late},
+      {"prefilled_tokens", prefilled},
+      {"fitted_prefill_rate",
+       Nodes[0]->Current.Backends.Model.prefillTokensPerSecond()},
       {"retries", Retries},
       {"role_changes", 0},
       {"first_token_s_p50", percentile(FirstTokenSeconds, 0.5)},
--- a/Programs/standin/ModelEngine.cpp
+++ b/Programs/standin/ModelEngine.cpp
@@ -141,6 +141,7 @@
     co_await sleepFor(1ms);
   co_await sleepFor(fromSeconds(Tokens / Given.PrefillTokensPerSecond));
   QueuedTokens -= Tokens;
+  PrefilledTokens += Tokens;
   Waiting.pop_front();
 }
 
@@ -178,6 +179,7 @@
       {"highest_fencing", HighestFencing},
       {"running", Running},
       {"queued_prefill_tokens", static_cast<std::uint64_t>(QueuedTokens)},
+      {"prefilled_tokens", static_cast<std::uint64_t>(PrefilledTokens)},
       {"free_cache_tokens", (CachedPieces - Cache.size()) * PieceBytes / 4}};
 }
 
--- a/Programs/standin/ModelEngine.h
+++ b/Programs/standin/ModelEngine.h
@@ -58,6 +58,7 @@
   std::uint64_t HighestFencing = 0;
   unsigned Running = 0;
   double QueuedTokens = 0;
+  double PrefilledTokens = 0;
   std::uint64_t NextPrefill = 0;
   std::list<Prefill> Waiting;
   std::set<std::uint64_t> Cache;
--- a/Tests/LibControl/TestEngineModel.cpp
+++ b/Tests/LibControl/TestEngineModel.cpp
@@ -10,7 +10,7 @@
 Test(EngineModel, LearnsThePrefillRate) {
   auto model = EngineModel{};
   for (auto n = 0; n < 100; ++n)
-    model.observeFirstToken(20000, 0, 1s + 12500us);
+    model.observePrefill(20000, 1s);
   cr_assert_float_eq(model.prefillTokensPerSecond(), 20000, 200);
 }
 
