--- a/Programs/bench/Simulation.cpp
+++ b/Programs/bench/Simulation.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
+#include <sys/resource.h>
 
 namespace dotterel::bench {
 
@@ -37,6 +38,12 @@
   return Values[static_cast<std::size_t>(n)];
 }
 
+auto residentKilobytes() -> long {
+  auto usage = rusage{};
+  ::getrusage(RUSAGE_SELF, &usage);
+  return usage.ru_maxrss;
+}
+
 auto isGood(Trace const &Shown) -> bool {
   return Shown.Result == Outcome::Completed &&
          Shown.Finished <= Shown.Deadline &&
@@ -259,9 +266,11 @@
   auto begin = std::chrono::steady_clock::now();
   auto effects =
       reduce(Nodes[Instance]->Current, Event{Now, std::move(Happened)});
+  auto spent = toSeconds(std::chrono::steady_clock::now() - begin);
+  ReducerSeconds += spent;
+  ++ReducedEvents;
   if (isArrival)
-    DecisionSeconds.push_back(
-        toSeconds(std::chrono::steady_clock::now() - begin));
+    DecisionSeconds.push_back(spent);
   for (auto &it : effects)
     std::visit(Carrier{*this, Instance}, it);
 }
@@ -407,6 +416,10 @@
       {"between_tokens_s_p95", percentile(BetweenTokensSeconds, 0.95)},
       {"decision_us_p50", percentile(DecisionSeconds, 0.5) * 1e6},
       {"decision_us_p99", percentile(DecisionSeconds, 0.99) * 1e6},
+      {"reduced_events", ReducedEvents},
+      {"reducer_share_of_a_core",
+       ReducerSeconds / toSeconds(Now - Start) / Given.Instances},
+      {"resident_kb", residentKilobytes()},
       {"violations", Violations}}
       .dump();
 }
--- a/Programs/bench/Simulation.h
+++ b/Programs/bench/Simulation.h
@@ -86,6 +86,9 @@
   std::vector<double> FirstTokenSeconds;
   std::vector<double> BetweenTokensSeconds;
   std::vector<double> DecisionSeconds;
+  /// Processor time of all reducers, and the events that they handled.
+  double ReducerSeconds = 0;
+  std::size_t ReducedEvents = 0;
   std::size_t Retries = 0;
   std::size_t Violations = 0;
 };
