LibControl: Look at a few engines per decision

Cause: every decision asked all engines of the route whether they can take the request, and the memory of prefixes was an ordered set. Now prefixes are placed on a ring that is built once per configuration, other candidates are drawn, and only these are asked; the memory is hashed.

--- a/Libraries/LibConfiguration/FleetConfiguration.h
+++ b/Libraries/LibConfiguration/FleetConfiguration.h
@@ -94,6 +94,15 @@
   std::set<ServiceName> Services;
   std::vector<std::size_t> Engines;
   std::vector<std::size_t> Servers;
+  /// Whether the route uses the engine, by index.
+  std::vector<bool> UsesEngine;
+};
+
+/// A point of the ring that prompt prefixes are placed on.
+struct RingPoint {
+  std::uint64_t Position = 0;
+  std::size_t Engine = 0;
+  auto operator<=>(RingPoint const &) const = default;
 };
 
 /// An accepted configuration, compiled once per revision and immutable.
@@ -121,6 +130,12 @@
     return Warnings;
   }
 
+  /// Returns the ring of all engines, in order of position. A change of one
+  /// engine moves only the prefixes next to its points.
+  [[nodiscard]] auto ring() const -> std::vector<RingPoint> const & {
+    return Ring;
+  }
+
   [[nodiscard]] auto findEngine(EngineId const &Id) const
       -> EngineDeclaration const *;
   [[nodiscard]] auto findService(ServiceName const &Name) const
@@ -158,6 +173,7 @@
   std::vector<EngineRule> Rules;
   std::vector<std::string> Warnings;
   std::map<EngineId, std::size_t> EngineIndices;
+  std::vector<RingPoint> Ring;
   std::map<EngineId, DesiredEngineState> DesiredStates;
 };
 
--- a/Libraries/LibConfiguration/FleetConfigurationCompiler.cpp
+++ b/Libraries/LibConfiguration/FleetConfigurationCompiler.cpp
@@ -4,7 +4,9 @@
 
 #include "LibConfiguration/JsonSchema.h"
 #include "LibCore/Error.h"
+#include "LibCore/Hash.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -85,6 +87,8 @@
 
 using nlohmann::json;
 
+constexpr auto RingPointsPerEngine = std::size_t{64};
+
 auto labelsOf(json const &Item) -> LabelSet {
   return Item.contains("labels") ? Item.at("labels").get<LabelSet>()
                                  : LabelSet{};
@@ -118,6 +122,7 @@
     throwIfProblems();
     resolveRoutes();
     resolveRules();
+    buildRing();
     warnAboutOverlaps();
     return Result;
   }
@@ -220,9 +225,13 @@
     for (auto const &model : Result->Models)
       if (Route.Declaration.Models->matches(model.Labels))
         Route.Models.insert(model.Name);
-    for (auto n = std::size_t{0}; n < Result->Engines.size(); ++n)
-      if (Route.Declaration.Servers.matches(Result->Engines[n].Labels))
+    Route.UsesEngine.resize(Result->Engines.size());
+    for (auto n = std::size_t{0}; n < Result->Engines.size(); ++n) {
+      Route.UsesEngine[n] =
+          Route.Declaration.Servers.matches(Result->Engines[n].Labels);
+      if (Route.UsesEngine[n])
         Route.Engines.push_back(n);
+    }
   }
 
   auto resolveServices(CompiledRoute &Route) -> void {
@@ -234,6 +243,15 @@
         Route.Servers.push_back(n);
   }
 
+  auto buildRing() -> void {
+    auto &ring = Result->Ring;
+    ring.reserve(Result->Engines.size() * RingPointsPerEngine);
+    for (auto n = std::size_t{0}; n < Result->Engines.size(); ++n)
+      for (auto point = std::uint64_t{0}; point < RingPointsPerEngine; ++point)
+        ring.push_back({hashText(Result->Engines[n].Id.text(), point), n});
+    std::ranges::sort(ring);
+  }
+
   auto resolveRules() -> void {
     for (auto const &rule : Result->Rules) {
       auto state = DesiredEngineState{rule.Role, {}};
--- a/Libraries/LibControl/Call.h
+++ b/Libraries/LibControl/Call.h
@@ -11,6 +11,8 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
+#include <unordered_map>
 
 namespace dotterel {
 
@@ -99,10 +101,12 @@
   struct Entry {
     std::uint64_t Hash = 0;
     EngineId Engine;
-    auto operator<=>(Entry const &) const = default;
   };
 
-  std::set<Entry> Known;
+  auto erase(Entry const &Oldest) -> void;
+
+  /// The engines that were sent a piece; few, so that a scan is quick.
+  std::unordered_map<std::uint64_t, std::vector<EngineId>> Known;
   std::deque<Entry> Order;
 };
 
--- a/Libraries/LibControl/Placement.cpp
+++ b/Libraries/LibControl/Placement.cpp
@@ -10,7 +10,10 @@
 namespace {
 
 constexpr auto AffineCandidates = std::size_t{2};
-constexpr auto RandomCandidates = std::size_t{2};
+constexpr auto CandidatesPerCall = std::size_t{4};
+/// Bounds on the search for eligible engines.
+constexpr auto RingPointsTried = std::size_t{256};
+constexpr auto DrawsTried = std::size_t{24};
 /// Prefill holds up every other request at the engine, not only its own; this
 /// many of its own seconds are added to the cost for them.
 constexpr auto AddedWorkWeight = 8.0;
@@ -29,51 +32,82 @@
   return configuration.findServiceRoute(request.Caller, request.Service);
 }
 
-/// Moves the \p Count names with the highest score for \p Key to the front
-/// of [First, end).
-template <typename Names>
-auto preferByScore(Names &Items, std::size_t First, std::size_t Count,
-                   std::uint64_t Key) -> void {
-  auto begin = Items.begin() + static_cast<std::ptrdiff_t>(First);
-  auto n = std::min(Count, Items.size() - First);
-  std::partial_sort(begin, begin + static_cast<std::ptrdiff_t>(n), Items.end(),
-                    [&](auto const &Left, auto const &Right) {
-                      return rendezvousScore(Key, Left.text()) >
-                             rendezvousScore(Key, Right.text());
-                    });
+/// Returns the next number of a sequence that visits all values evenly.
+auto mixBits(std::uint64_t Value) -> std::uint64_t {
+  Value += 0x9e3779b97f4a7c15ULL;
+  Value = (Value ^ (Value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+  Value = (Value ^ (Value >> 27U)) * 0x94d049bb133111ebULL;
+  return Value ^ (Value >> 31U);
 }
 
 } // namespace
 
-auto Placement::eligibleEngines(Call const &Wanted, bool MayAvoid) const
-    -> std::vector<EngineId> {
-  auto eligible = std::vector<EngineId>{};
-  auto const *route = routeOf(Subject, Wanted);
-  if (route == nullptr)
-    return eligible;
-  for (auto index : route->Engines) {
-    auto const &id = Subject.Configuration.Current->engines()[index].Id;
-    if (MayAvoid && Wanted.AvoidedEngines.contains(id))
-      continue;
-    if (isRoutable(Subject.Backends, id, Wanted.Request.Model, Subject.Now))
-      eligible.push_back(id);
-  }
+auto Placement::isEligible(CompiledRoute const &Route, Call const &Wanted,
+                           std::size_t Engine, bool MayAvoid) const -> bool {
+  if (!Route.UsesEngine[Engine])
+    return false;
+  auto const &id = Subject.Configuration.Current->engines()[Engine].Id;
+  if (MayAvoid && Wanted.AvoidedEngines.contains(id))
+    return false;
+  return isRoutable(Subject.Backends, id, Wanted.Request.Model, Subject.Now);
+}
+
+auto Placement::eligibleEngines(CompiledRoute const &Route, Call const &Wanted,
+                                bool MayAvoid) const
+    -> std::vector<std::size_t> {
+  auto eligible = std::vector<std::size_t>{};
+  for (auto index : Route.Engines)
+    if (isEligible(Route, Wanted, index, MayAvoid))
+      eligible.push_back(index);
   return eligible;
 }
 
-auto Placement::candidates(CallId Id, Call const &Wanted,
-                           std::vector<EngineId> Eligible) const
-    -> std::vector<EngineId> {
-  auto const &hashes = Wanted.Request.PrefixHashes;
-  auto affine = hashes.empty() ? std::size_t{0} : AffineCandidates;
-  if (!hashes.empty())
-    preferByScore(Eligible, 0, affine, hashes.front());
-  affine = std::min(affine, Eligible.size());
+auto Placement::addAffine(CompiledRoute const &Route, Call const &Wanted,
+                          std::vector<std::size_t> &Chosen) const -> void {
+  auto const &ring = Subject.Configuration.Current->ring();
+  if (Wanted.Request.PrefixHashes.empty() || ring.empty())
+    return;
+  auto point = std::ranges::lower_bound(
+      ring, Wanted.Request.PrefixHashes.front(), {}, &RingPoint::Position);
+  for (auto n = std::size_t{0}; n < std::min(ring.size(), RingPointsTried) &&
+                                Chosen.size() < AffineCandidates;
+       ++n, ++point) {
+    if (point == ring.end())
+      point = ring.begin();
+    if (std::ranges::find(Chosen, point->Engine) == Chosen.end() &&
+        isEligible(Route, Wanted, point->Engine, /*MayAvoid=*/true))
+      Chosen.push_back(point->Engine);
+  }
+}
+
+auto Placement::addDrawn(CompiledRoute const &Route, CallId Id,
+                         Call const &Wanted,
+                         std::vector<std::size_t> &Chosen) const -> void {
   auto salt = hashText(Subject.Self.Id.text(), Id + Wanted.AttemptsMade);
-  auto drawn = RandomCandidates + AffineCandidates - affine;
-  preferByScore(Eligible, affine, drawn, salt);
-  Eligible.resize(std::min(Eligible.size(), affine + drawn));
-  return Eligible;
+  for (auto n = std::size_t{0};
+       n < DrawsTried && Chosen.size() < CandidatesPerCall; ++n) {
+    salt = mixBits(salt);
+    auto index = Route.Engines[salt % Route.Engines.size()];
+    if (std::ranges::find(Chosen, index) == Chosen.end() &&
+        isEligible(Route, Wanted, index, /*MayAvoid=*/true))
+      Chosen.push_back(index);
+  }
+}
+
+auto Placement::candidates(CompiledRoute const &Route, CallId Id,
+                           Call const &Wanted) const
+    -> std::vector<std::size_t> {
+  auto chosen = std::vector<std::size_t>{};
+  if (Route.Engines.empty())
+    return chosen;
+  addAffine(Route, Wanted, chosen);
+  addDrawn(Route, Id, Wanted, chosen);
+  // Where few engines are eligible, drawing may miss them all.
+  if (chosen.empty())
+    chosen = eligibleEngines(Route, Wanted, /*MayAvoid=*/true);
+  if (chosen.empty())
+    chosen = eligibleEngines(Route, Wanted, /*MayAvoid=*/false);
+  return chosen;
 }
 
 auto Placement::expectedCachedPieces(CallRequest const &Request,
@@ -126,28 +160,33 @@
   return choice;
 }
 
+auto Placement::chooseByBaseline(CompiledRoute const &Route, CallId Id,
+                                 Call const &Wanted) const
+    -> std::optional<EngineChoice> {
+  auto ids = std::vector<EngineId>{};
+  for (auto index : eligibleEngines(Route, Wanted, /*MayAvoid=*/true))
+    ids.push_back(Subject.Configuration.Current->engines()[index].Id);
+  if (ids.empty())
+    return std::nullopt;
+  auto chosen = Subject.Options.Chooser->choose(Subject, Id, ids);
+  return evaluate(Wanted, ids[chosen], /*IsPreferred=*/false);
+}
+
 auto Placement::chooseEngine(CallId Id, Call const &Wanted) const
     -> std::optional<EngineChoice> {
-  auto eligible = eligibleEngines(Wanted, /*MayAvoid=*/true);
-  if (eligible.empty())
-    eligible = eligibleEngines(Wanted, /*MayAvoid=*/false);
-  if (eligible.empty())
+  auto const *route = routeOf(Subject, Wanted);
+  if (route == nullptr)
     return std::nullopt;
-  if (auto const &chooser = Subject.Options.Chooser)
-    return evaluate(Wanted, eligible[chooser->choose(Subject, Id, eligible)],
-                    false);
+  if (Subject.Options.Chooser)
+    return chooseByBaseline(*route, Id, Wanted);
   auto best = std::optional<EngineChoice>{};
   auto bestCost = 0.0;
   auto isPreferred = !Wanted.Request.PrefixHashes.empty();
-  for (auto const &id : candidates(Id, Wanted, std::move(eligible))) {
+  for (auto index : candidates(*route, Id, Wanted)) {
+    auto const &id = Subject.Configuration.Current->engines()[index].Id;
     auto choice = evaluate(Wanted, id, isPreferred);
     isPreferred = false;
-    auto const &health = Subject.Backends.Engines.at(id).Health;
-    auto addedWork =
-        choice.PrefillTokens / Subject.Backends.Model.prefillTokensPerSecond();
-    auto seconds =
-        toSeconds(choice.Forecast.Completion) + AddedWorkWeight * addedWork;
-    auto cost = seconds * health.slowStartFactor(Subject.Now);
+    auto cost = costOf(choice);
     if (best && cost >= bestCost)
       continue;
     best = std::move(choice);
@@ -156,6 +195,16 @@
   return best;
 }
 
+auto Placement::costOf(EngineChoice const &Choice) const -> double {
+  auto const &backends = Subject.Backends;
+  auto addedWork =
+      Choice.PrefillTokens / backends.Model.prefillTokensPerSecond();
+  auto seconds =
+      toSeconds(Choice.Forecast.Completion) + AddedWorkWeight * addedWork;
+  auto const &health = backends.Engines.at(Choice.Engine).Health;
+  return seconds * health.slowStartFactor(Subject.Now);
+}
+
 auto Placement::chooseServer(CallId Id, Call const &Wanted) const
     -> std::optional<ServerId> {
   auto const *route = routeOf(Subject, Wanted);
--- a/Libraries/LibControl/Placement.h
+++ b/Libraries/LibControl/Placement.h
@@ -36,15 +36,30 @@
       -> std::optional<ServerId>;
 
 private:
-  [[nodiscard]] auto eligibleEngines(Call const &Wanted, bool MayAvoid) const
-      -> std::vector<EngineId>;
+  [[nodiscard]] auto isEligible(CompiledRoute const &Route, Call const &Wanted,
+                                std::size_t Engine, bool MayAvoid) const
+      -> bool;
+  [[nodiscard]] auto eligibleEngines(CompiledRoute const &Route,
+                                     Call const &Wanted, bool MayAvoid) const
+      -> std::vector<std::size_t>;
+  /// Adds the engines next to the prompt's prefix on the ring.
+  auto addAffine(CompiledRoute const &Route, Call const &Wanted,
+                 std::vector<std::size_t> &Chosen) const -> void;
+  /// Adds engines that are drawn by hash.
+  auto addDrawn(CompiledRoute const &Route, CallId Id, Call const &Wanted,
+                std::vector<std::size_t> &Chosen) const -> void;
+  [[nodiscard]] auto chooseByBaseline(CompiledRoute const &Route, CallId Id,
+                                      Call const &Wanted) const
+      -> std::optional<EngineChoice>;
+  /// Returns the seconds that the choice costs this request and others.
+  [[nodiscard]] auto costOf(EngineChoice const &Choice) const -> double;
   /// Returns how many pieces of the prompt's prefix \p Engine probably holds.
   [[nodiscard]] auto expectedCachedPieces(CallRequest const &Request,
                                           EngineId const &Engine,
                                           bool IsPreferred) const -> double;
-  [[nodiscard]] auto candidates(CallId Id, Call const &Wanted,
-                                std::vector<EngineId> Eligible) const
-      -> std::vector<EngineId>;
+  [[nodiscard]] auto candidates(CompiledRoute const &Route, CallId Id,
+                                Call const &Wanted) const
+      -> std::vector<std::size_t>;
   /// \p IsPreferred marks the engine that every instance sends the prompt's
   /// prefix to.
   [[nodiscard]] auto evaluate(Call const &Wanted, EngineId const &Engine,
--- a/Meta/bench.sh
+++ b/Meta/bench.sh
@@ -25,7 +25,7 @@
     done
   done
 done | xargs -P "$(nproc)" -I{} sh -c 'build/dotterel-bench {}' |
-  sed -E 's/.*"bound":([0-9.]+).*"goodput":([0-9.]+),"late":([0-9]+).*"policy":"([a-z-]+)".*"rejected":([0-9]+),"retries":([0-9]+).*"scenario":"([a-z-]+)".*"violations":([0-9]+).*/\7 \4 \2 \1 \3 \5 \6 \8/' |
+  sed -E 's/.*"bound":([0-9.]+).*"goodput":([0-9.]+),"late":([0-9]+).*"policy":"([a-z-]+)".*"rejected":([0-9]+).*"retries":([0-9]+).*"scenario":"([a-z-]+)".*"violations":([0-9]+).*/\7 \4 \2 \1 \3 \5 \6 \8/' |
   sort | awk '
     {key = $1 " " $2; if (key != last) {show(); last = key; n = 0; late = 0;
        rejected = 0; retries = 0; violations = 0}
