--- a/Tests/LibControl/FakeFleet.cpp
+++ b/Tests/LibControl/FakeFleet.cpp
@@ -23,6 +23,7 @@
 constexpr auto RoleChangeTime = Duration{2s};
 constexpr auto ServiceTime = Duration{30ms};
 constexpr auto ListLag = Duration{2s};
+constexpr auto ClockRateStep = 0.01;
 constexpr auto WatchSpan = Duration{5s};
 
 auto instanceName(int Number) -> InstanceId {
@@ -141,7 +142,7 @@
     auto &engine = Fleet.Engines[What.Engine];
     if (engine.IsDown)
       return answer(NetworkDelay, EngineUnreachable{What.Engine});
-    auto observed = Fleet.Now;
+    auto observed = Fleet.clockOf(From);
     answer(ReportLag, EngineReported{What.Engine, engine.Report, observed});
   }
 
@@ -440,11 +441,18 @@
     return;
   node = Node{};
   node.Identity = {id, Random() | 1U, FailureDomain("a"), id.text(), id.text()};
-  node.Current = makeState(node.Identity, ControlOptions{}, Now);
+  // Neighbours differ by half of the drift that the options allow for.
+  node.ClockRate = 1 + ClockRateStep * (Instance % 3 - 1);
+  node.Current = makeState(node.Identity, ControlOptions{}, clockOf(node));
   schedule({},
            [this, id, run = node.Identity.Run] { deliver(id, run, Tick{}); });
 }
 
+auto FakeFleet::clockOf(Node const &Target) const -> Instant {
+  return Instant{} +
+         fromSeconds(toSeconds(Now.time_since_epoch()) * Target.ClockRate);
+}
+
 auto FakeFleet::kill(int Instance) -> void {
   auto id = instanceName(Instance);
   auto &node = Nodes[id];
@@ -560,7 +568,8 @@
 }
 
 auto FakeFleet::feed(Node &Target, EventBody Happened) -> void {
-  auto effects = reduce(*Target.Current, Event{Now, std::move(Happened)});
+  auto effects =
+      reduce(*Target.Current, Event{clockOf(Target), std::move(Happened)});
   auto const &current = Target.Current->Configuration.Current;
   auto revision = current ? current->revision() : 0;
   if (revision < Target.HighestRevision)
--- a/Tests/LibControl/FakeFleet.h
+++ b/Tests/LibControl/FakeFleet.h
@@ -111,6 +111,8 @@
     bool IsPaused = false;
     bool PausesBeforeSending = false;
     bool IsApiCut = false;
+    /// How fast this instance's clock runs.
+    double ClockRate = 1;
     std::deque<EventBody> Inbox;
     std::deque<Effect> Held;
     std::map<CallId, std::size_t> CallNumbers;
@@ -146,6 +148,8 @@
   auto carryOut(Node &From, Effect &What) -> void;
   auto mustPauseBefore(Node const &From, Effect const &What) const -> bool;
   auto find(InstanceId const &Id) -> Node &;
+  /// The time that the instance's own clock shows.
+  [[nodiscard]] auto clockOf(Node const &Target) const -> Instant;
   auto configurationText() const -> std::string;
   auto publish() -> void;
   auto isReachable(InstanceId const &Left, InstanceId const &Right) const
