--- a/Programs/bench/Simulation.cpp
+++ b/Programs/bench/Simulation.cpp
@@ -57,8 +57,8 @@
   Simulation &Bench; // NOLINT
   int Instance;
 
-  auto answer(Duration After, EventBody Happened) const -> void {
-    Bench.schedule(After, [&bench = Bench, n = Instance, Happened] {
+  auto answer(Duration After, EventBody const &Happened) const -> void {
+    Bench.Plan.schedule(After, [&bench = Bench, n = Instance, Happened] {
       bench.feed(n, Happened);
     });
   }
@@ -82,7 +82,7 @@
 
   auto operator()(ForwardToken const &What) const -> void {
     auto &trace = Bench.Traces[Bench.Nodes[Instance]->Traces.at(What.Call)];
-    auto now = Bench.Now;
+    auto now = Bench.Plan.now();
     if (++trace.Tokens == 1)
       Bench.FirstTokenSeconds.push_back(toSeconds(now - trace.Arrived));
     else
@@ -94,7 +94,7 @@
     auto &trace = Bench.Traces[Bench.Nodes[Instance]->Traces.at(What.Call)];
     if (trace.Finished != Instant{})
       ++Bench.Violations;
-    trace.Finished = Bench.Now;
+    trace.Finished = Bench.Plan.now();
     trace.Result = What.Answer.Result;
     trace.Code = What.Answer.Code;
     auto isWhole = trace.Tokens == trace.Request.MaximumTokens;
@@ -109,7 +109,7 @@
     if (engine.IsDown || isLost)
       return answer(1s, EngineUnreachable{What.Engine});
     answer(Bench.Given.ReportLag + NetworkDelay,
-           EngineReported{What.Engine, engine.report(), Bench.Now});
+           EngineReported{What.Engine, engine.report(), Bench.Plan.now()});
   }
 
   auto operator()(ReadShard const &What) const -> void {
@@ -136,18 +136,13 @@
 
 Simulation::Simulation(Scenario Given, std::uint64_t Seed, std::string Policy)
     : Given(std::move(Given)), Seed(Seed), Policy(std::move(Policy)),
-      Random(Seed), Start(Instant{} + 1h), Now(Start) {
+      Random(Seed), Start(Instant{} + 1h), Plan(Start) {
   for (auto n = 0; n < this->Given.Engines.Count; ++n)
     Engines.emplace_back(this->Given.Engines, Random() | 1U);
   makeNodes();
   makeArrivals();
   for (auto const &it : this->Given.Faults)
-    schedule(WarmUp + it.At, [this, it] { strike(it); });
-}
-
-auto Simulation::schedule(Duration After, std::function<void()> Action)
-    -> void {
-  Agenda.push({Now + After, NextSequence++, std::move(Action)});
+    Plan.schedule(WarmUp + it.At, [this, it] { strike(it); });
 }
 
 auto Simulation::configurationText() const -> std::string {
@@ -185,11 +180,11 @@
     auto id = InstanceId(fmt::format("i{}", n));
     auto identity = InstanceIdentity{id, Random() | 1U, FailureDomain("d"),
                                      id.text(), id.text()};
-    Nodes.push_back(
-        std::make_unique<Node>(Node{makeState(identity, options, Now), 1, {}}));
+    Nodes.push_back(std::make_unique<Node>(
+        Node{makeState(identity, options, Plan.now()), 1, {}}));
     // Instances do not tick in step with each other.
     auto offset = TickInterval * n / Given.Instances;
-    schedule(offset, [this, n, configuration] {
+    Plan.schedule(offset, [this, n, configuration] {
       feed(n, ConfigurationReceived{configuration});
       tick(n);
     });
@@ -248,7 +243,7 @@
   trace.Request = makeRequest(Class);
   Traces.push_back(std::move(trace));
   auto instance = draw({0, Given.Instances - 1});
-  schedule(At - Now, [this, number, instance] {
+  Plan.schedule(At - Plan.now(), [this, number, instance] {
     auto &node = *Nodes[instance];
     auto id = node.NextCall++;
     node.Traces[id] = number;
@@ -258,14 +253,14 @@
 
 auto Simulation::tick(int Instance) -> void {
   feed(Instance, Tick{});
-  schedule(TickInterval, [this, Instance] { tick(Instance); });
+  Plan.schedule(TickInterval, [this, Instance] { tick(Instance); });
 }
 
 auto Simulation::feed(int Instance, EventBody Happened) -> void {
   auto isArrival = std::holds_alternative<CallArrived>(Happened);
   auto begin = std::chrono::steady_clock::now();
   auto effects =
-      reduce(Nodes[Instance]->Current, Event{Now, std::move(Happened)});
+      reduce(Nodes[Instance]->Current, Event{Plan.now(), std::move(Happened)});
   auto spent = toSeconds(std::chrono::steady_clock::now() - begin);
   ReducerSeconds += spent;
   ++ReducedEvents;
@@ -285,7 +280,7 @@
   request.PrefillLeft = call.Request.PromptTokens + What.ResumeAfter;
   request.NextToken = What.ResumeAfter + 1;
   request.LastToken = call.Request.MaximumTokens;
-  schedule(NetworkDelay, [this, engine, request] {
+  Plan.schedule(NetworkDelay, [this, engine, request] {
     if (Engines[engine].IsDown)
       return feed(request.Key.Instance, AttemptBroken{request.Key.Attempt});
     Engines[engine].submit(request);
@@ -298,7 +293,7 @@
   auto length = Engines[Engine].beginStep();
   if (length == Duration{})
     return;
-  schedule(length, [this, Engine] {
+  Plan.schedule(length, [this, Engine] {
     for (auto const &it : Engines[Engine].endStep()) {
       feed(it.Key.Instance, AttemptToken{it.Key.Attempt, it.Index, {}});
       if (it.IsLast)
@@ -327,12 +322,7 @@
 
 auto Simulation::run() -> std::string {
   auto end = Start + WarmUp + Given.Length + Drain;
-  while (!Agenda.empty() && Agenda.top().At <= end) {
-    auto next = Agenda.top();
-    Agenda.pop();
-    Now = next.At;
-    next.Action();
-  }
+  Plan.runUntil(end);
   return summary();
 }
 
@@ -418,7 +408,7 @@
       {"decision_us_p99", percentile(DecisionSeconds, 0.99) * 1e6},
       {"reduced_events", ReducedEvents},
       {"reducer_share_of_a_core",
-       ReducerSeconds / toSeconds(Now - Start) / Given.Instances},
+       ReducerSeconds / toSeconds(Plan.now() - Start) / Given.Instances},
       {"resident_kb", residentKilobytes()},
       {"violations", Violations}}
       .dump();
--- a/Programs/bench/Simulation.h
+++ b/Programs/bench/Simulation.h
@@ -7,9 +7,8 @@
 #include "Scenario.h"
 
 #include "LibControl/Reducer.h"
+#include "LibTest/Agenda.h"
 
-#include <functional>
-#include <queue>
 #include <random>
 
 namespace dotterel::bench {
@@ -41,23 +40,8 @@
     std::map<CallId, std::size_t> Traces;
   };
 
-  struct Scheduled {
-    Instant At;
-    std::uint64_t Sequence = 0;
-    std::function<void()> Action;
-  };
-
-  struct Later {
-    auto operator()(Scheduled const &Left, Scheduled const &Right) const
-        -> bool {
-      return Left.At != Right.At ? Left.At > Right.At
-                                 : Left.Sequence > Right.Sequence;
-    }
-  };
-
   struct Carrier;
 
-  auto schedule(Duration After, std::function<void()> Action) -> void;
   auto makeNodes() -> void;
   auto makeArrivals() -> void;
   auto arrive(std::size_t Class, Instant At) -> void;
@@ -77,9 +61,7 @@
   std::string Policy;
   std::mt19937_64 Random;
   Instant Start;
-  Instant Now;
-  std::uint64_t NextSequence = 0;
-  std::priority_queue<Scheduled, std::vector<Scheduled>, Later> Agenda;
+  Agenda Plan;
   std::vector<std::unique_ptr<Node>> Nodes;
   std::vector<BatchingEngine> Engines;
   std::vector<Trace> Traces;
--- a/Tests/LibControl/FakeFleet.cpp
+++ b/Tests/LibControl/FakeFleet.cpp
@@ -14,17 +14,9 @@
 using nlohmann::json;
 
 constexpr auto TickInterval = Duration{50ms};
-constexpr auto NetworkDelay = Duration{1ms};
-constexpr auto ApiDelay = Duration{4ms};
-constexpr auto ApiTimeout = Duration{2s};
-constexpr auto ReportLag = Duration{100ms};
 constexpr auto DecodeTime = Duration{20ms};
-constexpr auto PrefillTime = Duration{50ms};
 constexpr auto RoleChangeTime = Duration{2s};
-constexpr auto ServiceTime = Duration{30ms};
-constexpr auto ListLag = Duration{2s};
 constexpr auto ClockRateStep = 0.01;
-constexpr auto WatchSpan = Duration{5s};
 
 auto instanceName(int Number) -> InstanceId {
   return InstanceId(fmt::format("i{}", Number));
@@ -36,325 +28,8 @@
 
 } // namespace
 
-/// Carries out effects of one instance against the fakes.
-struct FakeFleet::Carrier {
-  FakeFleet &Fleet; // NOLINT
-  Node &From;       // NOLINT
-  /// The run that decided on the effect; answers reach no other.
-  Incarnation Run = From.Identity.Run;
-
-  [[nodiscard]] auto run() const -> Incarnation { return Run; }
-
-  auto answer(Duration After, EventBody const &Happened) const -> void {
-    Fleet.schedule(After, [&fleet = Fleet, id = From.Identity.Id, run = run(),
-                           Happened] { fleet.deliver(id, run, Happened); });
-  }
-
-  /// Runs \p Work at the object API unless it is out, then answers.
-  auto atApi(std::function<EventBody()> Work, EventBody const &Failed) const
-      -> void {
-    ++Fleet.ApiCalls;
-    if (!Fleet.apiAnswers(From))
-      return answer(ApiTimeout, Failed);
-    Fleet.schedule(ApiDelay, [*this, work = std::move(Work)] {
-      answer(ApiDelay, work());
-    });
-  }
-
-  auto operator()(ConnectAttempt const &What) const -> void {
-    auto const &calls = From.Current->Calls.Calls;
-    auto call = calls.find(What.Attempt.Call);
-    auto isDown = call != calls.end() && call->second.Current &&
-                  !call->second.Current->Engine.empty() &&
-                  Fleet.Engines[call->second.Current->Engine].IsDown;
-    if (isDown)
-      return answer(NetworkDelay, AttemptUnreachable{What.Attempt});
-    answer(NetworkDelay, AttemptConnected{What.Attempt});
-  }
-
-  auto operator()(SendAttempt const &What) const -> void {
-    auto const &calls = From.Current->Calls.Calls;
-    auto call = calls.find(What.Attempt.Call);
-    if (What.Kind == CallKind::Service)
-      return sendBooking(What);
-    // A held send may be late: the call's attempt names the engine no more.
-    if (call == calls.end() || !call->second.Current)
-      return;
-    auto id = call->second.Current->Engine;
-    Fleet.schedule(NetworkDelay, [*this, id, What] { startStream(id, What); });
-  }
-
-  auto startStream(EngineId const &Id, SendAttempt const &What) const -> void {
-    auto &engine = Fleet.Engines[Id];
-    if (engine.IsDown)
-      return answer(NetworkDelay, AttemptBroken{What.Attempt});
-    if (engine.Report.IsChanging || engine.Report.Role != EngineRole::Mixed)
-      return answer(NetworkDelay, AttemptRefused{What.Attempt});
-    engine.Report.Running += 1;
-    engine.Streams.insert({run(), What.Attempt});
-    auto index = What.ResumeAfter + 1;
-    Fleet.schedule(PrefillTime, [*this, Id, What, index,
-                                 engineRun = engine.Report.Run] {
-      Fleet.streamTokens(Id, What, From.Identity.Id, run(), engineRun, index);
-    });
-  }
-
-  auto sendBooking(SendAttempt const &What) const -> void {
-    auto key = What.Key.text();
-    ++Fleet.BookingsUnderWay[key];
-    Fleet.schedule(NetworkDelay, [*this, What, key] {
-      --Fleet.BookingsUnderWay[key];
-      if (++Fleet.Executions[key] > 1)
-        Fleet.violate("booking ran twice: " + key);
-      if (Fleet.AnswersToLose > 0) {
-        --Fleet.AnswersToLose;
-        return answer(ServiceTime, AttemptBroken{What.Attempt});
-      }
-      answer(ServiceTime,
-             AttemptCompleted{What.Attempt, 200, "text/plain", *What.Body});
-    });
-  }
-
-  auto operator()(CancelAttempt const &What) const -> void {
-    for (auto &it : Fleet.Engines) {
-      if (it.second.Streams.erase({run(), What.Attempt}) > 0)
-        it.second.Report.Running -= 1;
-    }
-  }
-
-  auto operator()(ForwardToken const &What) const -> void {
-    auto it = From.CallNumbers.find(What.Call);
-    if (it != From.CallNumbers.end())
-      Fleet.Calls[it->second].Tokens.push_back(What.Data);
-  }
-
-  auto operator()(FinishCall const &What) const -> void {
-    auto it = From.CallNumbers.find(What.Call);
-    if (it == From.CallNumbers.end())
-      return;
-    auto &call = Fleet.Calls[it->second];
-    call.Answers.push_back(What);
-    call.Answered = Fleet.Now;
-    Fleet.checkAnswer(call);
-  }
-
-  auto operator()(PollEngine const &What) const -> void {
-    auto &engine = Fleet.Engines[What.Engine];
-    if (engine.IsDown)
-      return answer(NetworkDelay, EngineUnreachable{What.Engine});
-    auto observed = Fleet.clockOf(From);
-    answer(ReportLag, EngineReported{What.Engine, engine.Report, observed});
-  }
-
-  auto operator()(ConnectOrder const &What) const -> void {
-    if (Fleet.Engines[What.Engine].IsDown)
-      return answer(NetworkDelay, OrderAnswered{What.Shard, What.Engine,
-                                                What.Order, OrderAnswer::Lost});
-    answer(NetworkDelay, OrderConnected{What.Shard, What.Engine, What.Order});
-  }
-
-  auto operator()(SendOrder const &What) const -> void {
-    Fleet.schedule(NetworkDelay, [*this, What] {
-      auto result = Fleet.executeOrder(What, run());
-      answer(NetworkDelay,
-             OrderAnswered{What.Shard, What.Engine, What.Order, result});
-    });
-  }
-
-  auto operator()(RaiseFence const &What) const -> void {
-    Fleet.schedule(NetworkDelay, [*this, What] {
-      auto &engine = Fleet.Engines[What.Engine];
-      if (engine.ChecksFencing)
-        engine.Report.HighestFencing =
-            std::max(engine.Report.HighestFencing, What.Fencing);
-    });
-  }
-
-  auto operator()(ReadShard const &What) const -> void {
-    atApi(
-        [*this, What]() -> EventBody {
-          auto const &stored = Fleet.Shards[What.Shard];
-          return ShardRead{What.Shard, stored.Version, stored.Body};
-        },
-        ShardReadFailed{What.Shard});
-  }
-
-  auto operator()(WriteShard const &What) const -> void {
-    auto number = What.Record.WriteNumber;
-    write(
-        Fleet.Shards[What.Shard], What.ExpectedVersion, What.Record,
-        [What, number](WriteResult Result, std::uint64_t Version) -> EventBody {
-          return ShardWritten{What.Shard, number, Result, Version};
-        });
-  }
-
-  auto operator()(ReadClaim const &What) const -> void {
-    atApi(
-        [*this, What]() -> EventBody {
-          auto const &stored = Fleet.Claims[What.Name];
-          return ClaimRead{What.Call, stored.Version, stored.Body};
-        },
-        ClaimReadFailed{What.Call});
-  }
-
-  auto operator()(WriteClaim const &What) const -> void {
-    write(Fleet.Claims[What.Name], What.ExpectedVersion, What.Record,
-          [What](WriteResult Result, std::uint64_t Version) -> EventBody {
-            return ClaimWritten{What.Call, Result, Version};
-          });
-  }
-
-  template <typename T, typename Answer>
-  auto write(Stored<T> &Target, std::uint64_t Expected, T const &Body,
-             Answer MakeAnswer) const -> void {
-    auto *target = &Target;
-    atApi(
-        [*this, target, Expected, Body, MakeAnswer]() -> EventBody {
-          if (target->Version != Expected)
-            return MakeAnswer(WriteResult::Conflict, target->Version);
-          target->Version += 1;
-          target->Body = Body;
-          if (Fleet.WritesToLose > 0) {
-            --Fleet.WritesToLose;
-            return MakeAnswer(WriteResult::Unknown, 0);
-          }
-          return MakeAnswer(WriteResult::Committed, target->Version);
-        },
-        MakeAnswer(WriteResult::Unknown, 0));
-  }
-
-  auto operator()(WatchConfiguration const &What) const -> void {
-    ++Fleet.ApiCalls;
-    if (!Fleet.apiAnswers(From))
-      return answer(ApiTimeout, ConfigurationWatchEnded{false});
-    poll(What.After, WatchSpan);
-  }
-
-  auto poll(Revision After, Duration Left) const -> void {
-    if (Fleet.Configuration->revision() > After) {
-      answer(ApiDelay, ConfigurationReceived{Fleet.Configuration});
-      return answer(ApiDelay, ConfigurationWatchEnded{true});
-    }
-    if (Left <= Duration{})
-      return answer(ApiDelay, ConfigurationWatchEnded{true});
-    Fleet.schedule(TickInterval,
-                   [*this, After, Left] { poll(After, Left - TickInterval); });
-  }
-
-  auto operator()(ListInstances const & /*What*/) const -> void {
-    ++Fleet.ApiCalls;
-    if (!Fleet.apiAnswers(From))
-      return answer(ApiTimeout, InstanceListFailed{});
-    auto listed = InstancesListed{};
-    for (auto const &it : Fleet.Nodes)
-      if (it.second.Current)
-        listed.Instances.push_back(
-            {it.first, it.first.text(), it.first.text(),
-             it.second.Identity.Domain,
-             it.second.Current->LeaveRequestedAt != Instant{}});
-    answer(ListLag, listed);
-  }
-
-  auto operator()(ConnectPeer const &What) const -> void {
-    auto &peer = Fleet.find(What.Peer);
-    if (!peer.Current || peer.IsPaused ||
-        !Fleet.isReachable(From.Identity.Id, What.Peer))
-      return answer(NetworkDelay, PeerDisconnected{What.Peer});
-    Fleet.Links.insert({From.Identity.Id, What.Peer});
-    answer(NetworkDelay, PeerConnected{What.Peer, peer.Identity.Run});
-    Fleet.deliver(What.Peer, peer.Identity.Run,
-                  PeerConnected{From.Identity.Id, run()});
-  }
-
-  auto operator()(DisconnectPeer const &What) const -> void {
-    Fleet.Links.erase({From.Identity.Id, What.Peer});
-    answer(Duration{}, PeerDisconnected{What.Peer});
-    auto &peer = Fleet.find(What.Peer);
-    if (Fleet.isReachable(From.Identity.Id, What.Peer))
-      Fleet.deliver(What.Peer, peer.Identity.Run,
-                    PeerDisconnected{From.Identity.Id});
-  }
-
-  auto operator()(SendPeer const &What) const -> void {
-    auto link = std::set<InstanceId>{From.Identity.Id, What.Peer};
-    if (!Fleet.Links.contains(link) ||
-        !Fleet.isReachable(From.Identity.Id, What.Peer))
-      return;
-    auto peerRun = Fleet.find(What.Peer).Identity.Run;
-    Fleet.schedule(NetworkDelay, [*this, What, peerRun,
-                                  sender = From.Identity.Id, own = run()] {
-      std::visit(
-          [&](auto const &Message) {
-            receive(What.Peer, peerRun, sender, own, Message);
-          },
-          What.Message);
-    });
-  }
-
-  auto receive(InstanceId const &To, Incarnation ToRun,
-               InstanceId const &Sender, Incarnation /*SenderRun*/,
-               PeerHeartbeat const &Message) const -> void {
-    Fleet.deliver(To, ToRun, PeerHeartbeatReceived{Sender, Message});
-  }
-
-  auto receive(InstanceId const &To, Incarnation ToRun,
-               InstanceId const &Sender, Incarnation /*SenderRun*/,
-               ConfigurationRequest const & /*Message*/) const -> void {
-    Fleet.deliver(To, ToRun, ConfigurationRequested{Sender});
-  }
-
-  auto receive(InstanceId const &To, Incarnation ToRun,
-               InstanceId const & /*Sender*/, Incarnation /*SenderRun*/,
-               ConfigurationOffer const &Message) const -> void {
-    Fleet.deliver(To, ToRun,
-                  ConfigurationReceived{FleetConfiguration::compile(
-                      Message.Text, Message.Number)});
-  }
-
-  auto receive(InstanceId const &To, Incarnation ToRun,
-               InstanceId const &Sender, Incarnation SenderRun,
-               ForwardedCall const &Message) const -> void {
-    auto request = CallRequest{};
-    request.Kind = CallKind::Service;
-    request.Caller = Message.Caller;
-    request.Body = std::make_shared<std::string const>(Message.Body);
-    request.Service = Message.Service;
-    request.Method = Message.Method;
-    request.Path = Message.Path;
-    request.Key = Message.Key;
-    request.RequestedDeadline = Message.TimeLeft;
-    auto origin = ForwardOrigin{Sender, SenderRun, Message.Call, Message.Home};
-    Fleet.deliver(To, ToRun,
-                  CallArrived{Fleet.find(To).NextCall++, request, origin});
-  }
-
-  auto receive(InstanceId const &To, Incarnation ToRun,
-               InstanceId const &Sender, Incarnation /*SenderRun*/,
-               ForwardedAnswer const &Message) const -> void {
-    Fleet.deliver(To, ToRun, ForwardedAnswerReceived{Sender, Message});
-  }
-
-  auto receive(InstanceId const & /*To*/, Incarnation /*ToRun*/,
-               InstanceId const & /*Sender*/, Incarnation /*SenderRun*/,
-               PeerHello const & /*Message*/) const -> void {}
-
-  auto operator()(StopProcess const & /*What*/) const -> void {
-    Fleet.schedule({}, [&fleet = Fleet, id = From.Identity.Id, run = run()] {
-      auto &node = fleet.find(id);
-      if (node.Identity.Run == run && node.Current)
-        fleet.kill(std::stoi(id.text().substr(1)));
-    });
-  }
-
-  auto operator()(AbandonOrder const & /*What*/) const -> void {}
-  auto operator()(AnswerSteering const & /*What*/) const -> void {}
-  auto operator()(ObserveDuration const & /*What*/) const -> void {}
-  auto operator()(CountOne const & /*What*/) const -> void {}
-  auto operator()(WriteLog const & /*What*/) const -> void {}
-};
-
 FakeFleet::FakeFleet(FleetShape Shape)
-    : Shape(Shape), Now(Instant{} + 1h), Random(Shape.Seed) {
+    : Shape(Shape), Plan(Instant{} + 1h), Random(Shape.Seed) {
   for (auto n = 0; n < Shape.Engines; ++n) {
     auto &engine = Engines[engineName(n)];
     engine.ChecksFencing = Shape.EnginesCheckFencing;
@@ -444,13 +119,13 @@
   // Neighbours differ by half of the drift that the options allow for.
   node.ClockRate = 1 + ClockRateStep * (Instance % 3 - 1);
   node.Current = makeState(node.Identity, ControlOptions{}, clockOf(node));
-  schedule({},
-           [this, id, run = node.Identity.Run] { deliver(id, run, Tick{}); });
+  Plan.schedule(
+      {}, [this, id, run = node.Identity.Run] { deliver(id, run, Tick{}); });
 }
 
 auto FakeFleet::clockOf(Node const &Target) const -> Instant {
-  return Instant{} +
-         fromSeconds(toSeconds(Now.time_since_epoch()) * Target.ClockRate);
+  return Instant{} + fromSeconds(toSeconds(Plan.now().time_since_epoch()) *
+                                 Target.ClockRate);
 }
 
 auto FakeFleet::kill(int Instance) -> void {
@@ -539,19 +214,8 @@
   return !IsOutage && !From.IsApiCut;
 }
 
-auto FakeFleet::schedule(Duration After, std::function<void()> Action) -> void {
-  Agenda.push({Now + After, NextSequence++, std::move(Action)});
-}
-
 auto FakeFleet::advance(Duration Span) -> void {
-  auto end = Now + Span;
-  while (!Agenda.empty() && Agenda.top().At <= end) {
-    auto next = Agenda.top();
-    Agenda.pop();
-    Now = std::max(Now, next.At);
-    next.Action();
-  }
-  Now = end;
+  Plan.runUntil(Plan.now() + Span);
 }
 
 auto FakeFleet::deliver(InstanceId const &To, Incarnation Run,
@@ -560,7 +224,7 @@
   if (!node.Current || node.Identity.Run != Run)
     return;
   if (std::holds_alternative<Tick>(Happened))
-    schedule(TickInterval, [this, To, Run] { deliver(To, Run, Tick{}); });
+    Plan.schedule(TickInterval, [this, To, Run] { deliver(To, Run, Tick{}); });
   if (!node.IsPaused)
     return feed(node, std::move(Happened));
   if (!std::holds_alternative<Tick>(Happened))
@@ -595,10 +259,6 @@
   return attempt != nullptr && attempt->Kind == CallKind::Service;
 }
 
-auto FakeFleet::carryOut(Node &From, Effect &What) -> void {
-  std::visit(Carrier{*this, From}, What);
-}
-
 auto FakeFleet::submitCompletion(int Instance, std::string const &Prompt,
                                  int Tokens) -> std::size_t {
   auto request = CallRequest{};
@@ -608,7 +268,7 @@
   request.PromptTokens = static_cast<std::uint32_t>(Prompt.size());
   request.MaximumTokens = static_cast<std::uint32_t>(Tokens);
   auto &node = Nodes[instanceName(Instance)];
-  Calls.push_back({node.Identity.Id, request, {}, {}, Now, {}});
+  Calls.push_back({node.Identity.Id, request, {}, {}, Plan.now(), {}});
   auto id = node.NextCall++;
   node.CallNumbers[id] = Calls.size() - 1;
   deliver(node.Identity.Id, node.Identity.Run, CallArrived{id, request, {}});
@@ -626,7 +286,7 @@
   request.Key = IdempotencyKey(Key);
   request.Body = std::make_shared<std::string const>(Key);
   auto &node = Nodes[instanceName(Instance)];
-  Calls.push_back({node.Identity.Id, request, {}, {}, Now, {}});
+  Calls.push_back({node.Identity.Id, request, {}, {}, Plan.now(), {}});
   auto id = node.NextCall++;
   node.CallNumbers[id] = Calls.size() - 1;
   deliver(node.Identity.Id, node.Identity.Run, CallArrived{id, request, {}});
@@ -659,7 +319,7 @@
   }
   deliver(From, Run,
           AttemptToken{What.Attempt, Index, tokenText(*What.Body, Index)});
-  schedule(DecodeTime, [=, this] {
+  Plan.schedule(DecodeTime, [=, this] {
     streamTokens(Engine, What, From, Run, EngineRun, Index + 1);
   });
 }
@@ -689,8 +349,8 @@
   ++OrdersExecuted;
   engine.Report.IsChanging = true;
   engine.CurrentOrder = What.Order;
-  schedule(RoleChangeTime,
-           [this, id = What.Engine, What] { finishOrder(id, What); });
+  Plan.schedule(RoleChangeTime,
+                [this, id = What.Engine, What] { finishOrder(id, What); });
   return OrderAnswer::Accepted;
 }
 
@@ -714,7 +374,7 @@
 
 auto FakeFleet::violate(std::string What) -> void {
   Violations.push_back(fmt::format(
-      "at {} ms: {}", toMilliseconds(Now.time_since_epoch()), What));
+      "at {} ms: {}", toMilliseconds(Plan.now().time_since_epoch()), What));
 }
 
 auto FakeFleet::checkAnswer(SubmittedCall const &Told) -> void {
--- a/Tests/LibControl/FakeFleet.h
+++ b/Tests/LibControl/FakeFleet.h
@@ -4,10 +4,10 @@
 #pragma once
 
 #include "LibControl/Reducer.h"
+#include "LibTest/Agenda.h"
 
 #include <functional>
 #include <map>
-#include <queue>
 #include <random>
 #include <set>
 
@@ -125,23 +125,8 @@
     T Body;
   };
 
-  struct Scheduled {
-    Instant At;
-    std::uint64_t Sequence = 0;
-    std::function<void()> Action;
-  };
-
-  struct Later {
-    auto operator()(Scheduled const &Left, Scheduled const &Right) const
-        -> bool {
-      return Left.At != Right.At ? Left.At > Right.At
-                                 : Left.Sequence > Right.Sequence;
-    }
-  };
-
   struct Carrier;
 
-  auto schedule(Duration After, std::function<void()> Action) -> void;
   auto deliver(InstanceId const &To, Incarnation Run, EventBody Happened)
       -> void;
   auto feed(Node &Target, EventBody Happened) -> void;
@@ -165,9 +150,7 @@
   auto apiAnswers(Node const &From) const -> bool;
 
   FleetShape Shape;
-  Instant Now;
-  std::uint64_t NextSequence = 0;
-  std::priority_queue<Scheduled, std::vector<Scheduled>, Later> Agenda;
+  Agenda Plan;
   std::mt19937_64 Random;
   std::map<InstanceId, Node> Nodes;
   std::map<EngineId, FakeEngine> Engines;
