--- a/Libraries/LibControl/Reducer.cpp
+++ b/Libraries/LibControl/Reducer.cpp
@@ -10,6 +10,8 @@
 #include "LibControl/OrderReducer.h"
 #include "LibControl/SteeringReducer.h"
 
+#include <utility>
+
 namespace dotterel {
 
 namespace {
@@ -53,7 +55,7 @@
     -> State {
   auto state = State{};
   state.Self = std::move(Self);
-  state.Options = Options;
+  state.Options = std::move(Options);
   state.Started = Now;
   state.Now = Now;
   state.Calls.Keys.advance(Now, Now);
