--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -22,6 +22,16 @@
   echo 'not ok - Pages::SettingsPageMatchesTheSchema'
 fi | tee -a "$results"
 
+for example in Examples/*.json; do
+  option=--file
+  [[ $example == *settings* ]] && option=--settings
+  if build/dotterelstream check $option "$example" >/dev/null; then
+    echo "ok - Examples::$(basename "$example" .json)"
+  else
+    echo "not ok - Examples::$(basename "$example" .json)"
+  fi
+done | tee -a "$results"
+
 echo "== models"
 Meta/model-mutations.sh |
   sed -u -E 's/^(holds|violated) +(.*)$/ok - Models::\1 \2/; /FAILED/s/.*/not ok - Models::see the line above/' |
