--- a/Libraries/LibControl/BackendReducer.cpp
+++ b/Libraries/LibControl/BackendReducer.cpp
@@ -8,6 +8,7 @@
 
 constexpr auto BusyPollInterval = Duration{200ms};
 constexpr auto IdlePollInterval = Duration{1s};
+constexpr auto PrefillShareLearningRate = 0.2;
 constexpr auto ShortestPrefillSample = Duration{100ms};
 /// Time after the last announcement until a drain is no longer honoured: its
 /// holder is gone, and a later holder would have announced it again.
@@ -45,6 +46,9 @@
   if (view.Report && view.Report->Run != Happened.Report.Run)
     Subject.Calls.Prefixes.forget(it->first);
   observePrefill(view, Happened);
+  auto isPrefilling = Happened.Report.QueuedPrefillTokens > 0;
+  view.PrefillShare +=
+      PrefillShareLearningRate * ((isPrefilling ? 1 : 0) - view.PrefillShare);
   view.Report = Happened.Report;
   view.ReportObserved = Happened.ObservedNoEarlierThan;
   std::erase_if(view.UnreportedSends, [&](UnreportedSend const &Send) {
--- a/Libraries/LibControl/CallReducer.cpp
+++ b/Libraries/LibControl/CallReducer.cpp
@@ -347,12 +347,12 @@
   auto engine = Subject.Backends.Engines.find(Target.Current->Engine);
   if (engine == Subject.Backends.Engines.end() || !engine->second.Report)
     return;
-  // While prefill holds the streams up, the gap says little about decoding.
-  if (engine->second.Report->QueuedPrefillTokens > 0)
-    return;
   auto batch = engine->second.Report->Running;
   auto elapsed = now() - Target.LastToken;
   auto &model = Subject.Backends.Model;
+  // While prefill holds the streams up, the gap says little about decoding.
+  if (engine->second.Report->QueuedPrefillTokens > 0)
+    return model.observeBetweenTokensDuringPrefill(elapsed);
   engine->second.Slowness.observe(elapsed, model.betweenTokens(batch));
   model.observeBetweenTokens(batch, elapsed);
 }
--- a/Libraries/LibControl/CallSupervision.cpp
+++ b/Libraries/LibControl/CallSupervision.cpp
@@ -43,7 +43,7 @@
   if (engine == Subject.Backends.Engines.end())
     return;
   auto work = EngineWork{attempt.QueuedPrefillTokens, attempt.PrefillTokens, 0,
-                         attempt.BatchSize};
+                         attempt.BatchSize, 0};
   auto expected = phase == AttemptPhase::Answering
                       ? Duration{}
                       : Subject.Backends.Model.forecast(work).FirstToken;
--- a/Libraries/LibControl/EngineModel.cpp
+++ b/Libraries/LibControl/EngineModel.cpp
@@ -18,6 +18,11 @@
 
 } // namespace
 
+auto EngineModel::observeBetweenTokensDuringPrefill(Duration Elapsed) -> void {
+  DuringPrefillSeconds +=
+      DecodeLearningRate * (toSeconds(Elapsed) - DuringPrefillSeconds);
+}
+
 auto EngineModel::betweenTokens(double BatchSize) const -> Duration {
   return fromSeconds(decodeSeconds(BatchSize));
 }
@@ -27,7 +32,9 @@
 }
 
 auto EngineModel::forecast(EngineWork const &Work) const -> EngineForecast {
-  auto perToken = decodeSeconds(Work.BatchSize + 1);
+  auto decode = decodeSeconds(Work.BatchSize + 1);
+  auto perToken =
+      decode + Work.PrefillShare * std::max(DuringPrefillSeconds - decode, 0.0);
   auto prefillTokens = Work.QueuedPrefillTokens + Work.PromptTokens;
   auto firstToken = prefillTokens / PrefillRate + perToken;
   return {fromSeconds(firstToken),
--- a/Libraries/LibControl/EngineModel.h
+++ b/Libraries/LibControl/EngineModel.h
@@ -15,6 +15,8 @@
   double PromptTokens = 0;
   double OutputTokens = 0;
   double BatchSize = 0;
+  /// Part of the time in which the engine works on prefill.
+  double PrefillShare = 0;
 };
 
 /// When a request is expected to progress.
@@ -39,7 +41,10 @@
   /// Records the time between two tokens while \p BatchSize requests ran.
   auto observeBetweenTokens(double BatchSize, Duration Elapsed) -> void;
 
-  /// Returns the time expected between two tokens.
+  /// Records the time between two tokens while prefill was waiting.
+  auto observeBetweenTokensDuringPrefill(Duration Elapsed) -> void;
+
+  /// Returns the time expected between two tokens, without prefill.
   [[nodiscard]] auto betweenTokens(double BatchSize) const -> Duration;
 
   [[nodiscard]] auto prefillTokensPerSecond() const -> double {
@@ -50,6 +55,7 @@
   [[nodiscard]] auto decodeSeconds(double BatchSize) const -> double;
 
   double PrefillRate = 8000;
+  double DuringPrefillSeconds = 0.05;
   double DecodeBaseSeconds = 0.012;
   double DecodeSecondsPerRequest = 0.0005;
 };
--- a/Libraries/LibControl/EngineTable.h
+++ b/Libraries/LibControl/EngineTable.h
@@ -27,6 +27,8 @@
   bool IsPolling = false;
   std::uint32_t FailedPolls = 0;
   EngineSlowness Slowness;
+  /// Part of the recent reports that show prefill waiting.
+  double PrefillShare = 0;
   BackendHealth Health;
   std::uint32_t OwnCalls = 0;
   /// Requests that this instance sent and the report may not show yet.
--- a/Libraries/LibControl/Placement.cpp
+++ b/Libraries/LibControl/Placement.cpp
@@ -152,6 +152,7 @@
   work.OutputTokens =
       static_cast<double>(request.MaximumTokens - Wanted.TokensForwarded);
   work.BatchSize = choice.BatchSize;
+  work.PrefillShare = view.PrefillShare;
   choice.Forecast = Subject.Backends.Model.forecast(work);
   choice.Forecast.FirstToken =
       scaled(choice.Forecast.FirstToken, view.Slowness.factor());
--- a/Tests/LibControl/TestEngineModel.cpp
+++ b/Tests/LibControl/TestEngineModel.cpp
@@ -20,8 +20,8 @@
     model.observeBetweenTokens(4, 10ms);
     model.observeBetweenTokens(64, 22ms);
   }
-  auto small = model.forecast({0, 1, 1000, 3});
-  auto large = model.forecast({0, 1, 1000, 63});
+  auto small = model.forecast({0, 1, 1000, 3, 0});
+  auto large = model.forecast({0, 1, 1000, 63, 0});
   cr_assert_float_eq(toSeconds(small.Completion), 10, 1);
   cr_assert_float_eq(toSeconds(large.Completion), 22, 2.2);
 }
