LibControl: Name a shard once

Methods took a shard and its name, which the shard has since it must name itself in yields. Behaviour is the same: 27 of 27 tests of LibControl.

--- a/Libraries/LibControl/AuthorityReducer.cpp
+++ b/Libraries/LibControl/AuthorityReducer.cpp
@@ -59,18 +59,18 @@
 
 auto AuthorityReducer::on(Tick const & /*Happened*/) -> void {
   for (auto &it : Subject.Authority.Shards)
-    step(it.first, it.second);
+    step(it.second);
 }
 
-auto AuthorityReducer::step(ShardName const &Name, Shard &Target) -> void {
+auto AuthorityReducer::step(Shard &Target) -> void {
   switch (Target.Lease.phase()) {
   case LeasePhase::Following:
-    return stepFollower(Name, Target);
+    return stepFollower(Target);
   case LeasePhase::Held:
-    return stepHolder(Name, Target);
+    return stepHolder(Target);
   case LeasePhase::AcquireUncertain:
   case LeasePhase::RenewUncertain:
-    return read(Name, Target);
+    return read(Target);
   case LeasePhase::Acquiring:
   case LeasePhase::Renewing:
   case LeasePhase::Releasing:
@@ -79,50 +79,47 @@
   }
 }
 
-auto AuthorityReducer::stepFollower(ShardName const &Name, Shard &Target)
-    -> void {
+auto AuthorityReducer::stepFollower(Shard &Target) -> void {
   if (Subject.LeaveRequestedAt != Instant{})
     return;
-  if (candidateRank(Name) >= CandidatesPerShard)
+  if (candidateRank(Target.Name) >= CandidatesPerShard)
     return;
-  if (mayAcquire(Name, Target))
-    return acquire(Name, Target);
-  read(Name, Target);
+  if (mayAcquire(Target))
+    return acquire(Target);
+  read(Target);
 }
 
-auto AuthorityReducer::stepHolder(ShardName const &Name, Shard &Target)
-    -> void {
+auto AuthorityReducer::stepHolder(Shard &Target) -> void {
   if (Subject.LeaveRequestedAt != Instant{} && !hasOrderInFlight(Target))
-    return release(Name, Target);
-  raiseFences(Name, Target);
+    return release(Target);
+  raiseFences(Target);
   auto next = OrderReducer(Subject, Out).composeRecord(Target);
   auto hasNews = next.Orders != Target.Record.Orders ||
                  next.FormerHolders != Target.Record.FormerHolders;
   if (!hasNews && Target.NextRenewal > now())
     return;
   Target.Lease.renewSent();
-  write(Name, Target, std::move(next));
+  write(Target, std::move(next));
 }
 
-auto AuthorityReducer::read(ShardName const &Name, Shard &Target) -> void {
+auto AuthorityReducer::read(Shard &Target) -> void {
   if (Target.IsReading || Target.NextRead > now())
     return;
   Target.IsReading = true;
-  emit(ReadShard{Name});
+  emit(ReadShard{Target.Name});
 }
 
-auto AuthorityReducer::write(ShardName const &Name, Shard &Target,
-                             ShardRecord Record) -> void {
+auto AuthorityReducer::write(Shard &Target, ShardRecord Record) -> void {
   Record.Holder = Subject.Self.Id;
   Record.HolderRun = Subject.Self.Run;
   Record.LeaseDuration = Subject.Options.LeaseDuration;
   Record.WriteNumber = Subject.Authority.NextWriteNumber++;
   Target.Pending = Record;
   Target.PendingSent = now();
-  emit(WriteShard{Name, Target.Version, std::move(Record)});
+  emit(WriteShard{Target.Name, Target.Version, std::move(Record)});
 }
 
-auto AuthorityReducer::acquire(ShardName const &Name, Shard &Target) -> void {
+auto AuthorityReducer::acquire(Shard &Target) -> void {
   auto record = Target.Record;
   auto wasHeld = Target.Version != 0 && !record.IsReleased &&
                  record.HolderRun != Subject.Self.Run;
@@ -131,26 +128,26 @@
   record.Fencing += 1;
   record.IsReleased = false;
   Target.Lease.acquireSent();
-  write(Name, Target, std::move(record));
+  write(Target, std::move(record));
 }
 
-auto AuthorityReducer::release(ShardName const &Name, Shard &Target) -> void {
+auto AuthorityReducer::release(Shard &Target) -> void {
   auto record = Target.Record;
   record.IsReleased = true;
   Target.Lease.releaseSent();
   Target.Orders.clear();
-  write(Name, Target, std::move(record));
+  write(Target, std::move(record));
 }
 
-auto AuthorityReducer::mayAcquire(ShardName const &Name,
-                                  Shard const &Target) const -> bool {
+auto AuthorityReducer::mayAcquire(Shard const &Target) const -> bool {
   if (!Target.HasRead || Target.IsReading)
     return false;
   if (Target.Version != 0 && Target.Record.IsReleased)
     return true;
   auto const &options = Subject.Options;
   // A lower-ranked candidate waits, so that two rarely write at once.
-  auto turn = candidateRank(Name) * options.LeaseDuration / RenewalsPerLease;
+  auto turn =
+      candidateRank(Target.Name) * options.LeaseDuration / RenewalsPerLease;
   if (Target.Version == 0)
     return now() >= Target.VersionSeen + turn;
   auto lease =
@@ -189,10 +186,10 @@
   shard.Version = Happened.Version;
   shard.Pending.reset();
   shard.Lease.committed();
-  adopt(it->first, shard);
+  adopt(shard);
 }
 
-auto AuthorityReducer::adopt(ShardName const &Name, Shard &Target) -> void {
+auto AuthorityReducer::adopt(Shard &Target) -> void {
   auto const &lease = Subject.Options.LeaseDuration;
   auto isNew = Target.ValidUntil == Instant{};
   Target.ValidUntil =
@@ -200,9 +197,9 @@
   Target.NextRenewal = now() + lease / RenewalsPerLease;
   if (isNew) {
     Target.TakenAt = now();
-    emit(CountOne{CountMetric::LeaseChanges, {}, Name.text()});
+    emit(CountOne{CountMetric::LeaseChanges, {}, Target.Name.text()});
     log(LogLevel::Info, "lease-taken",
-        {{"shard", Name.text()},
+        {{"shard", Target.Name.text()},
          {"fencing", fmt::format("{}", Target.Record.Fencing)}});
   }
   if (isHolder(Target))
@@ -237,24 +234,24 @@
   shard.Pending.reset();
   if (!isOwn) {
     shard.Lease.readBackOther();
-    return lose(it->first, shard);
+    return lose(shard);
   }
   shard.Lease.readBackOwn();
   if (hasLanded)
-    return adopt(it->first, shard);
+    return adopt(shard);
   // The write did not land; what was valid before stays so until it ends.
   shard.NextRenewal = now();
   OrderReducer(Subject, Out).followRecord(shard);
 }
 
-auto AuthorityReducer::lose(ShardName const &Name, Shard &Target) -> void {
+auto AuthorityReducer::lose(Shard &Target) -> void {
   if (Target.ValidUntil != Instant{}) {
-    emit(CountOne{CountMetric::LeaseChanges, {}, Name.text()});
-    log(LogLevel::Warning, "lease-lost", {{"shard", Name.text()}});
+    emit(CountOne{CountMetric::LeaseChanges, {}, Target.Name.text()});
+    log(LogLevel::Warning, "lease-lost", {{"shard", Target.Name.text()}});
   }
   Target.ValidUntil = {};
   Target.FenceRaised.clear();
-  OrderReducer(Subject, Out).abandonAll(Name, Target);
+  OrderReducer(Subject, Out).abandonAll(Target);
 }
 
 auto AuthorityReducer::on(ShardReadFailed const &Happened) -> void {
@@ -266,8 +263,7 @@
       now() + Subject.Options.LeaseDuration / RenewalsPerLease;
 }
 
-auto AuthorityReducer::raiseFences(ShardName const & /*Name*/, Shard &Target)
-    -> void {
+auto AuthorityReducer::raiseFences(Shard &Target) -> void {
   if (!isValidHolder(Target, now()))
     return;
   for (auto const &id : Target.Engines) {
--- a/Libraries/LibControl/AuthorityReducer.h
+++ b/Libraries/LibControl/AuthorityReducer.h
@@ -19,18 +19,17 @@
   auto rebuild() -> void;
 
 private:
-  auto step(ShardName const &Name, Shard &Subject) -> void;
-  auto stepFollower(ShardName const &Name, Shard &Target) -> void;
-  auto stepHolder(ShardName const &Name, Shard &Target) -> void;
-  auto read(ShardName const &Name, Shard &Target) -> void;
-  auto write(ShardName const &Name, Shard &Target, ShardRecord Record) -> void;
-  auto acquire(ShardName const &Name, Shard &Target) -> void;
-  auto release(ShardName const &Name, Shard &Target) -> void;
-  auto adopt(ShardName const &Name, Shard &Target) -> void;
-  auto lose(ShardName const &Name, Shard &Target) -> void;
-  auto raiseFences(ShardName const &Name, Shard &Target) -> void;
-  [[nodiscard]] auto mayAcquire(ShardName const &Name,
-                                Shard const &Target) const -> bool;
+  auto step(Shard &Target) -> void;
+  auto stepFollower(Shard &Target) -> void;
+  auto stepHolder(Shard &Target) -> void;
+  auto read(Shard &Target) -> void;
+  auto write(Shard &Target, ShardRecord Record) -> void;
+  auto acquire(Shard &Target) -> void;
+  auto release(Shard &Target) -> void;
+  auto adopt(Shard &Target) -> void;
+  auto lose(Shard &Target) -> void;
+  auto raiseFences(Shard &Target) -> void;
+  [[nodiscard]] auto mayAcquire(Shard const &Target) const -> bool;
   [[nodiscard]] auto candidateRank(ShardName const &Name) const -> int;
 };
 
--- a/Libraries/LibControl/OrderReducer.cpp
+++ b/Libraries/LibControl/OrderReducer.cpp
@@ -334,10 +334,10 @@
   }
 }
 
-auto OrderReducer::abandonAll(ShardName const &Name, Shard &Target) -> void {
+auto OrderReducer::abandonAll(Shard &Target) -> void {
   for (auto const &it : Target.Orders)
     if (it.second.Lifecycle.phase() == OrderPhase::Connecting)
-      emit(AbandonOrder{Name, it.first, it.second.Record.Id});
+      emit(AbandonOrder{Target.Name, it.first, it.second.Record.Id});
   Target.Orders.clear();
 }
 
--- a/Libraries/LibControl/OrderReducer.h
+++ b/Libraries/LibControl/OrderReducer.h
@@ -22,7 +22,7 @@
   auto followRecord(Shard &Target) -> void;
 
   /// Forgets the orders of a shard whose lease was lost.
-  auto abandonAll(ShardName const &Name, Shard &Target) -> void;
+  auto abandonAll(Shard &Target) -> void;
 
 private:
   struct Located {
