Tests: Cut an instance off, and lose half of them

A cut-off instance blocks the change of an engine and no call; after half of six instances are lost at once the others take over.

--- a/Tests/LibControl/TestScenarios.cpp
+++ b/Tests/LibControl/TestScenarios.cpp
@@ -257,6 +257,40 @@
   cr_assert(fleet.state(2).Configuration.Current != nullptr);
 }
 
+Test(Scenarios, PartitionedInstanceBlocksTheChangeAndNoCall) {
+  auto fleet = settledFleet();
+  auto holder = holderOf(fleet, 3, shardOfEngine(0));
+  auto cut = (holder + 1) % 3;
+  for (auto n = 0; n < 3; ++n)
+    fleet.setPartitioned(cut, n, true);
+  fleet.setApiCut(cut, true);
+  fleet.advance(5s);
+  fleet.setRole(0, EngineRole::Prefill);
+  auto calls = std::vector<std::size_t>{};
+  for (auto n = 0; n < 3; ++n)
+    calls.push_back(fleet.submitCompletion(n, fmt::format("cut {}", n), 50));
+  fleet.advance(20s);
+  for (auto call : calls)
+    cr_assert(outcomeOf(fleet, call) == Outcome::Completed);
+  cr_assert(fleet.engine(0).Report.Role == EngineRole::Mixed);
+  fleet.healAll();
+  fleet.advance(30s);
+  cr_assert(fleet.isConverged());
+  cr_assert(fleet.violations().empty());
+}
+
+Test(Scenarios, LossOfHalfTheInstancesIsTakenOver) {
+  auto fleet = settledFleet({6, 4, 2, true, 3});
+  for (auto n = 0; n < 3; ++n)
+    fleet.kill(n);
+  fleet.setRole(1, EngineRole::Prefill);
+  auto call = fleet.submitCompletion(4, "after the loss", 40);
+  fleet.advance(60s);
+  cr_assert(outcomeOf(fleet, call) == Outcome::Completed);
+  cr_assert(fleet.isConverged());
+  cr_assert(fleet.violations().empty());
+}
+
 Test(Scenarios, GivenUpRequestIsAnsweredAtOnceWithARetryTime) {
   auto fleet = settledFleet({3, 1, 2, true, 1});
   fleet.crashEngine(0);
