--- a/Libraries/LibInstance/CallerFrontend.cpp
+++ b/Libraries/LibInstance/CallerFrontend.cpp
@@ -326,9 +326,9 @@
                          {"key_prefix", it.KeyPrefix}});
   auto lifetime = toMilliseconds(call->Steering->Lifetime);
   co_await Target.respond(
-      {200,
-       JsonType,
-       {{"X-Request-Id", requestId(call->Id)}},
+      {200, JsonType,
+       outcomeFields(requestId(call->Id), Outcome::Completed,
+                     ResultCode::Completed),
        json{{"instances", instances}, {"valid_for_ms", lifetime}}.dump()});
 }
 
--- a/Tests/Process/BadInput.sh
+++ b/Tests/Process/BadInput.sh
@@ -70,6 +70,9 @@
 }
 check HalfOpenConnectionsEnd half_open
 
+check GoodAnswersCarryACodeToo equals '1000 1000' \
+  "$(code_of "$here/v1/instances") $(code_of "$here/v1/completions" \
+    -d '{"model": "roster", "prompt": "x", "max_tokens": 2}')"
 check OtherCallsGoOn equals 200 "$(complete 1 5)"
 check KeyedRefusalSaysUnknown equals unknown \
   "$(curl -s -o /dev/null -D - -X POST "$here/services/none/x" \
