Tests: Notice a process test that ends early

A script that died halfway printed fewer results and looked green. Each file now says that it ran to its end, and Meta/test.sh asks for that line.

--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -65,9 +65,11 @@
 done < <(grep -E '^not ok ' "$results")
 
 # A program that crashed before it printed its results must not look green.
-for wanted in ResultCode:: Selector:: Codec:: Scenarios:: EventStream:: Models:: Fuzz:: \
-  BadInput:: AtMostOnce:: Configuration:: PlannedChanges:: \
-  Authority-fencing-true:: Authority-fencing-false::; do
+for wanted in ResultCode:: Selector:: Codec:: Scenarios:: Promises:: \
+  EventStream:: Models:: Fuzz::PeerCodec Fuzz::CallerFront \
+  BadInput::RanToItsEnd AtMostOnce::RanToItsEnd Configuration::RanToItsEnd \
+  PlannedChanges::RanToItsEnd Authority-fencing-true::RanToItsEnd \
+  Authority-fencing-false::RanToItsEnd; do
   grep -qE "^(not )?ok .*$wanted" "$results" ||
     { echo "failed: nothing ran of $wanted"; failed=$((failed + 1)); }
 done
--- a/Tests/Process/AtMostOnce.sh
+++ b/Tests/Process/AtMostOnce.sh
@@ -63,3 +63,5 @@
 sleep 0.3
 prefix=$(key_prefix 2)
 check NoServerIsNotRun equals not-run "$(book 1 "${prefix}g")"
+
+finish
--- a/Tests/Process/Authority.sh
+++ b/Tests/Process/Authority.sh
@@ -51,3 +51,5 @@
 ) $(engine_field 2 staleOrdersObeyed) $(engine_field 3 staleOrdersObeyed)"
 check NoStreamWasCut equals '0 0 0' "$(engine_field 1 cutByOrder
 ) $(engine_field 2 cutByOrder) $(engine_field 3 cutByOrder)"
+
+finish
--- a/Tests/Process/BadInput.sh
+++ b/Tests/Process/BadInput.sh
@@ -99,3 +99,5 @@
 check MetricsHaveHistogramsPerCallerAndClass \
   grep -q 'dotterel_call_seconds_bucket{caller="",class="interactive"' \
   <(curl -sf "$here/metrics")
+
+finish
--- a/Tests/Process/Configuration.sh
+++ b/Tests/Process/Configuration.sh
@@ -65,3 +65,5 @@
 check UnknownObjectExitCode equals 6 $?
 $program frobnicate 2>/dev/null
 check UnknownCommandExitCode equals 2 $?
+
+finish
--- a/Tests/Process/PlannedChanges.sh
+++ b/Tests/Process/PlannedChanges.sh
@@ -104,3 +104,5 @@
 check LeavingInstanceFinishesItsStreams is_whole "$fleet_dir/leaving-1" 600
 wait "$(pid_of instance2)"
 check LeavingInstanceExits equals 0 $?
+
+finish
--- a/Tests/Process/Support.sh
+++ b/Tests/Process/Support.sh
@@ -19,6 +19,9 @@
   fi
 }
 
+# The last line of each test file: a file that ends early must not look green.
+finish() { echo "ok - $suite::RanToItsEnd"; }
+
 equals() { # WANTED FOUND
   [ "$1" = "$2" ] || { echo "  wanted '$1', found '$2'"; return 1; }
 }
