Libraries: Write twins once and drop what nothing uses

scaled goes to LibCore/Time.h, the search for a call to SubReducer, the health of an attempt's backend server to one method, percentiles to LibTest. Gone: a route name that was stored and never read, a connection count, an alias.

--- a/Libraries/LibControl/AuthorityReducer.cpp
+++ b/Libraries/LibControl/AuthorityReducer.cpp
@@ -20,10 +20,6 @@
 constexpr auto ReadBackInterval = Duration{100ms};
 constexpr auto FenceInterval = Duration{1s};
 
-auto scaled(Duration Span, double Factor) -> Duration {
-  return fromSeconds(toSeconds(Span) * Factor);
-}
-
 } // namespace
 
 auto shardOf(EngineId const &Engine) -> ShardName {
--- a/Libraries/LibControl/Call.h
+++ b/Libraries/LibControl/Call.h
@@ -56,7 +56,6 @@
 struct Call {
   CallRequest Request;
   std::optional<ForwardOrigin> Origin;
-  std::string RouteName;
   std::string Class;
   Instant Arrived;
   Instant Deadline;
--- a/Libraries/LibControl/CallReducer.cpp
+++ b/Libraries/LibControl/CallReducer.cpp
@@ -2,7 +2,6 @@
 
 #include "LibControl/KeyReducer.h"
 #include "LibControl/Placement.h"
-#include "LibCore/Hash.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -11,8 +10,6 @@
 
 namespace {
 
-using AttemptPhase = AttemptLifecycle::Phase;
-
 constexpr auto MaximumAttempts = 8U;
 constexpr auto ShortRetryAfter = Duration{1s};
 constexpr auto ShareTolerance = 1.5;
@@ -39,11 +36,6 @@
          static_cast<double>(Target.Request.MaximumTokens);
 }
 
-auto CallReducer::find(CallId Id) -> Call * {
-  auto it = Subject.Calls.Calls.find(Id);
-  return it == Subject.Calls.Calls.end() ? nullptr : &it->second;
-}
-
 auto CallReducer::findCurrent(AttemptId const &Id) -> Call * {
   auto *call = find(Id.Call);
   if (call == nullptr || !call->Current || call->Current->Number != Id.Number)
@@ -108,7 +100,6 @@
           : configuration.findServiceRoute(request.Caller, request.Service);
   if (route == nullptr)
     return ResultCode::NoRoute;
-  Target.RouteName = route->Declaration.Name;
   Target.Class = route->Declaration.Class;
   auto deadline = route->Declaration.Deadline;
   if (request.RequestedDeadline)
@@ -153,6 +144,8 @@
   next.QueuedPrefillTokens = choice->QueuedPrefillTokens;
   next.BatchSize = choice->BatchSize;
   auto const &hashes = Target.Request.PrefixHashes;
+  // FIXME: The prefix was recorded above, so that it always counts as seen and
+  // PrefixReuse never learns; record it last.
   next.IsPreferred =
       choice->IsPreferred && Subject.Calls.Prefixes.countSeen(hashes) == 0;
   startAttempt(Id, Target, std::move(next), view.Address);
@@ -272,13 +265,18 @@
         ResultCode::RetriesExhausted);
 }
 
+auto CallReducer::healthOf(Attempt const &Target) -> BackendHealth * {
+  auto &backends = Subject.Backends;
+  auto engine = backends.Engines.find(Target.Engine);
+  if (engine != backends.Engines.end())
+    return &engine->second.Health;
+  auto server = backends.Servers.find(Target.Server);
+  return server == backends.Servers.end() ? nullptr : &server->second.Health;
+}
+
 auto CallReducer::recordFailure(Call const &Target) -> void {
-  auto engine = Subject.Backends.Engines.find(Target.Current->Engine);
-  if (engine != Subject.Backends.Engines.end())
-    engine->second.Health.recordFailure(now());
-  auto server = Subject.Backends.Servers.find(Target.Current->Server);
-  if (server != Subject.Backends.Servers.end())
-    server->second.Health.recordFailure(now());
+  if (auto *health = healthOf(*Target.Current))
+    health->recordFailure(now());
 }
 
 auto CallReducer::retry(CallId Id, bool IsFailure, ResultCode Code) -> void {
@@ -361,12 +359,8 @@
   auto *call = findCurrent(Happened.Attempt);
   if (call == nullptr)
     return;
-  auto engine = Subject.Backends.Engines.find(call->Current->Engine);
-  if (engine != Subject.Backends.Engines.end())
-    engine->second.Health.recordSuccess();
-  auto server = Subject.Backends.Servers.find(call->Current->Server);
-  if (server != Subject.Backends.Servers.end())
-    server->second.Health.recordSuccess();
+  if (auto *health = healthOf(*call->Current))
+    health->recordSuccess();
   endAttempt(*call);
   finish(Happened.Attempt.Call,
          StoredAnswer{Outcome::Completed, ResultCode::Completed,
--- a/Libraries/LibControl/CallReducer.h
+++ b/Libraries/LibControl/CallReducer.h
@@ -38,7 +38,6 @@
               std::optional<Duration> RetryAfter = {}) -> void;
 
 private:
-  [[nodiscard]] auto find(CallId Id) -> Call *;
   [[nodiscard]] auto findCurrent(AttemptId const &Id) -> Call *;
   [[nodiscard]] auto describeRoute(Call &Target) const
       -> std::optional<ResultCode>;
@@ -50,6 +49,9 @@
                     std::string const &Address) -> void;
   auto endAttempt(Call &Target) -> void;
   auto retry(CallId Id, bool IsFailure, ResultCode Code) -> void;
+  /// Returns the health of the attempt's backend server, or null if the
+  /// configuration no longer has it.
+  [[nodiscard]] auto healthOf(Attempt const &Target) -> BackendHealth *;
   auto recordFailure(Call const &Target) -> void;
   auto observeToken(Call &Target) -> void;
   auto observeReuse(Call const &Target) -> void;
--- a/Libraries/LibControl/KeyReducer.cpp
+++ b/Libraries/LibControl/KeyReducer.cpp
@@ -37,11 +37,6 @@
 
 } // namespace
 
-auto KeyReducer::find(CallId Id) -> Call * {
-  auto it = Subject.Calls.Calls.find(Id);
-  return it == Subject.Calls.Calls.end() ? nullptr : &it->second;
-}
-
 auto KeyReducer::admit(CallId Id) -> void {
   auto &call = *find(Id);
   auto prefix = parseKeyPrefix(call.Request.Key.text());
--- a/Libraries/LibControl/KeyReducer.h
+++ b/Libraries/LibControl/KeyReducer.h
@@ -34,7 +34,6 @@
   auto claim(CallId Id) -> void;
   auto writeClaim(CallId Id, Call &Target) -> void;
   auto placeClaimed(CallId Id, Call &Target, std::uint64_t Version) -> void;
-  [[nodiscard]] auto find(CallId Id) -> Call *;
 };
 
 } // namespace dotterel
--- a/Libraries/LibControl/Placement.cpp
+++ b/Libraries/LibControl/Placement.cpp
@@ -19,10 +19,6 @@
 constexpr auto AddedWorkWeight = 8.0;
 constexpr auto TokensPerPiece = 2000.0;
 
-auto scaled(Duration Span, double Factor) -> Duration {
-  return fromSeconds(toSeconds(Span) * Factor);
-}
-
 auto routeOf(State const &Subject, Call const &Wanted)
     -> CompiledRoute const * {
   auto const &configuration = *Subject.Configuration.Current;
--- a/Libraries/LibControl/SubReducer.h
+++ b/Libraries/LibControl/SubReducer.h
@@ -25,6 +25,12 @@
     emit(WriteLog{Level, std::move(Event), std::move(Fields)});
   }
 
+  /// Returns the call, or null if it has had its answer.
+  [[nodiscard]] auto find(CallId Id) -> Call * {
+    auto it = Subject.Calls.Calls.find(Id);
+    return it == Subject.Calls.Calls.end() ? nullptr : &it->second;
+  }
+
   [[nodiscard]] auto now() const -> Instant { return Subject.Now; }
 
   State &Subject; // NOLINT: sub-reducers share one state
--- a/Libraries/LibCore/Time.h
+++ b/Libraries/LibCore/Time.h
@@ -26,6 +26,11 @@
       std::chrono::duration<double>(Seconds));
 }
 
+/// Returns \p Span multiplied by \p Factor.
+[[nodiscard]] constexpr auto scaled(Duration Span, double Factor) -> Duration {
+  return fromSeconds(toSeconds(Span) * Factor);
+}
+
 /// Converts a span of time to whole milliseconds, rounded down.
 [[nodiscard]] constexpr auto toMilliseconds(Duration Span) -> std::int64_t {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Span).count();
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -354,8 +354,4 @@
   Self->Acceptor.close(ec);
 }
 
-auto HttpServer::connectionCount() const -> std::size_t {
-  return Self->Connections;
-}
-
 } // namespace dotterel
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -81,8 +81,6 @@
   /// Stops accepting; exchanges in progress go on.
   auto stop() -> void;
 
-  [[nodiscard]] auto connectionCount() const -> std::size_t;
-
 private:
   struct Implementation;
   std::shared_ptr<Implementation> Self;
--- a/Programs/bench/Simulation.cpp
+++ b/Programs/bench/Simulation.cpp
@@ -3,6 +3,7 @@
 #include "Baselines.h"
 
 #include "LibCore/Hash.h"
+#include "LibTest/Percentile.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -29,15 +30,6 @@
   return std::stoi(Id.text().substr(1));
 }
 
-auto percentile(std::vector<double> &Values, double Part) -> double {
-  if (Values.empty())
-    return 0;
-  auto n = static_cast<std::ptrdiff_t>(Part *
-                                       static_cast<double>(Values.size() - 1));
-  std::ranges::nth_element(Values, Values.begin() + n);
-  return Values[static_cast<std::size_t>(n)];
-}
-
 auto residentKilobytes() -> long {
   auto usage = rusage{};
   ::getrusage(RUSAGE_SELF, &usage);
--- a/Programs/load/Main.cpp
+++ b/Programs/load/Main.cpp
@@ -3,6 +3,7 @@
 /// instance, or an engine, and prints what it saw as one line of JSON.
 #include "LibInstance/EventStream.h"
 #include "LibNet/HttpClient.h"
+#include "LibTest/Percentile.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -46,16 +47,6 @@
   return toSeconds(now - Begin) * 1000;
 }
 
-auto percentile(std::vector<double> &Values, double Part) -> double {
-  if (Values.empty())
-    return 0;
-  auto n =
-      static_cast<std::size_t>(Part * static_cast<double>(Values.size() - 1));
-  std::ranges::nth_element(Values,
-                           Values.begin() + static_cast<std::ptrdiff_t>(n));
-  return Values[n];
-}
-
 class Load {
 public:
   explicit Load(Options Given) : Given(std::move(Given)) {}
