--- /dev/null
+++ b/Libraries/LibConfiguration/FieldReader.h
@@ -0,0 +1,44 @@
+/// \file
+/// Reading of settings files: checked against a schema, with its defaults.
+#pragma once
+
+#include "LibCore/Time.h"
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+
+namespace dotterel {
+
+/// Parses \p Text and checks it against \p Schema.
+/// Errors: dotterel::Error InvalidSettings with one line per violation.
+[[nodiscard]] auto parseSettings(std::string_view Text, std::string_view Schema)
+    -> nlohmann::json;
+
+/// Returns a table of the fields of \p Schema, in Markdown.
+[[nodiscard]] auto describeSchema(std::string_view Schema) -> std::string;
+
+/// Reads optional fields, with defaults from the schema.
+class FieldReader {
+public:
+  FieldReader(nlohmann::json const &Document, nlohmann::json const &Schema)
+      : Document(Document), Properties(Schema.at("properties")) {}
+
+  template <typename T>
+  [[nodiscard]] auto read(std::string const &Name) const -> T {
+    if (Document.contains(Name))
+      return Document.at(Name).get<T>();
+    return Properties.at(Name).at("default").get<T>();
+  }
+
+  [[nodiscard]] auto readMilliseconds(std::string const &Name) const
+      -> Duration {
+    return std::chrono::milliseconds(read<std::int64_t>(Name));
+  }
+
+private:
+  nlohmann::json const &Document;
+  nlohmann::json const &Properties;
+};
+
+} // namespace dotterel
--- a/Libraries/LibConfiguration/Settings.cpp
+++ b/Libraries/LibConfiguration/Settings.cpp
@@ -1,5 +1,6 @@
 #include "LibConfiguration/Settings.h"
 
+#include "LibConfiguration/FieldReader.h"
 #include "LibConfiguration/JsonSchema.h"
 #include "LibCore/Error.h"
 
@@ -57,29 +58,6 @@
   }
 })"};
 
-/// Reads optional fields, with defaults from the schema.
-class FieldReader {
-public:
-  FieldReader(nlohmann::json const &Document, nlohmann::json const &Schema)
-      : Document(Document), Properties(Schema.at("properties")) {}
-
-  template <typename T>
-  [[nodiscard]] auto read(std::string const &Name) const -> T {
-    if (Document.contains(Name))
-      return Document.at(Name).get<T>();
-    return Properties.at(Name).at("default").get<T>();
-  }
-
-  [[nodiscard]] auto readMilliseconds(std::string const &Name) const
-      -> Duration {
-    return std::chrono::milliseconds(read<std::int64_t>(Name));
-  }
-
-private:
-  nlohmann::json const &Document;
-  nlohmann::json const &Properties;
-};
-
 auto readLimits(FieldReader const &Reader) -> InputLimits {
   auto limits = InputLimits{};
   limits.BodyBytes = Reader.read<std::size_t>("bodyLimitBytes");
@@ -90,49 +68,14 @@
   return limits;
 }
 
-auto validate(nlohmann::json const &Document) -> void {
-  auto lines = JsonSchema(SettingsSchema).violations(Document);
-  if (lines.empty())
-    return;
-  throw Error(ResultCode::InvalidSettings,
-              fmt::format("{}", fmt::join(lines, "\n")));
-}
-
-/// Says in words what a field of the schema takes.
-auto describeAllowed(nlohmann::json const &Field) -> std::string {
-  if (Field.contains("enum"))
-    return fmt::format("one of {}", Field.at("enum").dump());
-  if (Field.contains("minimum"))
-    return fmt::format("{} from {} to {}", Field.at("type").get<std::string>(),
-                       Field.at("minimum").dump(), Field.at("maximum").dump());
-  if (Field.contains("minLength"))
-    return fmt::format("{} to {} characters", Field.at("minLength").dump(),
-                       Field.at("maxLength").dump());
-  return "ip:port";
-}
-
 } // namespace
 
 auto Settings::describeFields() -> std::string {
-  auto schema = nlohmann::json::parse(SettingsSchema);
-  auto table = std::string{"| Field | Allowed | Default | Meaning |\n"
-                           "| --- | --- | --- | --- |\n"};
-  for (auto const &it : schema.at("properties").items()) {
-    auto const &field = it.value();
-    auto fallback = field.contains("default") ? field.at("default").dump()
-                                              : std::string{"required"};
-    table += fmt::format("| `{}` | {} | {} | {} |\n", it.key(),
-                         describeAllowed(field), fallback,
-                         field.at("description").get<std::string>());
-  }
-  return table;
+  return describeSchema(SettingsSchema);
 }
 
 auto Settings::parse(std::string_view Text) -> Settings {
-  auto document = nlohmann::json::parse(Text, nullptr, false);
-  if (document.is_discarded())
-    throw Error(ResultCode::InvalidSettings, "the file is not valid JSON");
-  validate(document);
+  auto document = parseSettings(Text, SettingsSchema);
   auto schema = nlohmann::json::parse(SettingsSchema);
   auto reader = FieldReader(document, schema);
   auto settings = Settings{};
--- a/Libraries/LibControl/BackendHealth.cpp
+++ b/Libraries/LibControl/BackendHealth.cpp
@@ -22,8 +22,11 @@
 
 auto BackendHealth::recordFailure(Instant Now) -> void {
   ++ConsecutiveFailures;
-  if (ConsecutiveFailures < FailuresBeforeEjection)
-    return;
+  if (ConsecutiveFailures >= FailuresBeforeEjection)
+    eject(Now);
+}
+
+auto BackendHealth::eject(Instant Now) -> void {
   auto doublings = std::min(Ejections, MaximumDoublings);
   auto span = std::min(FirstEjection * (1U << doublings), LongestEjection);
   EjectedUntil = Now + span;
--- a/Libraries/LibControl/BackendHealth.h
+++ b/Libraries/LibControl/BackendHealth.h
@@ -19,6 +19,9 @@
   /// Records a broken or impossible connection at \p Now.
   auto recordFailure(Instant Now) -> void;
 
+  /// Takes traffic away from the server at \p Now without further evidence.
+  auto eject(Instant Now) -> void;
+
   /// Returns whether traffic should avoid the server at \p Now.
   [[nodiscard]] auto isEjected(Instant Now) const -> bool;
 
--- a/Libraries/LibControl/Reducer.cpp
+++ b/Libraries/LibControl/Reducer.cpp
@@ -9,6 +9,7 @@
 #include "LibControl/MembershipReducer.h"
 #include "LibControl/OrderReducer.h"
 #include "LibControl/SteeringReducer.h"
+#include "LibCore/Dispatcher.h"
 
 #include <utility>
 
@@ -16,36 +17,8 @@
 
 namespace {
 
-template <typename Handler, typename Event>
-concept Handles = requires(Handler &Target, Event const &Happened) {
-  Target.on(Happened);
-};
-
-/// Passes an event to each sub-reducer that handles its type, in the order of
-/// the list.
-template <typename... Handlers> class Dispatcher {
-public:
-  Dispatcher(State &Subject, Effects &Out) : Subject(Subject), Out(Out) {}
-
-  template <typename Event> auto operator()(Event const &Happened) -> void {
-    static_assert((Handles<Handlers, Event> || ...),
-                  "every event needs a handler");
-    (pass<Handlers>(Happened), ...);
-  }
-
-private:
-  template <typename Handler, typename Event>
-  auto pass(Event const &Happened) -> void {
-    if constexpr (Handles<Handler, Event>)
-      Handler(Subject, Out).on(Happened);
-  }
-
-  State &Subject; // NOLINT: lives for one event
-  Effects &Out;   // NOLINT
-};
-
 using AllHandlers =
-    Dispatcher<MembershipReducer, ConfigurationReducer, BackendReducer,
+    Dispatcher<State, Effects, MembershipReducer, ConfigurationReducer, BackendReducer,
                AuthorityReducer, OrderReducer, KeyReducer, CallReducer,
                SteeringReducer, LifecycleReducer>;
 
--- /dev/null
+++ b/Libraries/LibCore/Incarnation.cpp
@@ -0,0 +1,13 @@
+#include "LibCore/Incarnation.h"
+
+#include <random>
+
+namespace dotterel {
+
+auto drawIncarnation() -> Incarnation {
+  auto source = std::random_device{};
+  auto high = static_cast<Incarnation>(source());
+  return (high << 32U | source()) | 1U;
+}
+
+} // namespace dotterel
--- a/Libraries/LibCore/ResultCode.cpp
+++ b/Libraries/LibCore/ResultCode.cpp
@@ -43,6 +43,8 @@
      "no connection to a backend server could be made; nothing was sent"},
     {ResultCode::KeyTableFull, 503, "key-table-full",
      "the idempotency key table is full; nothing was sent"},
+    {ResultCode::QueueTooLong, 503, "queue-too-long",
+     "the servers could not begin within the time that callers aim for"},
     {ResultCode::AnswerLost, 502, "answer-lost",
      "the connection broke after the call may have been sent"},
     {ResultCode::HomeUnreachable, 502, "home-unreachable",
--- a/Libraries/LibCore/ResultCode.h
+++ b/Libraries/LibCore/ResultCode.h
@@ -33,6 +33,7 @@
   NotConfigured = 1205,
   BackendUnreachable = 1206,
   KeyTableFull = 1207,
+  QueueTooLong = 1208,
 
   AnswerLost = 2001,
   HomeUnreachable = 2002,
--- /dev/null
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -0,0 +1,100 @@
+#include "LibGateway/GatewaySettings.h"
+
+#include "LibConfiguration/FieldReader.h"
+#include "LibConfiguration/Settings.h"
+
+#include <fmt/format.h>
+
+namespace dotterel {
+
+namespace {
+
+constexpr auto Schema = std::string_view{R"({
+  "type": "object",
+  "required": ["instance", "failureDomain", "host", "callerAddress",
+               "readinessAddress", "directoryAddress", "peerPort",
+               "storeAddress"],
+  "properties": {
+    "instance": {"type": "string", "minLength": 1, "maxLength": 128,
+      "description": "Name of this instance, unique in the fleet."},
+    "failureDomain": {"type": "string", "minLength": 1, "maxLength": 128,
+      "description": "Failure domain that this instance stands in."},
+    "host": {"type": "string", "pattern": "^[0-9.]+$",
+      "description": "IPv4 address of this instance."},
+    "callerAddress": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$",
+      "description": "IPv4 address and port for callers."},
+    "readinessAddress": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$",
+      "description": "IPv4 address and port that say whether the instance is ready."},
+    "directoryAddress": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$",
+      "description": "IPv4 address and port that tell callers which instances to use."},
+    "peerPort": {"type": "integer", "minimum": 1, "maximum": 65535,
+      "description": "UDP port for the other instances."},
+    "storeAddress": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$",
+      "description": "IPv4 address and port of the platform's store."},
+    "metricsPort": {"type": "integer", "minimum": 0, "maximum": 65535,
+      "default": 0, "description": "TCP port for metrics; 0 for none."},
+    "logLevel": {"enum": ["debug", "info", "warning", "error"],
+      "default": "info", "description": "Lowest level that is logged."},
+    "processorShare": {"type": "number", "minimum": 0.001, "maximum": 1024,
+      "default": 1, "description": "Processor cores of this instance; callers are spread by it."},
+    "retryRatio": {"type": "number", "minimum": 0, "maximum": 10,
+      "default": 0.2, "description": "Retries per request that all instances together may send to a service."},
+    "retrySlack": {"type": "number", "minimum": 0, "maximum": 1000000,
+      "default": 100, "description": "Further retries of all instances together in one window."},
+    "retryWindowSeconds": {"type": "number", "minimum": 0.1, "maximum": 3600,
+      "default": 10, "description": "Length of that window, in s."},
+    "leaveBoundSeconds": {"type": "number", "minimum": 0.5, "maximum": 600,
+      "default": 8, "description": "Time from SIGTERM to the end of the process, in s."},
+    "steeringLifetimeSeconds": {"type": "number", "minimum": 0.1, "maximum": 600,
+      "default": 3, "description": "Longest time that a caller may keep the addresses it was given, in s."}
+  }
+})"};
+
+/// Callers ask again well before the longest lifetime, so that an instance
+/// that is gone is missing from their answer soon.
+constexpr auto LongestSteering = 3.0;
+
+auto readDecisions(FieldReader const &Reader) -> relay::Options {
+  auto options = relay::Options{};
+  options.Retries.Ratio = Reader.read<double>("retryRatio");
+  options.Retries.Slack = Reader.read<double>("retrySlack");
+  options.Retries.Window =
+      fromSeconds(Reader.read<double>("retryWindowSeconds"));
+  options.LeaveBound = fromSeconds(Reader.read<double>("leaveBoundSeconds"));
+  options.SteeringLifetime = fromSeconds(std::min(
+      LongestSteering, Reader.read<double>("steeringLifetimeSeconds")));
+  return options;
+}
+
+} // namespace
+
+auto GatewaySettings::describeFields() -> std::string {
+  return describeSchema(Schema);
+}
+
+auto GatewaySettings::parse(std::string_view Text) -> GatewaySettings {
+  auto document = parseSettings(Text, Schema);
+  auto schema = nlohmann::json::parse(Schema);
+  auto reader = FieldReader(document, schema);
+  auto settings = GatewaySettings{};
+  settings.Self.Instance = reader.read<std::string>("instance");
+  settings.Self.Domain = reader.read<std::string>("failureDomain");
+  settings.Self.CallerAddress = reader.read<std::string>("callerAddress");
+  settings.Self.PeerAddress =
+      fmt::format("{}:{}", reader.read<std::string>("host"),
+                  reader.read<std::uint16_t>("peerPort"));
+  settings.Self.Weight = reader.read<double>("processorShare");
+  settings.ReadinessAddress = reader.read<std::string>("readinessAddress");
+  settings.DirectoryAddress = reader.read<std::string>("directoryAddress");
+  settings.StoreAddress = reader.read<std::string>("storeAddress");
+  settings.MetricsPort = reader.read<std::uint16_t>("metricsPort");
+  settings.LogLevel = reader.read<std::string>("logLevel");
+  settings.Decisions = readDecisions(reader);
+  return settings;
+}
+
+auto GatewaySettings::load(std::string const &Path) -> GatewaySettings {
+  return parse(readFile(Path));
+}
+
+} // namespace dotterel
--- /dev/null
+++ b/Libraries/LibGateway/GatewaySettings.h
@@ -0,0 +1,35 @@
+/// \file
+/// Settings of an instance that relays requests on a platform.
+#pragma once
+
+#include "LibCore/Time.h"
+#include "LibRelay/State.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace dotterel {
+
+/// Settings of one relaying instance; docs/SETTINGS.md lists each field.
+struct GatewaySettings {
+  relay::Identity Self;
+  relay::Options Decisions;
+  std::string ReadinessAddress;
+  std::string DirectoryAddress;
+  std::string StoreAddress;
+  std::uint16_t MetricsPort = 0;
+  std::string LogLevel;
+
+  /// Parses and validates \p Text.
+  /// Errors: dotterel::Error InvalidSettings with one line per violation.
+  [[nodiscard]] static auto parse(std::string_view Text) -> GatewaySettings;
+
+  /// Reads and parses the file at \p Path. Errors: as parse.
+  [[nodiscard]] static auto load(std::string const &Path) -> GatewaySettings;
+
+  /// Returns a table of the fields, in Markdown.
+  [[nodiscard]] static auto describeFields() -> std::string;
+};
+
+} // namespace dotterel
--- /dev/null
+++ b/Libraries/LibGateway/Loop.h
@@ -0,0 +1,14 @@
+/// \file
+/// The relaying reducer with its state.
+#pragma once
+
+#include "LibCore/ReducerLoop.h"
+#include "LibRelay/Reducer.h"
+
+namespace dotterel {
+
+/// Thread safety: none.
+using RelayLoop =
+    ReducerLoop<relay::State, relay::Event, relay::Effect, &relay::reduce>;
+
+} // namespace dotterel
--- /dev/null
+++ b/Libraries/LibGateway/StoreFollower.cpp
@@ -0,0 +1,297 @@
+#include "LibGateway/StoreFollower.h"
+
+#include "LibCore/Log.h"
+#include "platform/Store.h"
+
+#include <fmt/format.h>
+#include <optional>
+#include <random>
+
+namespace dotterel {
+
+namespace {
+
+using platform::StoreChanges;
+using platform::StoredObject;
+
+/// Time for the store's answer beyond what it was asked to wait; some hundred
+/// times its usual one, so that a slow store is still used.
+constexpr auto CallTimeout = Duration{1500ms};
+/// A watch that is renewed this often shows a connection that went silent
+/// within the time in which a leaving server must be noticed.
+constexpr auto WatchWait = std::chrono::milliseconds{2000};
+/// Pauses after a call that failed; the store refuses callers beyond its rate.
+constexpr auto ShortestPause = Duration{100ms};
+constexpr auto LongestPause = Duration{1s};
+/// Instances are listed again to find those whose reports were all lost.
+constexpr auto PeerListInterval = Duration{20s};
+constexpr auto StatusOk = 200U;
+constexpr auto StatusCreated = 201U;
+constexpr auto StatusConflict = 409U;
+
+/// Waits longer after each failure in a row.
+class Backoff {
+public:
+  auto next() -> Duration {
+    auto spread = std::uniform_real_distribution<double>(0.5, 1.0);
+    auto span = scaled(Current, spread(Random));
+    Current = std::min(2 * Current, LongestPause);
+    return span;
+  }
+  auto reset() -> void { Current = ShortestPause; }
+
+private:
+  Duration Current = ShortestPause;
+  std::mt19937 Random{std::random_device{}()};
+};
+
+} // namespace
+
+struct StoreFollower::Implementation
+    : std::enable_shared_from_this<StoreFollower::Implementation> {
+  Implementation(asio::io_context &Context, std::string Address,
+                 relay::PeerRecord Record, RelayLoop &Owner)
+      : Context(Context), Address(std::move(Address)),
+        Record(std::move(Record)), Owner(Owner) {}
+
+  /// What to do with the objects of one kind.
+  struct Follower {
+    std::string_view Kind;
+    std::function<void(std::vector<StoredObject> const &, std::uint64_t)>
+        Listed;
+    std::function<void(StoreChanges const &)> Changed;
+  };
+
+  /// Keeps one connection for one kind, and replaces it when it fails.
+  struct Line {
+    std::unique_ptr<HttpConnection> Connection;
+  };
+
+  auto pause(Duration Span) -> Awaitable<void> {
+    auto timer = asio::steady_timer(Context, Span);
+    auto ec = boost::system::error_code{};
+    co_await timer.async_wait(useError(ec));
+  }
+
+  /// Makes one call. Returns nothing if no whole answer came.
+  auto call(Line &Over, HttpRequest const &Request, Duration Timeout)
+      -> Awaitable<std::optional<HttpReply>> {
+    if (Over.Connection && !Over.Connection->isQuiet())
+      Over.Connection.reset();
+    if (!Over.Connection) {
+      Over.Connection =
+          std::make_unique<HttpConnection>(Context.get_executor());
+      if (!co_await Over.Connection->connect(Address, CallTimeout)) {
+        Over.Connection.reset();
+        co_return std::nullopt;
+      }
+    }
+    auto &connection = *Over.Connection;
+    auto reply = HttpReply{};
+    if (co_await connection.send(Request, CallTimeout))
+      reply.Status = co_await connection.readHeader(Timeout);
+    while (reply.Status != 0 &&
+           co_await connection.readSome(reply.Body, CallTimeout)) {
+    }
+    auto isWhole = reply.Status != 0 && connection.isComplete();
+    if (!isWhole || !connection.isReusable())
+      Over.Connection.reset();
+    if (!isWhole)
+      co_return std::nullopt;
+    co_return reply;
+  }
+
+  auto get(Line &Over, std::string Path, Duration Wait)
+      -> Awaitable<std::optional<HttpReply>> {
+    auto request = HttpRequest{"GET", std::move(Path), "", {}, ""};
+    auto reply = co_await call(Over, request, Wait + CallTimeout);
+    auto status = reply ? reply->Status : 0;
+    auto isReachable = status == StatusOk || status == StatusGone;
+    Owner.feed(relay::StoreReachable{
+        isReachable, isReachable ? "" : fmt::format("status {}", status)});
+    co_return reply;
+  }
+
+  /// Reads all pages of a kind. Returns the revision of the first page, from
+  /// which changes follow, or nothing.
+  auto list(Line &Over, std::string_view Kind, std::vector<StoredObject> &Into)
+      -> Awaitable<std::optional<std::uint64_t>> {
+    auto asOf = std::optional<std::uint64_t>{};
+    auto after = std::string{};
+    while (true) {
+      auto reply =
+          co_await get(Over, platform::listPath(Kind, after), Duration{});
+      if (!reply || reply->Status != StatusOk)
+        co_return std::nullopt;
+      auto page = platform::readPage(reply->Body);
+      if (!page) {
+        log(LogLevel::Warning, "store-page-unreadable", {{"kind", Kind}});
+        co_return std::nullopt;
+      }
+      if (!asOf)
+        asOf = page->AsOf;
+      for (auto &it : page->Objects)
+        Into.push_back(std::move(it));
+      if (!page->HasMore || page->Objects.empty())
+        co_return asOf;
+      after = Into.back().Name;
+    }
+  }
+
+  auto follow(Follower What) -> Awaitable<void> {
+    auto line = Line{};
+    auto backoff = Backoff{};
+    while (true) {
+      auto objects = std::vector<StoredObject>{};
+      auto asOf = co_await list(line, What.Kind, objects);
+      if (!asOf) {
+        co_await pause(backoff.next());
+        continue;
+      }
+      What.Listed(objects, *asOf);
+      backoff.reset();
+      co_await watch(line, What, *asOf, backoff);
+      log(LogLevel::Info, "store-watch-restarted", {{"kind", What.Kind}});
+    }
+  }
+
+  /// Passes changes on until the history that is needed is gone.
+  auto watch(Line &Over, Follower const &What, std::uint64_t AsOf,
+             Backoff &Pauses) -> Awaitable<void> {
+    while (true) {
+      auto reply = co_await get(
+          Over, platform::watchPath(What.Kind, AsOf, WatchWait), WatchWait);
+      if (reply && reply->Status == StatusGone)
+        co_return;
+      auto changes = reply && reply->Status == StatusOk
+                         ? platform::readChanges(reply->Body)
+                         : std::nullopt;
+      if (!changes) {
+        co_await pause(Pauses.next());
+        continue;
+      }
+      Pauses.reset();
+      AsOf = std::max(AsOf, changes->AsOf);
+      What.Changed(*changes);
+    }
+  }
+
+  auto takeConfiguration(StoredObject const &Object) -> void {
+    if (Object.Name != platform::ConfigurationName)
+      return;
+    if (auto content = platform::readConfiguration(Object))
+      Owner.feed(relay::ConfigurationReceived{std::move(content)});
+  }
+
+  auto followConfiguration() -> Awaitable<void> {
+    return follow(
+        {platform::ConfigurationKind,
+         [this](std::vector<StoredObject> const &Objects, std::uint64_t) {
+           for (auto const &it : Objects)
+             takeConfiguration(it);
+         },
+         [this](StoreChanges const &Given) {
+           // Versions replace each other whole, so only the last one counts.
+           for (auto it = Given.Changes.rbegin(); it != Given.Changes.rend();
+                ++it) {
+             if (it->IsRemoved ||
+                 it->Object.Name != platform::ConfigurationName)
+               continue;
+             return takeConfiguration(it->Object);
+           }
+         }});
+  }
+
+  auto takeServer(platform::StoreChange const &Change) -> void {
+    auto const &object = Change.Object;
+    auto server = Change.IsRemoved ? std::nullopt
+                                   : platform::readServer(object);
+    if (server)
+      Owner.feed(relay::ServerChanged{std::move(*server)});
+    else
+      Owner.feed(relay::ServerRemoved{object.Name, object.Revision});
+  }
+
+  auto followServers() -> Awaitable<void> {
+    return follow({platform::ServerKind,
+                   [this](std::vector<StoredObject> const &Objects,
+                          std::uint64_t AsOf) {
+                     auto listed = relay::ServersListed{{}, AsOf};
+                     for (auto const &it : Objects) {
+                       if (auto server = platform::readServer(it))
+                         listed.Servers.push_back(std::move(*server));
+                     }
+                     Owner.feed(std::move(listed));
+                   },
+                   [this](StoreChanges const &Given) {
+                     for (auto const &it : Given.Changes)
+                       takeServer(it);
+                   }});
+  }
+
+  /// Creates or replaces this instance's own record.
+  auto registerSelf(Line &Over) -> Awaitable<bool> {
+    auto body = platform::writePeer(Record);
+    auto request =
+        HttpRequest{"POST", platform::listPath(platform::InstanceKind, ""),
+                    "application/json", {}, body};
+    auto reply = co_await call(Over, request, CallTimeout);
+    if (reply && reply->Status == StatusConflict) {
+      request.Method = "PUT";
+      request.Target =
+          platform::objectPath(platform::InstanceKind, Record.Instance);
+      reply = co_await call(Over, request, CallTimeout);
+    }
+    auto status = reply ? reply->Status : 0;
+    auto isDone = status == StatusOk || status == StatusCreated;
+    log(isDone ? LogLevel::Info : LogLevel::Warning, "instance-registered",
+        {{"done", isDone}, {"status", status}});
+    co_return isDone;
+  }
+
+  auto followPeers() -> Awaitable<void> {
+    auto line = Line{};
+    auto backoff = Backoff{};
+    while (!co_await registerSelf(line))
+      co_await pause(backoff.next());
+    backoff.reset();
+    while (true) {
+      auto objects = std::vector<StoredObject>{};
+      if (!co_await list(line, platform::InstanceKind, objects)) {
+        co_await pause(backoff.next());
+        continue;
+      }
+      backoff.reset();
+      auto listed = relay::PeersListed{};
+      for (auto const &it : objects) {
+        if (auto peer = platform::readPeer(it))
+          listed.Peers.push_back(std::move(*peer));
+      }
+      Owner.feed(std::move(listed));
+      co_await pause(PeerListInterval);
+    }
+  }
+
+  static constexpr auto StatusGone = 410U;
+
+  asio::io_context &Context; // NOLINT: outlives the follower
+  std::string Address;
+  relay::PeerRecord Record;
+  RelayLoop &Owner; // NOLINT
+};
+
+StoreFollower::StoreFollower(asio::io_context &Context, std::string Address,
+                             relay::PeerRecord Self, RelayLoop &Owner)
+    : Self(std::make_shared<Implementation>(Context, std::move(Address),
+                                            std::move(Self), Owner)) {}
+
+StoreFollower::~StoreFollower() = default;
+
+auto StoreFollower::start() -> void {
+  spawnTask(Self->Context,
+            [self = Self] { return self->followConfiguration(); });
+  spawnTask(Self->Context, [self = Self] { return self->followServers(); });
+  spawnTask(Self->Context, [self = Self] { return self->followPeers(); });
+}
+
+} // namespace dotterel
--- a/Libraries/LibInstance/Instance.cpp
+++ b/Libraries/LibInstance/Instance.cpp
@@ -1,6 +1,7 @@
 #include "LibInstance/Instance.h"
 
 #include "LibCore/Error.h"
+#include "LibCore/Incarnation.h"
 #include "LibInstance/BackendClient.h"
 #include "LibInstance/CallerFrontend.h"
 #include "LibInstance/Core.h"
@@ -10,7 +11,6 @@
 
 #include <fmt/format.h>
 #include <iterator>
-#include <random>
 
 namespace dotterel {
 
@@ -20,12 +20,6 @@
 constexpr auto StopPollInterval = Duration{20ms};
 constexpr auto StopBound = Duration{5s};
 
-auto drawIncarnation() -> Incarnation {
-  auto source = std::random_device{};
-  auto high = static_cast<Incarnation>(source());
-  return (high << 32U | source()) | 1U;
-}
-
 auto identityFrom(Settings const &Given) -> InstanceIdentity {
   return {Given.Instance, drawIncarnation(), Given.Domain, Given.CallerAddress,
           Given.PeerAddress};
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -4,7 +4,9 @@
 
 #include "LibCore/Time.h"
 #include "LibNet/Asio.h"
+#include "LibNet/HttpField.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -13,12 +15,6 @@
 
 namespace dotterel {
 
-/// One header field.
-struct HttpField {
-  std::string Name;
-  std::string Value;
-};
-
 /// A request to send.
 struct HttpRequest {
   std::string Method;
@@ -45,7 +41,12 @@
   ExchangeError Problem = ExchangeError::NotConnected;
 };
 
-/// One connection to a server. Thread safety: none; used on one executor.
+/// Receives the name and the value of one header field.
+using FieldVisitor = std::function<void(std::string_view, std::string_view)>;
+
+/// One connection to a server, for one exchange after the other. A peer that
+/// stops to acknowledge is noticed within DeadPeerTimeout.
+/// Thread safety: none; used on one executor.
 class HttpConnection {
 public:
   explicit HttpConnection(asio::any_io_executor const &Executor);
@@ -56,13 +57,20 @@
   /// Connects. Returns false if no connection could be made.
   auto connect(std::string_view Address, Duration Timeout) -> Awaitable<bool>;
 
-  /// Sends \p Request. Returns false if it may have been sent in part only.
-  /// Precondition: connected.
+  /// Sends \p Request and makes ready for its answer. Returns false if it may
+  /// have been sent in part only. Precondition: connected, and the answer
+  /// before was read whole.
   auto send(HttpRequest const &Request, Duration Timeout) -> Awaitable<bool>;
 
   /// Reads the header section of the answer. Returns its status, or 0.
   auto readHeader(Duration Timeout) -> Awaitable<unsigned>;
 
+  /// Leaves the answer that was read whole and makes ready for one more.
+  auto expectNext() -> void;
+
+  /// Passes each field of the answer's header to \p Visitor.
+  auto visitFields(FieldVisitor const &Visitor) const -> void;
+
   [[nodiscard]] auto contentType() const -> std::string;
 
   /// Returns the value of \p Name in the answer's header, or an empty string.
@@ -75,6 +83,13 @@
   /// Returns whether the whole answer was read.
   [[nodiscard]] auto isComplete() const -> bool;
 
+  /// Returns whether the answer allows another exchange and nothing came
+  /// after it. Precondition: the answer was read whole.
+  [[nodiscard]] auto isReusable() const -> bool;
+
+  /// Returns whether an idle connection is open and nothing has arrived.
+  [[nodiscard]] auto isQuiet() -> bool;
+
   /// Closes the connection; operations in progress fail.
   auto close() -> void;
 
--- /dev/null
+++ b/Libraries/LibNet/HttpField.h
@@ -0,0 +1,14 @@
+/// \file
+/// One HTTP header field.
+#pragma once
+
+#include <string>
+
+namespace dotterel {
+
+struct HttpField {
+  std::string Name;
+  std::string Value;
+};
+
+} // namespace dotterel
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -43,9 +43,9 @@
 class Exchange final : public HttpExchange {
 public:
   Exchange(beast::tcp_stream &Stream, http::request<http::string_body> Request,
-           Duration WriteTimeout)
+           Duration WriteTimeout, bool const &IsClosing)
       : Stream(Stream), Request(std::move(Request)),
-        WriteTimeout(WriteTimeout) {}
+        WriteTimeout(WriteTimeout), IsClosing(IsClosing) {}
 
   [[nodiscard]] auto method() const -> std::string_view override {
     return toView(Request.method_string());
@@ -56,6 +56,15 @@
     return target.substr(0, target.find('?'));
   }
 
+  [[nodiscard]] auto target() const -> std::string_view override {
+    return toView(Request.target());
+  }
+
+  auto visitFields(FieldVisitor const &Visitor) const -> void override {
+    for (auto const &it : Request)
+      Visitor(toView(it.name_string()), toView(it.value()));
+  }
+
   [[nodiscard]] auto query(std::string_view Name) const
       -> std::string override {
     auto target = toView(Request.target());
@@ -82,13 +91,8 @@
   [[nodiscard]] auto body() -> std::string & override { return Request.body(); }
 
   auto respond(HttpReply Reply) -> Awaitable<void> override {
-    auto message = http::response<http::string_body>{
-        http::int_to_status(Reply.Status), Request.version()};
-    message.keep_alive(Request.keep_alive());
-    if (!Reply.ContentType.empty())
-      message.set(http::field::content_type, Reply.ContentType);
-    for (auto const &it : Reply.Fields)
-      message.set(it.Name, it.Value);
+    auto message = http::response<http::string_body>{};
+    fill(message, Reply);
     message.body() = std::move(Reply.Body);
     message.prepare_payload();
     Stream.expires_after(WriteTimeout);
@@ -98,13 +102,14 @@
 
   auto beginStream(std::string ContentType, std::vector<HttpField> Fields)
       -> Awaitable<void> override {
-    auto message =
-        http::response<http::empty_body>{http::status::ok, Request.version()};
-    message.keep_alive(Request.keep_alive());
-    message.set(http::field::content_type, ContentType);
-    message.set(http::field::cache_control, "no-cache");
-    for (auto const &it : Fields)
-      message.set(it.Name, it.Value);
+    Fields.push_back({"Cache-Control", "no-cache"});
+    co_await beginAnswer({static_cast<unsigned>(http::status::ok),
+                          std::move(ContentType), std::move(Fields), {}});
+  }
+
+  auto beginAnswer(HttpReply Header) -> Awaitable<void> override {
+    auto message = http::response<http::empty_body>{};
+    fill(message, Header);
     message.chunked(true);
     auto serializer = http::response_serializer<http::empty_body>{message};
     Stream.expires_after(WriteTimeout);
@@ -139,10 +144,25 @@
       auto ec = boost::system::error_code{};
       Stream.socket().cancel(ec);
     }
-    return HasAnswered && Request.keep_alive();
+    return HasAnswered && keepsAlive();
   }
 
 private:
+  [[nodiscard]] auto keepsAlive() const -> bool {
+    return Request.keep_alive() && !IsClosing;
+  }
+
+  template <typename Message>
+  auto fill(Message &Target, HttpReply const &From) const -> void {
+    Target.version(Request.version());
+    Target.result(From.Status);
+    Target.keep_alive(keepsAlive());
+    if (!From.ContentType.empty())
+      Target.set(http::field::content_type, From.ContentType);
+    for (auto const &it : From.Fields)
+      Target.insert(it.Name, it.Value);
+  }
+
   static auto watch(beast::tcp_stream &Stream,
                     std::shared_ptr<bool> const &IsWatched,
                     std::function<void()> Callback) -> void {
@@ -165,6 +185,7 @@
   beast::tcp_stream &Stream; // NOLINT: owned by the session
   http::request<http::string_body> Request;
   Duration WriteTimeout;
+  bool const &IsClosing; // NOLINT: owned by the server
   bool HasAnswered = false;
   std::shared_ptr<bool> IsWatched;
 };
@@ -265,7 +286,8 @@
       co_await refuse(Stream, Buffer, refusalCode(ec));
       co_return false;
     }
-    auto exchange = Exchange(Stream, parser.release(), Limits.WriteTimeout);
+    auto exchange = Exchange(Stream, parser.release(), Limits.WriteTimeout,
+                             IsClosing);
     co_await Handler(exchange);
     co_return exchange.finish();
   }
@@ -330,6 +352,7 @@
   HttpHandler Handler;
   HttpRefusal Refusal;
   std::size_t Connections = 0;
+  bool IsClosing = false;
 };
 
 HttpServer::HttpServer(asio::io_context &Context, std::string_view Address,
@@ -354,4 +377,12 @@
   Self->Acceptor.close(ec);
 }
 
+auto HttpServer::setLimits(HttpLimits Limits) -> void { Self->Limits = Limits; }
+
+auto HttpServer::closeAfterAnswers() -> void { Self->IsClosing = true; }
+
+auto HttpServer::connections() const -> std::size_t {
+  return Self->Connections;
+}
+
 } // namespace dotterel
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -33,6 +33,10 @@
   [[nodiscard]] virtual auto method() const -> std::string_view = 0;
   /// Returns the path without the query.
   [[nodiscard]] virtual auto path() const -> std::string_view = 0;
+  /// Returns the path with the query, as it was sent.
+  [[nodiscard]] virtual auto target() const -> std::string_view = 0;
+  /// Passes each header field to \p Visitor.
+  virtual auto visitFields(FieldVisitor const &Visitor) const -> void = 0;
   /// Returns the value of query parameter \p Name, or an empty string.
   [[nodiscard]] virtual auto query(std::string_view Name) const
       -> std::string = 0;
@@ -49,6 +53,9 @@
   virtual auto beginStream(std::string ContentType,
                            std::vector<HttpField> Fields)
       -> Awaitable<void> = 0;
+  /// Begins an answer with the status and fields of \p Header; its body, whose
+  /// length is not known, follows in chunks.
+  virtual auto beginAnswer(HttpReply Header) -> Awaitable<void> = 0;
   virtual auto writeChunk(std::string_view Data) -> Awaitable<void> = 0;
   virtual auto endStream() -> Awaitable<void> = 0;
 
@@ -81,6 +88,15 @@
   /// Stops accepting; exchanges in progress go on.
   auto stop() -> void;
 
+  /// Applies to requests that begin to arrive later.
+  auto setLimits(HttpLimits Limits) -> void;
+
+  /// Makes every further answer the last one on its connection.
+  auto closeAfterAnswers() -> void;
+
+  /// Returns the number of open connections.
+  [[nodiscard]] auto connections() const -> std::size_t;
+
 private:
   struct Implementation;
   std::shared_ptr<Implementation> Self;
--- /dev/null
+++ b/Libraries/LibRelay/Configuration.cpp
@@ -0,0 +1,38 @@
+#include "LibRelay/Configuration.h"
+
+namespace dotterel::relay {
+
+Configuration::Configuration(std::uint64_t Version, std::vector<Route> Given,
+                             std::vector<Service> GivenServices,
+                             CallerLimits Limits)
+    : Version(Version), Routes(std::move(Given)), Limits(Limits) {
+  for (auto n = std::size_t{0}; n < Routes.size(); ++n)
+    ByHost[Routes[n].Host].emplace(Routes[n].PathPrefix, n);
+  for (auto &it : GivenServices) {
+    auto name = it.Name;
+    Services.emplace(std::move(name), std::move(it));
+  }
+}
+
+auto Configuration::findRoute(std::string_view Host,
+                              std::string_view Path) const -> Route const * {
+  auto host = ByHost.find(Host);
+  if (host == ByHost.end())
+    return nullptr;
+  // Every prefix ends with a slash, so only these cuts can match.
+  for (auto end = Path.rfind('/'); end != std::string_view::npos;
+       end = end == 0 ? std::string_view::npos : Path.rfind('/', end - 1)) {
+    auto it = host->second.find(Path.substr(0, end + 1));
+    if (it != host->second.end())
+      return &Routes[it->second];
+  }
+  return nullptr;
+}
+
+auto Configuration::findService(std::string_view Name) const
+    -> Service const * {
+  auto it = Services.find(Name);
+  return it == Services.end() ? nullptr : &it->second;
+}
+
+} // namespace dotterel::relay
--- /dev/null
+++ b/Libraries/LibRelay/Configuration.h
@@ -0,0 +1,119 @@
+/// \file
+/// What an accepted configuration says about relayed requests: routes,
+/// services and the limits on callers.
+#pragma once
+
+#include "LibCore/Time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace dotterel::relay {
+
+/// Properties of the engines behind a service.
+struct EngineTraits {
+  /// Requests in one batch.
+  std::uint32_t Slots = 1;
+  /// Tokens that the KV cache holds.
+  std::uint64_t CacheTokens = 0;
+  /// Bytes of KV cache per token.
+  double TokenBytes = 0;
+  double LinkMegabitsPerSecond = 0;
+  /// Cached parts can be copied between engines.
+  bool CanMoveCache = false;
+};
+
+/// A group of backend servers that answer the same requests.
+struct Service {
+  std::string Name;
+  /// Connections that one server accepts from all instances together.
+  std::uint32_t ConnectionLimit = 0;
+  /// Set for language models.
+  std::optional<EngineTraits> Engine;
+};
+
+/// A service and its part of a route's requests.
+struct WeightedService {
+  std::string Service;
+  double Weight = 1;
+};
+
+/// Requests with one host and path prefix, and how they are served.
+struct Route {
+  std::string Name;
+  std::string Host;
+  std::string PathPrefix;
+  bool IsStream = false;
+  /// The request may run more than once.
+  bool IsIdempotent = false;
+  /// A broken stream may be continued at another server.
+  bool IsResumable = false;
+  /// Longest time that a caller is kept waiting.
+  Duration Timeout{};
+  /// Time to the (first part of the) answer that callers aim for.
+  Duration Target{};
+  /// Longest pause between two parts of a stream that counts as good.
+  Duration LongestGap{};
+  /// Zero is the most urgent.
+  std::uint32_t Priority = 0;
+  /// Servers that one request may be sent to.
+  std::uint32_t MaximumServers = 1;
+  std::vector<WeightedService> Services;
+};
+
+/// Limits on what callers send and on how long they take.
+struct CallerLimits {
+  std::size_t HeaderBytes = 16384;
+  std::size_t BodyBytes = 4194304;
+  Duration HeaderTimeout = 3s;
+  Duration IdleTimeout = 15s;
+};
+
+/// One version of the configuration. Immutable after construction.
+/// Thread safety: const methods from any thread.
+class Configuration {
+public:
+  Configuration() = default;
+  Configuration(std::uint64_t Version, std::vector<Route> Routes,
+                std::vector<Service> Services, CallerLimits Limits);
+
+  [[nodiscard]] auto version() const -> std::uint64_t { return Version; }
+  [[nodiscard]] auto limits() const -> CallerLimits const & { return Limits; }
+  [[nodiscard]] auto routes() const -> std::span<Route const> {
+    return Routes;
+  }
+
+  /// Returns the route of \p Host with the longest prefix that begins
+  /// \p Path, or null. \p Path has no query.
+  [[nodiscard]] auto findRoute(std::string_view Host,
+                               std::string_view Path) const -> Route const *;
+
+  /// Returns the service, or null.
+  [[nodiscard]] auto findService(std::string_view Name) const
+      -> Service const *;
+
+private:
+  struct TextHash {
+    using is_transparent = void; // NOLINT: name given by the library
+    auto operator()(std::string_view Text) const -> std::size_t {
+      return std::hash<std::string_view>{}(Text);
+    }
+  };
+  using RoutesByPrefix =
+      std::unordered_map<std::string, std::size_t, TextHash, std::equal_to<>>;
+
+  std::uint64_t Version = 0;
+  std::vector<Route> Routes;
+  std::unordered_map<std::string, RoutesByPrefix, TextHash, std::equal_to<>>
+      ByHost;
+  std::map<std::string, Service, std::less<>> Services;
+  CallerLimits Limits;
+};
+
+} // namespace dotterel::relay
--- /dev/null
+++ b/Libraries/LibRelay/Effect.h
@@ -0,0 +1,147 @@
+/// \file
+/// Everything that a relaying instance does. Effects are data; the shells
+/// carry them out and answer with events.
+#pragma once
+
+#include "LibCore/Log.h"
+#include "LibCore/ResultCode.h"
+#include "LibRelay/Event.h"
+
+#include <variant>
+
+namespace dotterel::relay {
+
+/// Finds or makes a connection to a server.
+struct ConnectAttempt {
+  AttemptName Attempt;
+  std::string Address;
+  /// Idle connections that may be kept to this server.
+  std::uint32_t IdleLimit = 1;
+};
+
+/// What is said to the server beside the caller's request.
+struct AttemptOrders {
+  /// Time that is left to the caller, if it said so.
+  std::optional<Duration> TimeLimit;
+  std::string ExpectedServer;
+  /// Only read the prompt and keep it.
+  bool IsPrefill = false;
+  /// Address and handle of the read prompt.
+  std::string PrefilledAt;
+  std::string PrefillHandle;
+  /// Address of a server to copy cached parts from.
+  std::string CopyFrom;
+  std::uint64_t LastEvent = 0;
+};
+
+/// Sends the request over the attempt's connection.
+struct SendAttempt {
+  AttemptName Attempt;
+  RequestPointer Content;
+  AttemptOrders Orders;
+  /// The answer is passed on event by event.
+  bool IsStream = false;
+};
+
+/// Closes the attempt's connection, if any.
+struct CancelAttempt {
+  AttemptName Attempt;
+};
+
+/// Frees a read prompt that will not be used.
+struct FreeHandle {
+  std::string Address;
+  std::string Handle;
+};
+
+/// Gives the caller a server's answer.
+struct ForwardAnswer {
+  RequestNumber Number = 0;
+  ServerAnswer Answer;
+};
+
+struct BeginStream {
+  RequestNumber Number = 0;
+  ServerAnswer Header;
+};
+
+struct ForwardBytes {
+  RequestNumber Number = 0;
+  std::string Bytes;
+};
+
+struct EndStream {
+  RequestNumber Number = 0;
+};
+
+/// Closes the caller's connection without finishing the answer.
+struct AbortStream {
+  RequestNumber Number = 0;
+};
+
+/// Gives the caller an answer of our own.
+struct Refuse {
+  RequestNumber Number = 0;
+  ResultCode Code = ResultCode::Completed;
+  std::optional<Duration> RetryAfter;
+};
+
+/// Forgets connections to a server that is gone or leaving.
+struct CloseIdleConnections {
+  std::string Address;
+};
+
+struct AnswerSteering {
+  RequestNumber Number = 0;
+  /// Empty if this instance does not know the others yet.
+  std::vector<std::string> Addresses;
+  Duration Lifetime{};
+};
+
+struct SendPeerReport {
+  std::vector<std::string> Addresses;
+  PeerReport Message;
+};
+
+struct WriteLog {
+  LogLevel Level = LogLevel::Info;
+  std::string Event;
+  /// Formatted key=value pairs.
+  std::string Pairs;
+};
+
+enum class CountMetric : std::uint8_t {
+  Answers,
+  Attempts,
+  Retries,
+  Resumes,
+  Refusals,
+};
+
+struct CountOne {
+  CountMetric Metric = CountMetric::Answers;
+  std::string Route;
+  std::string Label;
+};
+
+enum class DurationMetric : std::uint8_t { FirstPart, Whole };
+
+struct ObserveDuration {
+  DurationMetric Metric = DurationMetric::Whole;
+  std::string Route;
+  Duration Value{};
+};
+
+/// Ends the process; every answer is out.
+struct StopProcess {};
+
+using Effect =
+    std::variant<ConnectAttempt, SendAttempt, CancelAttempt, FreeHandle,
+                 ForwardAnswer, BeginStream, ForwardBytes, EndStream,
+                 AbortStream, Refuse, CloseIdleConnections, AnswerSteering,
+                 SendPeerReport, WriteLog, CountOne, ObserveDuration,
+                 StopProcess>;
+
+using Effects = std::vector<Effect>;
+
+} // namespace dotterel::relay
--- /dev/null
+++ b/Libraries/LibRelay/Event.h
@@ -0,0 +1,150 @@
+/// \file
+/// Everything that can happen to an instance that relays requests. Time and
+/// identity arrive here; the reducer has no other input.
+#pragma once
+
+#include "LibRelay/Configuration.h"
+#include "LibRelay/EventFramer.h"
+#include "LibRelay/Peers.h"
+#include "LibRelay/Request.h"
+#include "LibRelay/ServerTable.h"
+
+#include <memory>
+#include <variant>
+
+namespace dotterel::relay {
+
+/// Names one try to serve a request at one server.
+struct AttemptName {
+  RequestNumber Request = 0;
+  std::uint32_t Number = 0;
+  auto operator<=>(AttemptName const &) const = default;
+};
+
+struct RequestArrived {
+  RequestNumber Number = 0;
+  RequestPointer Content;
+};
+
+/// The caller closed its connection.
+struct CallerLeft {
+  RequestNumber Number = 0;
+};
+
+/// A connection for the attempt stands; nothing was sent yet.
+struct AttemptConnected {
+  AttemptName Attempt;
+  /// The connection has served other requests before.
+  bool IsReused = false;
+};
+
+/// No connection could be made; nothing was sent.
+struct AttemptUnreachable {
+  AttemptName Attempt;
+  std::string Reason;
+};
+
+/// A whole answer, or the header of a stream.
+struct ServerAnswer {
+  unsigned Status = 0;
+  /// Fields for the caller.
+  std::vector<HttpField> Fields;
+  std::string Body;
+  /// The server says that it did not run the request.
+  bool IsNotExecuted = false;
+  /// Another server has the address.
+  bool IsMisdirected = false;
+};
+
+struct AttemptAnswered {
+  AttemptName Attempt;
+  ServerAnswer Answer;
+};
+
+/// The prompt was read and is kept for another server under a handle.
+struct AttemptPrefilled {
+  AttemptName Attempt;
+  std::string Handle;
+};
+
+struct AttemptStreamBegan {
+  AttemptName Attempt;
+  ServerAnswer Header;
+};
+
+struct AttemptStreamed {
+  AttemptName Attempt;
+  std::vector<StreamEvent> Events;
+};
+
+/// The stream ended whole; Rest are bytes after the last event.
+struct AttemptStreamEnded {
+  AttemptName Attempt;
+  std::string Rest;
+};
+
+/// The connection broke, or the answer was malformed, after sending began.
+struct AttemptBroken {
+  AttemptName Attempt;
+  std::string Reason;
+};
+
+struct ConfigurationReceived {
+  std::shared_ptr<Configuration const> Content;
+};
+
+/// All servers, as read in one pass that began at AsOf.
+struct ServersListed {
+  std::vector<ServerDescription> Servers;
+  std::uint64_t AsOf = 0;
+};
+
+struct ServerChanged {
+  ServerDescription Described;
+};
+
+struct ServerRemoved {
+  std::string Id;
+  std::uint64_t Revision = 0;
+};
+
+/// The store answered, or stopped to.
+struct StoreReachable {
+  bool IsReachable = false;
+  std::string Reason;
+};
+
+struct PeersListed {
+  std::vector<PeerRecord> Peers;
+};
+
+struct PeerReported {
+  PeerReport Message;
+};
+
+/// A caller asked which instances to use.
+struct SteeringRequested {
+  RequestNumber Number = 0;
+};
+
+/// The process was asked to stop.
+struct LeaveRequested {};
+
+/// Time passed; arrives at least once per tick interval.
+struct Tick {};
+
+using EventBody =
+    std::variant<RequestArrived, CallerLeft, AttemptConnected,
+                 AttemptUnreachable, AttemptAnswered, AttemptPrefilled,
+                 AttemptStreamBegan, AttemptStreamed, AttemptStreamEnded,
+                 AttemptBroken, ConfigurationReceived, ServersListed,
+                 ServerChanged, ServerRemoved, StoreReachable, PeersListed,
+                 PeerReported, SteeringRequested, LeaveRequested, Tick>;
+
+/// An event and the time at which it was seen. Times never fall.
+struct Event {
+  Instant At;
+  EventBody Body;
+};
+
+} // namespace dotterel::relay
--- /dev/null
+++ b/Libraries/LibRelay/FleetReducer.h
@@ -0,0 +1,34 @@
+/// \file
+/// What the instance knows of the fleet: configuration, servers, the store,
+/// the other instances; and where callers should connect.
+#pragma once
+
+#include "LibRelay/SubReducer.h"
+
+namespace dotterel::relay {
+
+/// Takes in what is known of the fleet and tells the other instances.
+class FleetReducer : public SubReducer {
+public:
+  using SubReducer::SubReducer;
+
+  auto on(ConfigurationReceived const &Happened) -> void;
+  auto on(ServersListed const &Happened) -> void;
+  auto on(ServerChanged const &Happened) -> void;
+  auto on(ServerRemoved const &Happened) -> void;
+  auto on(StoreReachable const &Happened) -> void;
+  auto on(PeersListed const &Happened) -> void;
+  auto on(PeerReported const &Happened) -> void;
+  auto on(SteeringRequested const &Happened) -> void;
+  auto on(LeaveRequested const &Happened) -> void;
+  auto on(Tick const &Happened) -> void;
+
+private:
+  auto put(ServerDescription const &Described) -> void;
+  auto remove(std::string const &Id, std::string_view Reason) -> void;
+  [[nodiscard]] auto isAroundOutage() const -> bool;
+  auto report() -> void;
+  auto checkLeave() -> void;
+};
+
+} // namespace dotterel::relay
--- /dev/null
+++ b/Libraries/LibRelay/Placement.cpp
@@ -0,0 +1,225 @@
+#include "LibRelay/Placement.h"
+
+#include "LibCore/Hash.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace dotterel::relay {
+
+namespace {
+
+/// Cost of another failure domain, in seconds: what the traffic between
+/// domains costs a deployment, against late answers.
+constexpr auto OtherDomainSeconds = 0.015;
+/// Largest random addition to a cost, in seconds. Instances that decide on the
+/// same reports must not all choose the same server.
+constexpr auto JitterSeconds = 0.02;
+/// Cost of one more request in an engine's batch, in seconds: every step gets
+/// longer for all.
+constexpr auto BatchSecondsPerRequest = 0.002;
+/// Cost of a request beyond an engine's batch, in seconds.
+constexpr auto BeyondBatchSeconds = 0.25;
+/// Cost of a prompt that is read at one engine and moved to another, beside
+/// the reading: one more exchange and the copy.
+constexpr auto HandoverSeconds = 0.03;
+/// Cost of moving a gigabyte of KV cache, in seconds: what deployments charge
+/// for it.
+constexpr auto MoveSecondsPerGigabyte = 0.008;
+/// Connection set-up and queueing of a copy between two engines.
+constexpr auto CopySetupSeconds = 0.006;
+/// Shared beginnings below this are read again rather than copied.
+constexpr auto SmallestCopyTokens = std::uint32_t{500};
+/// Extra cost of a server whose requests all fail, as a factor.
+constexpr auto FailureCost = 8.0;
+/// Cost that keeps a server as a last resort, in seconds.
+constexpr auto LastResortSeconds = 5.0;
+/// Requests at a plain server count this many seconds each against domains
+/// and chance.
+constexpr auto PlainRequestSeconds = 0.02;
+constexpr auto BitsPerByte = 8.0;
+constexpr auto MegabitBits = 1e6;
+constexpr auto Gigabyte = 1e9;
+
+auto unitInterval(std::uint64_t Hash) -> double {
+  return static_cast<double>(Hash) /
+         static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+}
+
+auto moveSeconds(EngineTraits const &Traits, std::uint64_t Tokens) -> double {
+  auto bytes = Traits.TokenBytes * static_cast<double>(Tokens);
+  auto seconds = CopySetupSeconds + bytes / Gigabyte * MoveSecondsPerGigabyte;
+  if (Traits.LinkMegabitsPerSecond > 0)
+    seconds +=
+        bytes * BitsPerByte / (Traits.LinkMegabitsPerSecond * MegabitBits);
+  return seconds;
+}
+
+} // namespace
+
+auto Placement::candidates(Call const &Target) const -> std::vector<Server *> {
+  auto usable = std::vector<Server *>{};
+  auto untried = std::vector<Server *>{};
+  for (auto *it : Subject.Servers.ofService(Target.Service)) {
+    if (!it->isUsable())
+      continue;
+    usable.push_back(it);
+    if (!Target.Avoided.contains(it->Described.Id))
+      untried.push_back(it);
+  }
+  return untried.empty() ? usable : untried;
+}
+
+auto Placement::penalty(RequestNumber Number, Server const &Target) const
+    -> double {
+  auto cost = 0.0;
+  if (Target.Described.Domain != Subject.Self.Domain)
+    cost += OtherDomainSeconds;
+  if (Target.Health.isEjected(Subject.Now) || Subject.Now < Target.FullUntil)
+    cost += LastResortSeconds;
+  auto seed = Subject.Self.Incarnation ^ Number;
+  return cost + JitterSeconds *
+                    unitInterval(rendezvousScore(seed, Target.Described.Id));
+}
+
+auto Placement::choose(RequestNumber Number, Call const &Target)
+    -> std::optional<Choice> {
+  auto const *service = Target.Configured->findService(Target.Service);
+  if (service != nullptr && service->Engine && Target.Content->PromptTokens > 0)
+    return chooseEngine(Number, Target);
+  return choosePlain(Number, Target);
+}
+
+auto Placement::choosePlain(RequestNumber Number, Call const &Target)
+    -> std::optional<Choice> {
+  auto best = std::optional<Choice>{};
+  auto lowest = std::numeric_limits<double>::infinity();
+  for (auto *it : candidates(Target)) {
+    auto load = it->load();
+    auto requests = static_cast<double>(load.Requests) + 1;
+    auto cost = requests * PlainRequestSeconds * it->Slowness *
+                (1 + FailureCost * it->FailureShare) *
+                it->Health.slowStartFactor(Subject.Now);
+    if (load.Requests >= it->Described.Slots)
+      cost += BeyondBatchSeconds;
+    cost += penalty(Number, *it);
+    if (cost >= lowest)
+      continue;
+    lowest = cost;
+    best = Choice{};
+    best->Target = it;
+  }
+  return best;
+}
+
+auto Placement::copySource(Call const &Target, Server const &Engine,
+                           std::uint32_t Cached, Candidate &Into)
+    -> std::uint32_t {
+  for (auto n = Target.Prefixes.size(); n > 0; --n) {
+    auto const &prefix = Target.Prefixes[n - 1];
+    if (prefix.Tokens < Cached + SmallestCopyTokens)
+      return Cached;
+    auto const *latest = static_cast<Holder const *>(nullptr);
+    for (auto const &it : Subject.Prefixes.holders(prefix.Hash)) {
+      auto const *server = Subject.Servers.findKey(it.Server);
+      if (server == nullptr || server == &Engine || !server->isUsable() ||
+          server->Health.isEjected(Subject.Now))
+        continue;
+      if (latest == nullptr || it.LastUsed > latest->LastUsed)
+        latest = &it;
+    }
+    if (latest == nullptr)
+      continue;
+    Into.Details.CopyFrom =
+        Subject.Servers.findKey(latest->Server)->Described.Address;
+    return prefix.Tokens;
+  }
+  return Cached;
+}
+
+auto Placement::considerEngine(Call const &Target, Server &Engine,
+                               Service const &Offered) -> Candidate {
+  auto const &traits = *Offered.Engine;
+  auto candidate = Candidate{&Engine, 0, {}};
+  auto &details = candidate.Details;
+  details.Target = &Engine;
+  details.IsPrefill = Engine.Described.Stage == EngineStage::Prefill;
+  auto const &model = Subject.Speeds[Target.Service];
+  auto cached = Subject.Prefixes.cachedTokens(Target.Prefixes, Engine.Key);
+  auto known = cached;
+  if (traits.CanMoveCache)
+    known = copySource(Target, Engine, cached, candidate);
+  auto total = std::max(Target.Content->PromptTokens, known);
+  auto load = Engine.load();
+  details.PromptTokens = total - known;
+  details.TokensAhead = load.PromptTokens;
+  auto wait = model.readingTime(load.PromptTokens, details.IsPrefill);
+  auto reading = model.readingTime(details.PromptTokens, details.IsPrefill);
+  auto seconds = toSeconds(wait + reading);
+  if (known > cached)
+    seconds += moveSeconds(traits, known - cached);
+  if (details.IsPrefill)
+    seconds += HandoverSeconds + moveSeconds(traits, total);
+  seconds += BatchSecondsPerRequest * load.Requests;
+  if (load.Requests >= traits.Slots)
+    seconds += BeyondBatchSeconds;
+  seconds = (seconds + toSeconds(SpeedModel::BaseTime)) * Engine.Slowness;
+  details.Wait = scaled(wait, Engine.Slowness);
+  details.Forecast = fromSeconds(seconds);
+  candidate.Cost = seconds * (1 + FailureCost * Engine.FailureShare) *
+                   Engine.Health.slowStartFactor(Subject.Now);
+  return candidate;
+}
+
+auto Placement::chooseEngine(RequestNumber Number, Call const &Target)
+    -> std::optional<Choice> {
+  auto const &service = *Target.Configured->findService(Target.Service);
+  auto best = std::optional<Choice>{};
+  auto lowest = std::numeric_limits<double>::infinity();
+  for (auto *it : candidates(Target)) {
+    // A second reading counts as a retry, and a resumed stream has tokens that
+    // a prefill engine cannot make.
+    auto isPrefill = it->Described.Stage == EngineStage::Prefill;
+    if (isPrefill && (Target.PrefillsMade > 0 || Target.LastEvent > 0))
+      continue;
+    auto candidate = considerEngine(Target, *it, service);
+    auto cost = candidate.Cost + penalty(Number, *it);
+    if (cost >= lowest)
+      continue;
+    lowest = cost;
+    best = std::move(candidate.Details);
+  }
+  return best;
+}
+
+auto Placement::chooseForPrefilled(RequestNumber Number, Call const &Target,
+                                   std::string const &Source)
+    -> std::optional<Choice> {
+  auto const &service = *Target.Configured->findService(Target.Service);
+  auto const *source = Subject.Servers.find(Source);
+  auto best = std::optional<Choice>{};
+  auto lowest = std::numeric_limits<double>::infinity();
+  auto const &model = Subject.Speeds[Target.Service];
+  for (auto *it : candidates(Target)) {
+    if (it->Described.Stage == EngineStage::Prefill)
+      continue;
+    auto load = it->load();
+    auto seconds = BatchSecondsPerRequest * load.Requests +
+                   0.5 * toSeconds(model.readingTime(load.PromptTokens, false));
+    if (load.Requests >= service.Engine->Slots)
+      seconds += BeyondBatchSeconds;
+    seconds *= it->Slowness * (1 + FailureCost * it->FailureShare);
+    if (source != nullptr && it->Described.Domain != source->Described.Domain)
+      seconds += moveSeconds(*service.Engine, Target.Content->PromptTokens);
+    seconds += penalty(Number, *it);
+    if (seconds >= lowest)
+      continue;
+    lowest = seconds;
+    best = Choice{};
+    best->Target = it;
+    best->Forecast = fromSeconds(seconds) + SpeedModel::BaseTime;
+  }
+  return best;
+}
+
+} // namespace dotterel::relay
--- /dev/null
+++ b/Libraries/LibRelay/Placement.h
@@ -0,0 +1,70 @@
+/// \file
+/// Which server a request goes to. Answers load that is spread unevenly over
+/// prompts and servers: a prompt goes where its beginning is cached as long as
+/// the wait there is short, and else the cached part is copied along.
+#pragma once
+
+#include "LibRelay/State.h"
+
+#include <optional>
+
+namespace dotterel::relay {
+
+/// A server for a request, and what is expected of it.
+struct Choice {
+  Server *Target = nullptr;
+  /// The server reads the prompt only.
+  bool IsPrefill = false;
+  /// Address of the server whose cached parts are copied first.
+  std::string CopyFrom;
+  /// Prompt tokens to read, and those outstanding before them.
+  std::uint64_t PromptTokens = 0;
+  std::uint64_t TokensAhead = 0;
+  /// Time until the server turns to the request.
+  Duration Wait{};
+  /// Time until the first part of the answer.
+  Duration Forecast{};
+};
+
+/// Chooses servers from what this instance knows. Lives for one event.
+/// Thread safety: none.
+class Placement {
+public:
+  explicit Placement(State &Subject) : Subject(Subject) {}
+
+  /// Chooses a server for the next attempt of \p Target, or nothing if no
+  /// server of its service can take it.
+  [[nodiscard]] auto choose(RequestNumber Number, Call const &Target)
+      -> std::optional<Choice>;
+
+  /// Chooses the server that makes tokens from a prompt that \p Source read.
+  [[nodiscard]] auto chooseForPrefilled(RequestNumber Number,
+                                        Call const &Target,
+                                        std::string const &Source)
+      -> std::optional<Choice>;
+
+private:
+  struct Candidate {
+    Server *Target = nullptr;
+    double Cost = 0;
+    Choice Details;
+  };
+
+  [[nodiscard]] auto choosePlain(RequestNumber Number, Call const &Target)
+      -> std::optional<Choice>;
+  [[nodiscard]] auto chooseEngine(RequestNumber Number, Call const &Target)
+      -> std::optional<Choice>;
+  [[nodiscard]] auto considerEngine(Call const &Target, Server &Engine,
+                                    Service const &Offered) -> Candidate;
+  [[nodiscard]] auto copySource(Call const &Target, Server const &Engine,
+                                std::uint32_t Cached, Candidate &Into)
+      -> std::uint32_t;
+  [[nodiscard]] auto candidates(Call const &Target) const
+      -> std::vector<Server *>;
+  [[nodiscard]] auto penalty(RequestNumber Number, Server const &Target) const
+      -> double;
+
+  State &Subject; // NOLINT: lives for one event
+};
+
+} // namespace dotterel::relay
--- /dev/null
+++ b/Libraries/LibRelay/ServerTable.cpp
@@ -0,0 +1,128 @@
+#include "LibRelay/ServerTable.h"
+
+#include "LibCore/Hash.h"
+
+#include <algorithm>
+#include <set>
+
+namespace dotterel::relay {
+
+namespace {
+
+/// Weight of a new observation; about the last ten count.
+constexpr auto ObservationWeight = 0.1;
+/// Bounds on one observed ratio, so that one stall does not ban a server.
+constexpr auto SmallestRatio = 0.25;
+constexpr auto LargestRatio = 8.0;
+
+} // namespace
+
+auto ServerDescription::key() const -> ServerKey {
+  return static_cast<ServerKey>(hashText(Id, StartedAt));
+}
+
+auto ServerLoad::add(ServerLoad const &Other) -> void {
+  Requests += Other.Requests;
+  PromptTokens += Other.PromptTokens;
+}
+
+auto ServerLoad::subtract(ServerLoad const &Other) -> void {
+  Requests -= std::min(Requests, Other.Requests);
+  PromptTokens -= std::min(PromptTokens, Other.PromptTokens);
+}
+
+auto Server::load() const -> ServerLoad {
+  auto sum = Own;
+  sum.add(OfPeers);
+  return sum;
+}
+
+auto Server::observeDuration(Duration Taken, Duration Forecast) -> void {
+  auto ratio = std::clamp(toSeconds(Taken) / toSeconds(Forecast), SmallestRatio,
+                          LargestRatio);
+  Slowness += ObservationWeight * (ratio - Slowness);
+}
+
+auto Server::observeOutcome(bool HasFailed) -> void {
+  FailureShare += ObservationWeight * ((HasFailed ? 1.0 : 0.0) - FailureShare);
+}
+
+auto ServerTable::put(ServerDescription Described) -> bool {
+  auto it = ById.find(Described.Id);
+  if (it != ById.end()) {
+    auto &server = *it->second;
+    auto const &known = server.Described;
+    if (Described.Revision < known.Revision)
+      return false;
+    auto isSameRun = known.StartedAt == Described.StartedAt &&
+                     known.Service == Described.Service &&
+                     known.Address == Described.Address;
+    if (isSameRun) {
+      auto isChanged = known.IsDraining != Described.IsDraining ||
+                       known.Stage != Described.Stage;
+      server.Described = std::move(Described);
+      return isChanged;
+    }
+    unlink(server);
+    ById.erase(it);
+  }
+  auto id = Described.Id;
+  auto server = std::make_unique<Server>();
+  server->Key = Described.key();
+  server->Described = std::move(Described);
+  ByKey[server->Key] = server.get();
+  ByService[server->Described.Service].push_back(server.get());
+  ById.emplace(std::move(id), std::move(server));
+  return true;
+}
+
+auto ServerTable::unlink(Server const &Target) -> void {
+  ByKey.erase(Target.Key);
+  auto it = ByService.find(Target.Described.Service);
+  std::erase(it->second, &Target);
+  if (it->second.empty())
+    ByService.erase(it);
+}
+
+auto ServerTable::remove(std::string_view Id) -> std::string {
+  auto it = ById.find(Id);
+  if (it == ById.end())
+    return {};
+  auto address = it->second->Described.Address;
+  unlink(*it->second);
+  ById.erase(it);
+  return address;
+}
+
+auto ServerTable::missingFrom(std::span<ServerDescription const> Listed) const
+    -> std::vector<std::string> {
+  auto named = std::set<std::string_view>{};
+  for (auto const &it : Listed)
+    named.insert(it.Id);
+  auto missing = std::vector<std::string>{};
+  for (auto const &it : ById) {
+    if (!named.contains(it.first))
+      missing.push_back(it.first);
+  }
+  return missing;
+}
+
+auto ServerTable::find(std::string_view Id) -> Server * {
+  auto it = ById.find(Id);
+  return it == ById.end() ? nullptr : it->second.get();
+}
+
+auto ServerTable::findKey(ServerKey Key) -> Server * {
+  auto it = ByKey.find(Key);
+  return it == ByKey.end() ? nullptr : it->second;
+}
+
+auto ServerTable::ofService(std::string_view Service) const
+    -> std::span<Server *const> {
+  auto it = ByService.find(Service);
+  if (it == ByService.end())
+    return {};
+  return it->second;
+}
+
+} // namespace dotterel::relay
--- /dev/null
+++ b/Libraries/LibRelay/State.h
@@ -0,0 +1,127 @@
+/// \file
+/// Everything that a relaying instance knows. Changed by the reducer only.
+#pragma once
+
+#include "LibRelay/Event.h"
+#include "LibRelay/PrefixIndex.h"
+#include "LibRelay/RetryAllowance.h"
+#include "LibRelay/SpeedModel.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace dotterel::relay {
+
+/// Names one run of one instance.
+struct Identity {
+  std::string Instance;
+  std::uint64_t Incarnation = 0;
+  std::string Domain;
+  std::string CallerAddress;
+  std::string PeerAddress;
+  /// Part of the callers that it should get, against others.
+  double Weight = 1;
+};
+
+/// What settings say about decisions.
+struct Options {
+  RetryLimits Retries;
+  /// Time from the request to stop until the process is ended by force.
+  Duration LeaveBound = 8s;
+  /// Longest time that a steering answer may be kept.
+  Duration SteeringLifetime = 3s;
+};
+
+/// The current try to serve a request.
+struct Attempt {
+  std::uint32_t Number = 0;
+  std::string Server;
+  ServerKey Key = 0;
+  std::string Address;
+  /// Reads the prompt only; another attempt makes the tokens.
+  bool IsPrefill = false;
+  bool IsSent = false;
+  bool HasFirstPart = false;
+  /// Its prompt tokens count as outstanding at the server.
+  bool IsCounted = false;
+  Instant Started;
+  Instant SentAt;
+  Instant LastPart;
+  /// Prompt tokens that the server has to read for it, and those before it.
+  std::uint64_t PromptTokens = 0;
+  std::uint64_t TokensAhead = 0;
+  Duration Forecast{};
+  std::string PrefilledAt;
+  std::string PrefillHandle;
+  std::string CopyFrom;
+};
+
+/// A request that has not had its final answer.
+struct Call {
+  RequestPointer Content;
+  /// Keeps the route alive while a newer configuration is in force.
+  std::shared_ptr<Configuration const> Configured;
+  Route const *Matched = nullptr;
+  std::string Service;
+  std::vector<Prefix> Prefixes;
+  Instant Arrived;
+  Instant Deadline;
+  std::optional<Attempt> Current;
+  std::uint32_t AttemptsMade = 0;
+  /// Servers that it was sent to, refusals and prefill excluded.
+  std::uint32_t ServersUsed = 0;
+  std::uint32_t PrefillsMade = 0;
+  bool MayHaveRun = false;
+  bool HasHeader = false;
+  std::uint64_t LastEvent = 0;
+  std::set<std::string> Avoided;
+  /// The answer that a server gave to the last attempt, if a retry replaced
+  /// it; given to the caller if the retry cannot be made.
+  std::optional<ServerAnswer> Header;
+
+  /// Whether the request may run once more.
+  [[nodiscard]] auto mayRepeat() const -> bool {
+    return Matched->IsIdempotent || (Matched->IsStream && Matched->IsResumable);
+  }
+};
+
+/// Whether the platform's store answers.
+struct StoreState {
+  bool IsReachable = false;
+  Instant RegainedAt;
+};
+
+/// State of one instance.
+struct State {
+  Identity Self;
+  Options Given;
+  Instant Started;
+  Instant Now;
+  std::shared_ptr<Configuration const> Current;
+  ServerTable Servers;
+  bool HasServers = false;
+  /// Entries that vanished around an outage of the store, and since when.
+  std::map<std::string, Instant> Vanished;
+  StoreState Store;
+  PeerTable Peers;
+  std::optional<Instant> PeersListedAt;
+  std::uint64_t ReportsSent = 0;
+  Instant NextReport;
+  std::vector<PeerPrefixUse> NewPrefixUses;
+  PrefixIndex Prefixes;
+  std::map<std::string, SpeedModel> Speeds;
+  std::map<std::string, RetryAllowance> Retries;
+  std::unordered_map<RequestNumber, Call> Calls;
+  std::optional<Instant> LeavingSince;
+
+  [[nodiscard]] auto isReady() const -> bool {
+    return Current && HasServers && !LeavingSince;
+  }
+};
+
+} // namespace dotterel::relay
--- a/Programs/dotterelstream/Commands.h
+++ b/Programs/dotterelstream/Commands.h
@@ -13,6 +13,7 @@
 using Arguments = std::vector<std::string>;
 
 auto serveCommand(Arguments const &Given) -> void;
+auto relayCommand(Arguments const &Given) -> void;
 auto checkCommand(Arguments const &Given) -> void;
 auto getCommand(Arguments const &Given) -> void;
 auto applyCommand(Arguments const &Given) -> void;
--- a/Programs/dotterelstream/Main.cpp
+++ b/Programs/dotterelstream/Main.cpp
@@ -36,6 +36,7 @@
 
 constexpr auto Commands = std::to_array<Command>({
     {"serve", "run an instance", serveCommand},
+    {"relay", "run an instance on a platform", relayCommand},
     {"check", "validate settings or a configuration", checkCommand},
     {"get", "print the accepted configuration", getCommand},
     {"apply", "replace the configuration", applyCommand},
