--- a/Libraries/LibRelay/AttemptReducer.cpp
+++ b/Libraries/LibRelay/AttemptReducer.cpp
@@ -202,6 +202,14 @@
     return;
   server->observeOutcome(false);
   server->Health.recordSuccess();
+  log(LogLevel::Info, "first-part",
+      "id={} attempt={} server={} prefill={} prefilled={} copied={} tokens={} "
+      "tokens_ahead={} forecast_ms={} taken_ms={} slowness={:.2f}",
+      quoteLogValue(Target.Content->Id), attempt.Number, attempt.Server,
+      attempt.IsPrefill, !attempt.PrefillHandle.empty(),
+      !attempt.CopyFrom.empty(), attempt.PromptTokens, attempt.TokensAhead,
+      toMilliseconds(attempt.Forecast), toMilliseconds(taken),
+      server->Slowness);
   auto const &uses = Target.Prefixes;
   for (auto const &it : uses) {
     Subject.Prefixes.record(it.Hash, attempt.Key, now());
