--- a/Libraries/LibRelay/Placement.cpp
+++ b/Libraries/LibRelay/Placement.cpp
@@ -30,6 +30,14 @@
 constexpr auto CopySetupSeconds = 0.006;
 /// Shared beginnings below this are read again rather than copied.
 constexpr auto SmallestCopyTokens = std::uint32_t{500};
+/// Part of what a new entry displaces from an engine's cache that will be read
+/// again. Copies of the same beginning at many engines push each other out.
+constexpr auto DisplacedShare = 1.0;
+/// While an engine that makes tokens also reads a prompt, its streams pause.
+/// Reading for more than this part of the longest good pause makes them late.
+constexpr auto ReadingShareOfGap = 0.6;
+/// Cost of making the streams of an engine late, in seconds.
+constexpr auto LateStreamsSeconds = 0.4;
 /// Extra cost of a server whose requests all fail, as a factor.
 constexpr auto FailureCost = 8.0;
 /// Cost that keeps a server as a last resort, in seconds.
@@ -55,6 +63,12 @@
   return seconds;
 }
 
+/// Cost of keeping \p Tokens more at an engine, in seconds.
+auto displacementSeconds(SpeedModel const &Model, std::uint64_t Tokens)
+    -> double {
+  return DisplacedShare * toSeconds(Model.readingTime(Tokens, false));
+}
+
 } // namespace
 
 auto Placement::candidates(Call const &Target) const -> std::vector<Server *> {
@@ -168,6 +182,10 @@
   details.Forecast = fromSeconds(seconds);
   candidate.Cost = seconds * (1 + FailureCost * Engine.FailureShare) *
                    Engine.Health.slowStartFactor(Subject.Now);
+  candidate.Cost += displacementSeconds(model, total - cached);
+  auto longestReading = scaled(Target.Matched->LongestGap, ReadingShareOfGap);
+  if (!details.IsPrefill && load.Requests > 0 && wait + reading > longestReading)
+    candidate.Cost += LateStreamsSeconds;
   return candidate;
 }
 
@@ -209,12 +227,16 @@
     if (load.Requests >= service.Engine->Slots)
       seconds += BeyondBatchSeconds;
     seconds *= it->Slowness * (1 + FailureCost * it->FailureShare);
+    auto total = Target.Content->PromptTokens;
+    auto cached = Subject.Prefixes.cachedTokens(Target.Prefixes, it->Key);
+    auto cost = seconds +
+                displacementSeconds(model, total - std::min(total, cached));
     if (source != nullptr && it->Described.Domain != source->Described.Domain)
-      seconds += moveSeconds(*service.Engine, Target.Content->PromptTokens);
-    seconds += penalty(Number, *it);
-    if (seconds >= lowest)
+      cost += moveSeconds(*service.Engine, Target.Content->PromptTokens);
+    cost += penalty(Number, *it);
+    if (cost >= lowest)
       continue;
-    lowest = seconds;
+    lowest = cost;
     best = Choice{};
     best->Target = it;
     best->Forecast = fromSeconds(seconds) + SpeedModel::BaseTime;
