--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -57,6 +57,8 @@
       Servers.run(What);
     else if constexpr (requires { Measured.run(What); })
       Measured.run(What);
+    else if constexpr (requires { Store.run(What); })
+      Store.run(What);
     else
       Peers.run(What);
   }
--- a/Libraries/LibGateway/ServerClient.cpp
+++ b/Libraries/LibGateway/ServerClient.cpp
@@ -1,5 +1,6 @@
 #include "LibGateway/ServerClient.h"
 
+#include "LibCore/BootClock.h"
 #include "LibCore/Log.h"
 #include "platform/Headers.h"
 
@@ -24,6 +25,9 @@
 constexpr auto IdleMargin = Duration{700ms};
 constexpr auto DefaultIdle = Duration{4s};
 constexpr auto StreamStatus = 200U;
+constexpr auto OrderAccepted = 202U;
+/// Servers answer orders and reports within milliseconds.
+constexpr auto OrderTimeout = Duration{500ms};
 
 /// Reads "timeout=SECONDS" of a Keep-Alive header.
 auto keepAliveOf(HttpConnection const &From) -> Duration {
@@ -228,6 +232,39 @@
           {{"address", What.Address}, {"handle", What.Handle}});
   }
 
+  auto sendOrder(relay::SendOrder What) -> Awaitable<void> {
+    auto answered = relay::OrderAnswered{What.Server};
+    auto report = co_await exchange(
+        What.Address, platform::reportRequest(What.Server), OrderTimeout);
+    auto state = report.Reply && report.Reply->Status == StreamStatus
+                     ? platform::readOrderState(report.Reply->Body)
+                     : std::nullopt;
+    if (!state || state->IsBusy)
+      co_return Owner.feed(std::move(answered));
+    if (state->Stage == What.Stage) {
+      answered.Result = relay::OrderResult::Accepted;
+      co_return Owner.feed(std::move(answered));
+    }
+    auto connection = HttpConnection(Context.get_executor());
+    auto isConnected =
+        co_await connection.connect(What.Address, ConnectTimeout);
+    // The last check before the order leaves; the machine may have been
+    // suspended, or the server slow.
+    if (!isConnected || bootTime() >= What.ValidUntil)
+      co_return Owner.feed(std::move(answered));
+    auto body = std::string{};
+    auto request = platform::orderRequest(What, state->Accepted, body);
+    answered.Result = relay::OrderResult::Unknown;
+    if (co_await connection.send(request, OrderTimeout))
+      answered.Status = co_await connection.readHeader(OrderTimeout);
+    if (answered.Status == StreamStatus || answered.Status == OrderAccepted)
+      answered.Result = relay::OrderResult::Accepted;
+    else if (answered.Status != 0)
+      answered.Result = relay::OrderResult::Refused;
+    connection.close();
+    Owner.feed(std::move(answered));
+  }
+
   asio::io_context &Context; // NOLINT: outlives the client
   RelayLoop &Owner;          // NOLINT
   std::map<AttemptName, RunningPointer> Attempts;
@@ -274,6 +311,11 @@
             [self = Self.get(), What] { return self->freeHandle(What); });
 }
 
+auto ServerClient::run(relay::SendOrder const &What) -> void {
+  spawnTask(Self->Context,
+            [self = Self.get(), What] { return self->sendOrder(What); });
+}
+
 auto ServerClient::run(relay::CloseIdleConnections const &What) -> void {
   Self->Pools.erase(What.Address);
 }
--- a/Libraries/LibGateway/ServerClient.h
+++ b/Libraries/LibGateway/ServerClient.h
@@ -26,6 +26,7 @@
   auto run(relay::SendAttempt &What) -> void;
   auto run(relay::CancelAttempt const &What) -> void;
   auto run(relay::FreeHandle const &What) -> void;
+  auto run(relay::SendOrder const &What) -> void;
   auto run(relay::CloseIdleConnections const &What) -> void;
 
   /// Closes connections that servers are about to close.
--- a/Libraries/LibGateway/StoreFollower.cpp
+++ b/Libraries/LibGateway/StoreFollower.cpp
@@ -1,5 +1,6 @@
 #include "LibGateway/StoreFollower.h"
 
+#include "LibCore/BootClock.h"
 #include "LibCore/Log.h"
 #include "platform/Store.h"
 
@@ -272,7 +273,46 @@
     }
   }
 
+  auto readAuthority() -> Awaitable<void> {
+    auto path = platform::objectPath(platform::AuthorityKind,
+                                     platform::AuthorityName);
+    auto request = HttpRequest{"GET", std::move(path), "", {}, ""};
+    auto line = Line{};
+    auto reply = co_await call(line, request, CallTimeout);
+    if (reply && reply->Status == StatusNotFound)
+      co_return Owner.feed(relay::AuthorityRead{true, 0, ""});
+    auto read = relay::AuthorityRead{};
+    if (reply && reply->Status == StatusOk)
+      read = platform::readAuthority(reply->Body);
+    Owner.feed(std::move(read));
+  }
+
+  auto writeAuthority(relay::WriteAuthority What) -> Awaitable<void> {
+    auto isNew = What.ExpectedRevision == 0;
+    auto body =
+        platform::writeAuthority(What.Holder, What.ExpectedRevision);
+    auto request = HttpRequest{
+        isNew ? "POST" : "PUT",
+        isNew ? platform::listPath(platform::AuthorityKind, "")
+              : platform::objectPath(platform::AuthorityKind,
+                                     platform::AuthorityName),
+        "application/json", {}, body};
+    auto line = Line{};
+    auto validUntil = bootTime() + AuthorityValidity;
+    auto reply = co_await call(line, request, CallTimeout);
+    auto status = reply ? reply->Status : 0;
+    auto written = relay::AuthorityWritten{};
+    if (status == StatusOk || status == StatusCreated) {
+      auto read = platform::readAuthority(reply->Body);
+      written = {read.IsRead, read.Revision, validUntil};
+    }
+    Owner.feed(written);
+  }
+
   static constexpr auto StatusGone = 410U;
+  static constexpr auto StatusNotFound = 404U;
+  /// Orders follow a write within this time, counted from before it was sent.
+  static constexpr auto AuthorityValidity = Duration{1s};
 
   asio::io_context &Context; // NOLINT: outlives the follower
   std::string Address;
@@ -294,4 +334,13 @@
   spawnTask(Self->Context, [self = Self] { return self->followPeers(); });
 }
 
+auto StoreFollower::run(relay::ReadAuthority const & /*What*/) -> void {
+  spawnTask(Self->Context, [self = Self] { return self->readAuthority(); });
+}
+
+auto StoreFollower::run(relay::WriteAuthority const &What) -> void {
+  spawnTask(Self->Context,
+            [self = Self, What] { return self->writeAuthority(What); });
+}
+
 } // namespace dotterel
--- a/Libraries/LibGateway/StoreFollower.h
+++ b/Libraries/LibGateway/StoreFollower.h
@@ -24,6 +24,9 @@
   /// Starts to follow. Runs until the context stops.
   auto start() -> void;
 
+  auto run(relay::ReadAuthority const &What) -> void;
+  auto run(relay::WriteAuthority const &What) -> void;
+
 private:
   struct Implementation;
   std::shared_ptr<Implementation> Self;
--- a/Libraries/LibRelay/AttemptReducer.cpp
+++ b/Libraries/LibRelay/AttemptReducer.cpp
@@ -40,7 +40,7 @@
   auto &attempt = *call->Current;
   auto const *server = serverOf(*call);
   // The server may have begun to leave while the connection was made.
-  if (server == nullptr || !server->isUsable()) {
+  if (server == nullptr || !server->isUsable(now())) {
     emit(CancelAttempt{Happened.Attempt});
     if (!retry(Happened.Attempt.Request, ResultCode::NoBackendAvailable, false))
       RequestReducer(Subject, Out)
--- a/Libraries/LibRelay/Configuration.h
+++ b/Libraries/LibRelay/Configuration.h
@@ -89,6 +89,11 @@
     return Routes;
   }
 
+  [[nodiscard]] auto services() const
+      -> std::map<std::string, Service, std::less<>> const & {
+    return Services;
+  }
+
   /// Returns the route of \p Host with the longest prefix that begins
   /// \p Path, or null. \p Path has no query.
   [[nodiscard]] auto findRoute(std::string_view Host,
--- /dev/null
+++ b/Libraries/LibRelay/DemandMeter.cpp
@@ -0,0 +1,41 @@
+#include "LibRelay/DemandMeter.h"
+
+#include <algorithm>
+
+namespace dotterel::relay {
+
+auto EngineDemand::add(EngineDemand const &Other) -> void {
+  OwnTokens += Other.OwnTokens;
+  PromptTokens += Other.PromptTokens;
+}
+
+auto DemandMeter::numberAt(Instant Now) -> std::int64_t {
+  return Now.time_since_epoch() / BucketSpan;
+}
+
+auto DemandMeter::record(EngineDemand const &Work, Instant Now) -> void {
+  auto number = numberAt(Now);
+  if (First < 0)
+    First = number;
+  auto &bucket = Buckets[static_cast<std::size_t>(number) % BucketCount];
+  if (bucket.Number != number)
+    bucket = {number, {}};
+  bucket.Sum.add(Work);
+}
+
+auto DemandMeter::perSecond(Instant Now) const -> EngineDemand {
+  auto number = numberAt(Now);
+  if (First < 0)
+    return {};
+  auto sum = EngineDemand{};
+  for (auto const &it : Buckets) {
+    if (it.Number > number - static_cast<std::int64_t>(BucketCount))
+      sum.add(it.Sum);
+  }
+  auto buckets = std::clamp<std::int64_t>(
+      number - First + 1, 1, static_cast<std::int64_t>(BucketCount));
+  auto seconds = toSeconds(BucketSpan * buckets);
+  return {sum.OwnTokens / seconds, sum.PromptTokens / seconds};
+}
+
+} // namespace dotterel::relay
--- a/Libraries/LibRelay/Effect.h
+++ b/Libraries/LibRelay/Effect.h
@@ -103,6 +103,27 @@
   PeerReport Message;
 };
 
+/// Reads the object that allows to give orders.
+struct ReadAuthority {};
+
+/// Writes it if its revision is ExpectedRevision; zero means that it must not
+/// exist.
+struct WriteAuthority {
+  std::uint64_t ExpectedRevision = 0;
+  std::string Holder;
+};
+
+/// Orders a server to change its stage, unless the time is past ValidUntil.
+struct SendOrder {
+  std::string Server;
+  std::string Address;
+  EngineStage Stage = EngineStage::Any;
+  std::string Holder;
+  std::uint64_t Fence = 0;
+  /// Boot time.
+  Duration ValidUntil{};
+};
+
 struct WriteLog {
   LogLevel Level = LogLevel::Info;
   std::string Event;
@@ -139,7 +160,8 @@
     std::variant<ConnectAttempt, SendAttempt, CancelAttempt, FreeHandle,
                  ForwardAnswer, BeginStream, ForwardBytes, EndStream,
                  AbortStream, Refuse, CloseIdleConnections, AnswerSteering,
-                 SendPeerReport, WriteLog, CountOne, ObserveDuration,
+                 SendPeerReport, ReadAuthority, WriteAuthority, SendOrder,
+                 WriteLog, CountOne, ObserveDuration,
                  StopProcess>;
 
 using Effects = std::vector<Effect>;
--- a/Libraries/LibRelay/Event.h
+++ b/Libraries/LibRelay/Event.h
@@ -122,6 +122,37 @@
   PeerReport Message;
 };
 
+/// The object that allows to give orders, as read; an empty holder means that
+/// it does not exist.
+struct AuthorityRead {
+  bool IsRead = false;
+  std::uint64_t Revision = 0;
+  std::string Holder;
+};
+
+struct AuthorityWritten {
+  /// The write is known to have taken effect.
+  bool IsDone = false;
+  std::uint64_t Revision = 0;
+  /// Boot time until which orders may follow the write.
+  Duration ValidUntil{};
+};
+
+enum class OrderResult : std::uint8_t {
+  /// Accepted, or what it asks for holds already.
+  Accepted,
+  Refused,
+  /// Sent without an answer; it may be carried out later.
+  Unknown,
+  NotSent,
+};
+
+struct OrderAnswered {
+  std::string Server;
+  OrderResult Result = OrderResult::NotSent;
+  unsigned Status = 0;
+};
+
 /// A caller asked which instances to use.
 struct SteeringRequested {
   RequestNumber Number = 0;
@@ -139,7 +170,8 @@
                  AttemptStreamBegan, AttemptStreamed, AttemptStreamEnded,
                  AttemptBroken, ConfigurationReceived, ServersListed,
                  ServerChanged, ServerRemoved, StoreReachable, PeersListed,
-                 PeerReported, SteeringRequested, LeaveRequested, Tick>;
+                 PeerReported, AuthorityRead, AuthorityWritten, OrderAnswered,
+                 SteeringRequested, LeaveRequested, Tick>;
 
 /// An event and the time at which it was seen. Times never fall.
 struct Event {
--- a/Libraries/LibRelay/FleetReducer.cpp
+++ b/Libraries/LibRelay/FleetReducer.cpp
@@ -26,6 +26,9 @@
 constexpr auto LeaveAtEarliest = Duration{2500ms};
 /// Time before the bound at which the last answers are given.
 constexpr auto LeaveMargin = Duration{700ms};
+/// A server that a peer has announced to change is avoided until it is not in
+/// the peer's reports for some of them.
+constexpr auto AvoidChangingServer = Duration{700ms};
 /// Prefixes in one report: a datagram should not be cut up on the way.
 constexpr auto MaximumPrefixesInReport = std::size_t{60};
 
@@ -137,6 +140,10 @@
     return;
   for (auto const &it : message.Prefixes)
     Subject.Prefixes.record(it.Hash, it.Server, now());
+  for (auto key : message.Changing) {
+    if (auto *server = Subject.Servers.findKey(key))
+      server->ChangingUntil = now() + AvoidChangingServer;
+  }
 }
 
 auto FleetReducer::on(SteeringRequested const &Happened) -> void {
@@ -204,6 +211,14 @@
   message.Prefixes.assign(uses.end() - static_cast<std::ptrdiff_t>(count),
                           uses.end());
   uses.clear();
+  for (auto const &it : Subject.Roles.Demand)
+    message.Demands.push_back(
+        {hashText(it.first), it.second.Meter.perSecond(now())});
+  for (auto const &it : Subject.Roles.Orders) {
+    auto const *server = Subject.Servers.find(it.first);
+    if (server != nullptr && now() < server->ChangingUntil)
+      message.Changing.push_back(server->Key);
+  }
   emit(SendPeerReport{Subject.Peers.recipients(now()), std::move(message)});
 }
 
--- a/Libraries/LibRelay/Peers.cpp
+++ b/Libraries/LibRelay/Peers.cpp
@@ -1,6 +1,9 @@
 #include "LibRelay/Peers.h"
 
+#include "LibCore/Hash.h"
+
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace dotterel::relay {
@@ -39,6 +42,25 @@
   return prefixes;
 }
 
+auto encodeDemands(PeerReport const &Message) -> json {
+  auto demands = json::array();
+  for (auto const &it : Message.Demands) {
+    demands.push_back(it.Service);
+    demands.push_back(std::llround(it.PerSecond.OwnTokens));
+    demands.push_back(std::llround(it.PerSecond.PromptTokens));
+  }
+  return demands;
+}
+
+auto decodeDemands(json const &From, PeerReport &Into) -> void {
+  for (auto n = std::size_t{0}; n + 2 < From.size(); n += 3)
+    Into.Demands.push_back({From[n].get<std::uint64_t>(),
+                            {From[n + 1].get<double>(),
+                             From[n + 2].get<double>()}});
+}
+
+constexpr auto ReportFields = std::size_t{12};
+
 } // namespace
 
 auto encodePeerReport(PeerReport const &Message) -> std::string {
@@ -46,7 +68,8 @@
       json::array({Message.Instance, Message.Incarnation, Message.Number,
                    Message.CallerAddress, Message.PeerAddress, Message.IsReady,
                    Message.IsLeaving, Message.Weight, encodeLoads(Message),
-                   encodePrefixes(Message)});
+                   encodePrefixes(Message), encodeDemands(Message),
+                   Message.Changing});
   auto bytes = std::string{};
   json::to_cbor(document, bytes);
   return bytes;
@@ -54,7 +77,7 @@
 
 auto decodePeerReport(std::string_view Bytes) -> std::optional<PeerReport> {
   auto document = json::from_cbor(Bytes, true, false);
-  if (!document.is_array() || document.size() != 10)
+  if (!document.is_array() || document.size() != ReportFields)
     return std::nullopt;
   try {
     auto message = PeerReport{};
@@ -75,6 +98,8 @@
     for (auto n = std::size_t{0}; n + 1 < prefixes.size(); n += 2)
       message.Prefixes.push_back({prefixes[n].get<std::uint64_t>(),
                                   prefixes[n + 1].get<ServerKey>()});
+    decodeDemands(document[10], message);
+    message.Changing = document[11].get<std::vector<ServerKey>>();
     return message;
   } catch (json::exception const &) {
     // Not a report; the caller counts and logs it.
@@ -140,6 +165,21 @@
   }
 }
 
+auto PeerTable::demandOf(std::string_view Service, Instant Now) const
+    -> EngineDemand {
+  auto sum = EngineDemand{};
+  auto hash = hashText(Service);
+  for (auto const &peer : Known) {
+    if (!isAlive(peer.second, Now))
+      continue;
+    for (auto const &it : peer.second.Last->Demands) {
+      if (it.Service == hash)
+        sum.add(it.PerSecond);
+    }
+  }
+  return sum;
+}
+
 auto PeerTable::recipients(Instant Now) -> std::vector<std::string> {
   auto addresses = std::vector<std::string>{};
   for (auto &it : Known) {
--- a/Libraries/LibRelay/Peers.h
+++ b/Libraries/LibRelay/Peers.h
@@ -3,6 +3,7 @@
 /// that they live, whether they take callers, and what they sent where.
 #pragma once
 
+#include "LibRelay/DemandMeter.h"
 #include "LibRelay/ServerTable.h"
 
 #include <map>
@@ -26,6 +27,13 @@
   ServerKey Server = 0;
 };
 
+/// Demand on one service, as one instance sees it.
+struct PeerDemand {
+  /// Hash of the service's name.
+  std::uint64_t Service = 0;
+  EngineDemand PerSecond;
+};
+
 /// One datagram.
 struct PeerReport {
   std::string Instance;
@@ -41,6 +49,9 @@
   double Weight = 1;
   std::vector<PeerServerLoad> Loads;
   std::vector<PeerPrefixUse> Prefixes;
+  std::vector<PeerDemand> Demands;
+  /// Servers that are about to change their stage.
+  std::vector<ServerKey> Changing;
 };
 
 [[nodiscard]] auto encodePeerReport(PeerReport const &Message) -> std::string;
@@ -79,6 +90,10 @@
   /// Adds the loads of all live peers to a server that was just put.
   auto restoreLoads(Server &Target) const -> void;
 
+  /// Returns the demand on a service that all live peers see.
+  [[nodiscard]] auto demandOf(std::string_view Service, Instant Now) const
+      -> EngineDemand;
+
   /// Returns the addresses to send the next report to. Peers that have not
   /// been heard are tried less often.
   [[nodiscard]] auto recipients(Instant Now) -> std::vector<std::string>;
--- a/Libraries/LibRelay/Placement.cpp
+++ b/Libraries/LibRelay/Placement.cpp
@@ -75,7 +75,7 @@
   auto usable = std::vector<Server *>{};
   auto untried = std::vector<Server *>{};
   for (auto *it : Subject.Servers.ofService(Target.Service)) {
-    if (!it->isUsable())
+    if (!it->isUsable(Subject.Now))
       continue;
     usable.push_back(it);
     if (!Target.Avoided.contains(it->Described.Id))
@@ -136,7 +136,7 @@
     auto const *latest = static_cast<Holder const *>(nullptr);
     for (auto const &it : Subject.Prefixes.holders(prefix.Hash)) {
       auto const *server = Subject.Servers.findKey(it.Server);
-      if (server == nullptr || server == &Engine || !server->isUsable() ||
+      if (server == nullptr || server == &Engine || !server->isUsable(Subject.Now) ||
           server->Health.isEjected(Subject.Now))
         continue;
       if (latest == nullptr || it.LastUsed > latest->LastUsed)
--- a/Libraries/LibRelay/Reducer.cpp
+++ b/Libraries/LibRelay/Reducer.cpp
@@ -4,6 +4,7 @@
 #include "LibRelay/AttemptReducer.h"
 #include "LibRelay/FleetReducer.h"
 #include "LibRelay/RequestReducer.h"
+#include "LibRelay/RoleReducer.h"
 
 namespace dotterel::relay {
 
@@ -19,8 +20,8 @@
 auto reduce(State &Subject, Event const &Happened) -> Effects {
   auto effects = Effects{};
   Subject.Now = Happened.At;
-  std::visit(Dispatcher<State, Effects, FleetReducer, AttemptReducer,
-                        RequestReducer>(Subject, effects),
+  std::visit(Dispatcher<State, Effects, FleetReducer, RoleReducer,
+                        AttemptReducer, RequestReducer>(Subject, effects),
              Happened.Body);
   return effects;
 }
--- a/Libraries/LibRelay/RequestReducer.cpp
+++ b/Libraries/LibRelay/RequestReducer.cpp
@@ -79,9 +79,24 @@
   call.Deadline = now() + span;
   call.LastEvent = content.LastEvent;
   Subject.Retries[call.Service].deposit(Subject.Given.Retries);
+  recordDemand(call);
   place(number, ResultCode::NoBackendAvailable);
 }
 
+auto RequestReducer::recordDemand(Call const &Target) -> void {
+  auto const *service = Target.Configured->findService(Target.Service);
+  if (service == nullptr || !service->Engine)
+    return;
+  auto &demand = Subject.Roles.Demand[Target.Service];
+  if (demand.Since == Instant{})
+    demand.Since = now();
+  auto shared = Target.Prefixes.empty() ? 0 : Target.Prefixes.back().Tokens;
+  auto total = std::max(Target.Content->PromptTokens, shared);
+  demand.Meter.record({static_cast<double>(total - shared),
+                       static_cast<double>(total)},
+                      now());
+}
+
 auto RequestReducer::place(RequestNumber Number, ResultCode Failure) -> void {
   auto &call = *find(Number);
   auto isFirst = call.AttemptsMade == 0;
--- a/Libraries/LibRelay/RequestReducer.h
+++ b/Libraries/LibRelay/RequestReducer.h
@@ -38,6 +38,7 @@
   auto finish(RequestNumber Number, ResultCode Code, unsigned Status) -> void;
 
 private:
+  auto recordDemand(Call const &Target) -> void;
   auto start(RequestNumber Number, Call &Target, Choice const &Chosen,
              Attempt Next) -> void;
   auto checkTimes(RequestNumber Number, Call &Target) -> void;
--- a/Libraries/LibRelay/ServerTable.h
+++ b/Libraries/LibRelay/ServerTable.h
@@ -67,6 +67,8 @@
   ServerLoad OfPeers;
   /// The server said that it was full; traffic avoids it until then.
   Instant FullUntil;
+  /// The server is about to change its stage; traffic avoids it until then.
+  Instant ChangingUntil;
   /// Another server answered at the address, so the entry is out of date.
   bool IsMisplaced = false;
   /// Ratio of the time that requests took to what was forecast.
@@ -75,8 +77,8 @@
   double FailureShare = 0;
 
   [[nodiscard]] auto load() const -> ServerLoad;
-  [[nodiscard]] auto isUsable() const -> bool {
-    return !Described.IsDraining && !IsMisplaced;
+  [[nodiscard]] auto isUsable(Instant Now) const -> bool {
+    return !Described.IsDraining && !IsMisplaced && Now >= ChangingUntil;
   }
   /// Records how long a request took against its forecast.
   /// Precondition: \p Forecast is positive.
--- a/Libraries/LibRelay/SpeedModel.h
+++ b/Libraries/LibRelay/SpeedModel.h
@@ -22,6 +22,10 @@
   auto observe(std::uint64_t Tokens, bool IsPrefillOnly, Duration Taken)
       -> void;
 
+  /// Returns the tokens per second that an engine reads whose stage is prefill
+  /// alone.
+  [[nodiscard]] auto prefillRate() const -> double { return PrefillRate; }
+
   /// Time of a request whose prompt is cached, with an idle engine.
   static constexpr auto BaseTime = Duration{25ms};
 
--- a/Libraries/LibRelay/State.h
+++ b/Libraries/LibRelay/State.h
@@ -2,6 +2,7 @@
 /// Everything that a relaying instance knows. Changed by the reducer only.
 #pragma once
 
+#include "LibRelay/DemandMeter.h"
 #include "LibRelay/Event.h"
 #include "LibRelay/PrefixIndex.h"
 #include "LibRelay/RetryAllowance.h"
@@ -96,6 +97,41 @@
   Instant RegainedAt;
 };
 
+/// What is known of the object that allows to give orders.
+struct Authority {
+  bool IsKnown = false;
+  /// A read or write is under way.
+  bool IsPending = false;
+  std::uint64_t Revision = 0;
+  std::string Holder;
+  Instant UnchangedSince;
+  Instant NextRead;
+};
+
+/// An order that was planned or given and is not seen carried out.
+struct StageOrder {
+  EngineStage Stage = EngineStage::Any;
+  Instant Until;
+  bool IsSent = false;
+};
+
+/// Demand that this instance sees on one service.
+struct ServiceDemand {
+  DemandMeter Meter;
+  Instant Since;
+};
+
+/// Who may order engines to change, and what has been ordered.
+struct RoleState {
+  Authority Authority;
+  /// Orders by server.
+  std::map<std::string, StageOrder> Orders;
+  std::map<std::string, ServiceDemand, std::less<>> Demand;
+  Instant NextPlan;
+  Instant LastBatch;
+  std::optional<Instant> WriteAt;
+};
+
 /// State of one instance.
 struct State {
   Identity Self;
@@ -117,6 +153,7 @@
   std::map<std::string, SpeedModel> Speeds;
   std::map<std::string, RetryAllowance> Retries;
   std::unordered_map<RequestNumber, Call> Calls;
+  RoleState Roles;
   std::optional<Instant> LeavingSince;
 
   [[nodiscard]] auto isReady() const -> bool {
