--- a/Libraries/LibConfiguration/FieldReader.cpp
+++ b/Libraries/LibConfiguration/FieldReader.cpp
@@ -13,6 +13,8 @@
 auto describeAllowed(nlohmann::json const &Field) -> std::string {
   if (Field.contains("enum"))
     return fmt::format("one of {}", Field.at("enum").dump());
+  if (Field.at("type") == "boolean")
+    return "true or false";
   if (Field.contains("minimum"))
     return fmt::format("{} from {} to {}", Field.at("type").get<std::string>(),
                        Field.at("minimum").dump(), Field.at("maximum").dump());
--- a/Libraries/LibGateway/GatewaySettings.cpp
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -43,6 +43,10 @@
       "default": 100, "description": "Further retries of all instances together in one window."},
     "retryWindowSeconds": {"type": "number", "minimum": 0.1, "maximum": 3600,
       "default": 10, "description": "Length of that window, in s."},
+    "firstStart": {"type": "boolean", "default": false,
+      "description": "The whole system starts for the first time, before any traffic."},
+    "prefillShare": {"type": "number", "minimum": 0, "maximum": 1,
+      "default": 0.6, "description": "Part of a service's engines that read prompts until traffic shows what is needed."},
     "leaveBoundSeconds": {"type": "number", "minimum": 0.5, "maximum": 600,
       "default": 8, "description": "Time from SIGTERM to the end of the process, in s."},
     "steeringLifetimeSeconds": {"type": "number", "minimum": 0.1, "maximum": 600,
@@ -60,6 +64,8 @@
   options.Retries.Slack = Reader.read<double>("retrySlack");
   options.Retries.Window =
       fromSeconds(Reader.read<double>("retryWindowSeconds"));
+  options.IsFirstStart = Reader.read<bool>("firstStart");
+  options.PrefillShare = Reader.read<double>("prefillShare");
   options.LeaveBound = fromSeconds(Reader.read<double>("leaveBoundSeconds"));
   options.SteeringLifetime = fromSeconds(std::min(
       LongestSteering, Reader.read<double>("steeringLifetimeSeconds")));
--- a/Libraries/LibRelay/RolePlan.cpp
+++ b/Libraries/LibRelay/RolePlan.cpp
@@ -23,18 +23,35 @@
 constexpr auto SmallestCount = 2.0;
 /// Change of the number of engines that is worth an order, as a part of all
 /// and as a number.
-constexpr auto WorthShare = 0.1;
-constexpr auto WorthCount = 2.0;
+constexpr auto WorthShare = 0.2;
+constexpr auto WorthCount = 3.0;
 constexpr auto BitsPerByte = 8.0;
 constexpr auto MegabitBits = 1e6;
 
+auto total(EngineFleet const &Fleet) -> double {
+  return static_cast<double>(Fleet.Prefill + Fleet.Decode);
+}
+
+/// Keeps enough engines of both stages; the present number if there are too
+/// few engines to choose.
+auto bounded(EngineFleet const &Fleet, double Wanted) -> std::uint32_t {
+  auto floor = std::max(SmallestCount, std::ceil(SmallestShare * total(Fleet)));
+  if (total(Fleet) < 2 * floor)
+    return Fleet.Prefill;
+  return static_cast<std::uint32_t>(
+      std::clamp(std::round(Wanted), floor, total(Fleet) - floor));
+}
+
 } // namespace
 
+auto initialPrefillEngines(EngineFleet const &Fleet, double Share)
+    -> std::uint32_t {
+  return bounded(Fleet, Share * total(Fleet));
+}
+
 auto planPrefillEngines(EngineFleet const &Fleet, EngineDemand const &Demand,
                         EngineTraits const &Traits) -> std::uint32_t {
-  auto total = static_cast<double>(Fleet.Prefill + Fleet.Decode);
-  auto floor = std::max(SmallestCount, std::ceil(SmallestShare * total));
-  if (total < 2 * floor || Demand.PromptTokens <= 0)
+  if (Demand.PromptTokens <= 0)
     return Fleet.Prefill;
   auto prefill =
       Demand.OwnTokens * RereadFactor / (Fleet.PrefillRate * PrefillUse);
@@ -44,12 +61,13 @@
     decode = std::max(decode, bits / (Traits.LinkMegabitsPerSecond *
                                       MegabitBits * LinkUse));
   }
-  auto wanted = std::round(total * prefill / std::max(prefill + decode, 1e-9));
-  wanted = std::clamp(wanted, floor, total - floor);
-  auto change = std::abs(wanted - Fleet.Prefill);
-  if (change < std::max(WorthCount, WorthShare * total))
+  if (prefill + decode <= 0)
+    return Fleet.Prefill;
+  auto wanted = bounded(Fleet, total(Fleet) * prefill / (prefill + decode));
+  auto change = std::abs(static_cast<double>(wanted) - Fleet.Prefill);
+  if (change < std::max(WorthCount, WorthShare * total(Fleet)))
     return Fleet.Prefill;
-  return static_cast<std::uint32_t>(wanted);
+  return wanted;
 }
 
 } // namespace dotterel::relay
--- a/Libraries/LibRelay/RolePlan.h
+++ b/Libraries/LibRelay/RolePlan.h
@@ -21,6 +21,11 @@
   double PrefillRate = 1;
 };
 
+/// Returns how many engines should read prompts if nothing is known of the
+/// demand and \p Share of them should.
+[[nodiscard]] auto initialPrefillEngines(EngineFleet const &Fleet, double Share)
+    -> std::uint32_t;
+
 /// Returns how many engines should read prompts; the present number if a
 /// change would gain too little.
 [[nodiscard]] auto planPrefillEngines(EngineFleet const &Fleet,
--- a/Libraries/LibRelay/RoleReducer.cpp
+++ b/Libraries/LibRelay/RoleReducer.cpp
@@ -1,7 +1,5 @@
 #include "LibRelay/RoleReducer.h"
 
-#include "LibRelay/RolePlan.h"
-
 #include <algorithm>
 
 namespace dotterel::relay {
@@ -23,13 +21,19 @@
 constexpr auto LateOrderBound = Duration{15s};
 /// A refused order is tried again after this.
 constexpr auto RefusedOrderBound = Duration{5s};
-/// Traffic is observed this long before the first plan.
-constexpr auto ObserveFirst = Duration{1500ms};
+/// Traffic is observed this long before the first plan, longer than caches take
+/// to fill.
+constexpr auto ObserveFirst = Duration{8s};
+/// Demand must ask for a change this long: mixes swing within seconds, faster
+/// than a change pays back.
+constexpr auto WantedBefore = Duration{4s};
+/// Servers register within this time of the first start.
+constexpr auto ServersSettle = Duration{2500ms};
 /// Time between two batches of orders: an engine is back after some seconds,
 /// and caches take some more to fill.
 constexpr auto BatchInterval = Duration{5s};
-/// Part of the engines that may change at the same time.
-constexpr auto LargestBatch = 0.3;
+/// Part of the engines that may change at the same time under traffic.
+constexpr auto LargestBatch = 0.15;
 
 } // namespace
 
@@ -151,12 +155,6 @@
 
 auto RoleReducer::planService(Service const &Target) -> void {
   auto &roles = Subject.Roles;
-  auto meter = roles.Demand.find(Target.Name);
-  if (meter == roles.Demand.end() ||
-      now() - meter->second.Since < ObserveFirst)
-    return;
-  auto demand = meter->second.Meter.perSecond(now());
-  demand.add(Subject.Peers.demandOf(Target.Name, now()));
   auto fleet = EngineFleet{};
   fleet.PrefillRate = Subject.Speeds[Target.Name].prefillRate();
   auto byStage = std::map<EngineStage, std::vector<Server *>>{};
@@ -178,20 +176,16 @@
   }
   if (fleet.Prefill + fleet.Decode == 0)
     return;
-  auto wanted = planPrefillEngines(fleet, demand, *Target.Engine);
+  auto wanted = wantedPrefill(Target, fleet);
   if (wanted == fleet.Prefill)
     return;
-  log(LogLevel::Info, "role-plan",
-      "service={} prefill={} decode={} wanted_prefill={} own_tokens={:.0f} "
-      "prompt_tokens={:.0f} decode_requests={} prefill_rate={:.0f}",
-      quoteLogValue(Target.Name), fleet.Prefill, fleet.Decode, wanted,
-      demand.OwnTokens, demand.PromptTokens, fleet.DecodeRequests,
-      fleet.PrefillRate);
   auto toPrefill = wanted > fleet.Prefill;
   auto from = toPrefill ? EngineStage::Decode : EngineStage::Prefill;
   auto change = toPrefill ? wanted - fleet.Prefill : fleet.Prefill - wanted;
+  auto isIdle = !roles.Demand.contains(Target.Name);
+  auto share = isIdle ? 1 : LargestBatch;
   auto most = std::max(
-      1.0, LargestBatch * static_cast<double>(fleet.Prefill + fleet.Decode));
+      1.0, share * static_cast<double>(fleet.Prefill + fleet.Decode));
   auto &chosen = byStage[from];
   std::ranges::sort(chosen, {}, [](Server const *it) {
     return it->load().Requests;
@@ -202,6 +196,37 @@
   announce(chosen, toPrefill ? EngineStage::Prefill : EngineStage::Decode);
 }
 
+auto RoleReducer::wantedPrefill(Service const &Target, EngineFleet const &Fleet)
+    -> std::uint32_t {
+  auto &roles = Subject.Roles;
+  auto meter = roles.Demand.find(Target.Name);
+  if (meter == roles.Demand.end()) {
+    auto isFirst = Subject.Given.IsFirstStart &&
+                   now() - Subject.Started > ServersSettle;
+    return isFirst ? initialPrefillEngines(Fleet, Subject.Given.PrefillShare)
+                   : Fleet.Prefill;
+  }
+  if (now() - meter->second.Since < ObserveFirst)
+    return Fleet.Prefill;
+  auto demand = meter->second.Meter.perSecond(now());
+  demand.add(Subject.Peers.demandOf(Target.Name, now()));
+  auto wanted = planPrefillEngines(Fleet, demand, *Target.Engine);
+  if (wanted == Fleet.Prefill) {
+    roles.WantedSince.erase(Target.Name);
+    return wanted;
+  }
+  auto since = roles.WantedSince.try_emplace(Target.Name, now()).first->second;
+  if (now() - since < WantedBefore)
+    return Fleet.Prefill;
+  log(LogLevel::Info, "role-plan",
+      "service={} prefill={} decode={} wanted_prefill={} own_tokens={:.0f} "
+      "prompt_tokens={:.0f} decode_requests={} prefill_rate={:.0f}",
+      quoteLogValue(Target.Name), Fleet.Prefill, Fleet.Decode, wanted,
+      demand.OwnTokens, demand.PromptTokens, Fleet.DecodeRequests,
+      Fleet.PrefillRate);
+  return wanted;
+}
+
 auto RoleReducer::announce(std::vector<Server *> const &Chosen,
                            EngineStage Stage) -> void {
   auto &roles = Subject.Roles;
--- a/Libraries/LibRelay/RoleReducer.h
+++ b/Libraries/LibRelay/RoleReducer.h
@@ -7,6 +7,7 @@
 /// so that orders of two instances never take turns within a short time.
 #pragma once
 
+#include "LibRelay/RolePlan.h"
 #include "LibRelay/SubReducer.h"
 
 namespace dotterel::relay {
@@ -29,6 +30,9 @@
   auto expireOrders() -> void;
   auto plan() -> void;
   auto planService(Service const &Target) -> void;
+  [[nodiscard]] auto wantedPrefill(Service const &Target,
+                                   EngineFleet const &Fleet)
+      -> std::uint32_t;
   auto announce(std::vector<Server *> const &Chosen, EngineStage Stage) -> void;
   auto advance() -> void;
 };
--- a/Libraries/LibRelay/State.h
+++ b/Libraries/LibRelay/State.h
@@ -34,6 +34,11 @@
   RetryLimits Retries;
   /// Time from the request to stop until the process is ended by force.
   Duration LeaveBound = 8s;
+  /// The whole system starts for the first time, before any traffic.
+  bool IsFirstStart = false;
+  /// Part of a service's engines that read prompts until traffic shows what is
+  /// needed; applied at the first start.
+  double PrefillShare = 0.6;
   /// Longest time that a steering answer may be kept.
   Duration SteeringLifetime = 3s;
 };
@@ -130,6 +135,8 @@
   Instant NextPlan;
   Instant LastBatch;
   std::optional<Instant> WriteAt;
+  /// Services whose demand has asked for a change, and since when.
+  std::map<std::string, Instant> WantedSince;
 };
 
 /// State of one instance.
