--- a/Libraries/LibRelay/AttemptReducer.cpp
+++ b/Libraries/LibRelay/AttemptReducer.cpp
@@ -260,6 +260,11 @@
   auto number = Happened.Attempt.Request;
   if (!call->Current->HasFirstPart)
     observeFirstPart(*call);
+  if (!call->HasHeader)
+    call->FirstPart = now() - call->Arrived;
+  else
+    call->LongestPause =
+        std::max(call->LongestPause, now() - call->Current->LastPart);
   call->Current->LastPart = now();
   beginStream(number, *call);
   auto bytes = std::string{};
--- a/Libraries/LibRelay/RequestReducer.cpp
+++ b/Libraries/LibRelay/RequestReducer.cpp
@@ -207,11 +207,12 @@
   auto const *attempt = call.Current ? &*call.Current : nullptr;
   log(LogLevel::Info, "request-finished",
       "id={} code={} status={} route={} attempts={} server={} may_have_run={} "
-      "last_event={} ms={:.0f} left_ms={:.0f}",
+      "last_event={} first_ms={} pause_ms={} ms={:.0f} left_ms={:.0f}",
       quoteLogValue(call.Content->Id), describe(Code).Name, Status,
       call.Matched->Name, call.AttemptsMade,
       attempt == nullptr ? "-" : attempt->Server, call.MayHaveRun,
-      call.LastEvent, milliseconds(now() - call.Arrived),
+      call.LastEvent, toMilliseconds(call.FirstPart),
+      toMilliseconds(call.LongestPause), milliseconds(now() - call.Arrived),
       milliseconds(call.Deadline - now()));
   emit(CountOne{CountMetric::Answers, call.Matched->Name,
                 std::string(describe(Code).Name)});
--- a/Libraries/LibRelay/State.h
+++ b/Libraries/LibRelay/State.h
@@ -85,6 +85,9 @@
   bool MayHaveRun = false;
   bool HasHeader = false;
   std::uint64_t LastEvent = 0;
+  /// Time to the first part of the answer, and the longest pause after it.
+  Duration FirstPart{};
+  Duration LongestPause{};
   std::set<std::string> Avoided;
   /// The answer that a server gave to the last attempt, if a retry replaced
   /// it; given to the caller if the retry cannot be made.
