--- a/Libraries/LibGateway/GatewaySettings.cpp
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -46,7 +46,7 @@
     "firstStart": {"type": "boolean", "default": false,
       "description": "The whole system starts for the first time, before any traffic."},
     "prefillShare": {"type": "number", "minimum": 0, "maximum": 1,
-      "default": 0.6, "description": "Part of a service's engines that read prompts until traffic shows what is needed."},
+      "default": 0.65, "description": "Part of a service's engines that read prompts until traffic shows what is needed."},
     "leaveBoundSeconds": {"type": "number", "minimum": 0.5, "maximum": 600,
       "default": 8, "description": "Time from SIGTERM to the end of the process, in s."},
     "steeringLifetimeSeconds": {"type": "number", "minimum": 0.1, "maximum": 600,
--- a/Libraries/LibRelay/Placement.cpp
+++ b/Libraries/LibRelay/Placement.cpp
@@ -34,10 +34,12 @@
 /// again. Copies of the same beginning at many engines push each other out.
 constexpr auto DisplacedShare = 1.0;
 /// While an engine that makes tokens also reads a prompt, its streams pause.
-/// Reading for more than this part of the longest good pause makes them late.
-constexpr auto ReadingShareOfGap = 0.6;
-/// Cost of making the streams of an engine late, in seconds.
-constexpr auto LateStreamsSeconds = 0.4;
+/// One event of a stream holds several tokens, so pauses add up: reading for
+/// more than this part of the longest good pause makes events late.
+constexpr auto ReadingShareOfGap = 0.1;
+/// Cost of making the streams of an engine late, in seconds: prompts are read
+/// there only if all others make them wait about this long.
+constexpr auto LateStreamsSeconds = 1.0;
 /// Extra cost of a server whose requests all fail, as a factor.
 constexpr auto FailureCost = 8.0;
 /// Cost that keeps a server as a last resort, in seconds.
--- a/Libraries/LibRelay/State.h
+++ b/Libraries/LibRelay/State.h
@@ -38,7 +38,7 @@
   bool IsFirstStart = false;
   /// Part of a service's engines that read prompts until traffic shows what is
   /// needed; applied at the first start.
-  double PrefillShare = 0.6;
+  double PrefillShare = 0.65;
   /// Longest time that a steering answer may be kept.
   Duration SteeringLifetime = 3s;
 };
