LibRelay: Let two instances watch the store for all

Now two watch and pass changes of servers on in their reports; the others ask the store when a report was missed, when the configuration is newer, or when no watcher's answer is fresher than a second, so that a leaving server is known in time.

--- a/Libraries/LibGateway/StoreFollower.cpp
+++ b/Libraries/LibGateway/StoreFollower.cpp
@@ -18,12 +18,24 @@
 /// Time for the store's answer beyond what it was asked to wait; some hundred
 /// times its usual one, so that a slow store is still used.
 constexpr auto CallTimeout = Duration{1500ms};
+/// A watcher's answers must be fresh for those that rely on it.
+constexpr auto WatcherWait = std::chrono::milliseconds{400};
 /// A watch that is renewed this often shows a connection that went silent
 /// within the time in which a leaving server must be noticed.
-constexpr auto WatchWait = std::chrono::milliseconds{2000};
+constexpr auto DirectWait = std::chrono::milliseconds{1500};
+/// Changes that are known to exist are there at once.
+constexpr auto CatchUpWait = std::chrono::milliseconds{100};
+/// Time after which an instance that relies on watchers looks again whether it
+/// has to ask the store.
+constexpr auto RelyInterval = Duration{100ms};
+/// Changes of the configuration that follow each other faster are read
+/// together.
+constexpr auto CatchUpInterval = Duration{250ms};
 /// Pauses after a call that failed; the store refuses callers beyond its rate.
 constexpr auto ShortestPause = Duration{100ms};
 constexpr auto LongestPause = Duration{1s};
+/// Where watchers ask for all, the others need not ask as often.
+constexpr auto LongestPauseOfOthers = Duration{3s};
 /// Instances are listed again to find those whose reports were all lost.
 constexpr auto PeerListInterval = Duration{20s};
 constexpr auto StatusOk = 200U;
@@ -33,10 +45,10 @@
 /// Waits longer after each failure in a row.
 class Backoff {
 public:
-  auto next() -> Duration {
+  auto next(Duration Longest) -> Duration {
     auto spread = std::uniform_real_distribution<double>(0.5, 1.0);
     auto span = scaled(Current, spread(Random));
-    Current = std::min(2 * Current, LongestPause);
+    Current = std::min(2 * Current, Longest);
     return span;
   }
   auto reset() -> void { Current = ShortestPause; }
@@ -61,6 +73,10 @@
     std::function<void(std::vector<StoredObject> const &, std::uint64_t)>
         Listed;
     std::function<void(StoreChanges const &)> Changed;
+    /// Whether this instance has to ask the store.
+    std::function<bool(relay::Following const &)> IsNeeded;
+    /// Revision up to which the kind is known, also from other instances.
+    std::uint64_t relay::Following::*KnownAsOf;
   };
 
   /// Keeps one connection for one kind, and replaces it when it fails.
@@ -146,7 +162,7 @@
       auto objects = std::vector<StoredObject>{};
       auto asOf = co_await list(line, What.Kind, objects);
       if (!asOf) {
-        co_await pause(backoff.next());
+        co_await pause(backoff.next(longestPause()));
         continue;
       }
       What.Listed(objects, *asOf);
@@ -156,24 +172,45 @@
     }
   }
 
+  [[nodiscard]] auto following() const -> relay::Following const & {
+    return Owner.state().Following;
+  }
+
+  [[nodiscard]] auto longestPause() const -> Duration {
+    return following().IsWatcher ? LongestPause : LongestPauseOfOthers;
+  }
+
+  [[nodiscard]] auto watchWait() const -> std::chrono::milliseconds {
+    if (following().IsWatcher)
+      return WatcherWait;
+    return following().IsDirect ? DirectWait : CatchUpWait;
+  }
+
   /// Passes changes on until the history that is needed is gone.
   auto watch(Line &Over, Follower const &What, std::uint64_t AsOf,
              Backoff &Pauses) -> Awaitable<void> {
     while (true) {
-      auto reply = co_await get(
-          Over, platform::watchPath(What.Kind, AsOf, WatchWait), WatchWait);
+      while (!What.IsNeeded(following()))
+        co_await pause(RelyInterval);
+      auto wait = watchWait();
+      AsOf = std::max(AsOf, following().*What.KnownAsOf);
+      auto reply =
+          co_await get(Over, platform::watchPath(What.Kind, AsOf, wait), wait);
       if (reply && reply->Status == StatusGone)
         co_return;
       auto changes = reply && reply->Status == StatusOk
                          ? platform::readChanges(reply->Body)
                          : std::nullopt;
       if (!changes) {
-        co_await pause(Pauses.next());
+        co_await pause(Pauses.next(longestPause()));
         continue;
       }
       Pauses.reset();
       AsOf = std::max(AsOf, changes->AsOf);
+      changes->AsOf = AsOf;
       What.Changed(*changes);
+      if (!following().IsDirect)
+        co_await pause(CatchUpInterval);
     }
   }
 
@@ -181,15 +218,17 @@
     if (Object.Name != platform::ConfigurationName)
       return;
     if (auto content = platform::readConfiguration(Object))
-      Owner.feed(relay::ConfigurationReceived{std::move(content)});
+      Owner.feed(
+          relay::ConfigurationReceived{std::move(content), Object.Revision});
   }
 
   auto followConfiguration() -> Awaitable<void> {
     return follow(
         {platform::ConfigurationKind,
-         [this](std::vector<StoredObject> const &Objects, std::uint64_t) {
+         [this](std::vector<StoredObject> const &Objects, std::uint64_t AsOf) {
            for (auto const &it : Objects)
              takeConfiguration(it);
+           Owner.feed(relay::ConfigurationConfirmed{AsOf});
          },
          [this](StoreChanges const &Given) {
            // Versions replace each other whole, so only the last one counts.
@@ -198,19 +237,21 @@
              if (it->IsRemoved ||
                  it->Object.Name != platform::ConfigurationName)
                continue;
-             return takeConfiguration(it->Object);
+             takeConfiguration(it->Object);
+             break;
            }
-         }});
+           Owner.feed(relay::ConfigurationConfirmed{Given.AsOf});
+         },
+         &relay::Following::needsConfiguration,
+         &relay::Following::ConfigurationAsOf});
   }
 
-  auto takeServer(platform::StoreChange const &Change) -> void {
+  static auto readUpdate(platform::StoreChange const &Change)
+      -> relay::ServerUpdate {
     auto const &object = Change.Object;
-    auto server = Change.IsRemoved ? std::nullopt
-                                   : platform::readServer(object);
-    if (server)
-      Owner.feed(relay::ServerChanged{std::move(*server)});
-    else
-      Owner.feed(relay::ServerRemoved{object.Name, object.Revision});
+    // An entry that cannot be read names no server to use.
+    return {object.Name, object.Revision,
+            Change.IsRemoved ? std::nullopt : platform::readServer(object)};
   }
 
   auto followServers() -> Awaitable<void> {
@@ -225,9 +266,13 @@
                      Owner.feed(std::move(listed));
                    },
                    [this](StoreChanges const &Given) {
+                     auto updated = relay::ServersUpdated{{}, Given.AsOf};
                      for (auto const &it : Given.Changes)
-                       takeServer(it);
-                   }});
+                       updated.Updates.push_back(readUpdate(it));
+                     Owner.feed(std::move(updated));
+                   },
+                   &relay::Following::needsServers,
+                   &relay::Following::ServersAsOf});
   }
 
   /// Creates or replaces this instance's own record.
@@ -254,12 +299,12 @@
     auto line = Line{};
     auto backoff = Backoff{};
     while (!co_await registerSelf(line))
-      co_await pause(backoff.next());
+      co_await pause(backoff.next(LongestPause));
     backoff.reset();
     while (true) {
       auto objects = std::vector<StoredObject>{};
       if (!co_await list(line, platform::InstanceKind, objects)) {
-        co_await pause(backoff.next());
+        co_await pause(backoff.next(LongestPause));
         continue;
       }
       backoff.reset();
--- a/Libraries/LibRelay/Event.h
+++ b/Libraries/LibRelay/Event.h
@@ -5,6 +5,7 @@
 
 #include "LibRelay/Configuration.h"
 #include "LibRelay/EventFramer.h"
+#include "LibRelay/Following.h"
 #include "LibRelay/Peers.h"
 #include "LibRelay/Request.h"
 #include "LibRelay/ServerTable.h"
@@ -91,6 +92,13 @@
 
 struct ConfigurationReceived {
   std::shared_ptr<Configuration const> Content;
+  /// Revision of the object that it was read from.
+  std::uint64_t Revision = 0;
+};
+
+/// The store has answered: no newer configuration up to AsOf.
+struct ConfigurationConfirmed {
+  std::uint64_t AsOf = 0;
 };
 
 /// All servers, as read in one pass that began at AsOf.
@@ -99,13 +107,10 @@
   std::uint64_t AsOf = 0;
 };
 
-struct ServerChanged {
-  ServerDescription Described;
-};
-
-struct ServerRemoved {
-  std::string Id;
-  std::uint64_t Revision = 0;
+/// All changes of servers up to AsOf, after those that were read before.
+struct ServersUpdated {
+  std::vector<ServerUpdate> Updates;
+  std::uint64_t AsOf = 0;
 };
 
 /// The store answered, or stopped to.
@@ -168,8 +173,8 @@
     std::variant<RequestArrived, CallerLeft, AttemptConnected,
                  AttemptUnreachable, AttemptAnswered, AttemptPrefilled,
                  AttemptStreamBegan, AttemptStreamed, AttemptStreamEnded,
-                 AttemptBroken, ConfigurationReceived, ServersListed,
-                 ServerChanged, ServerRemoved, StoreReachable, PeersListed,
+                 AttemptBroken, ConfigurationReceived, ConfigurationConfirmed,
+                 ServersListed, ServersUpdated, StoreReachable, PeersListed,
                  PeerReported, AuthorityRead, AuthorityWritten, OrderAnswered,
                  SteeringRequested, LeaveRequested, Tick>;
 
--- a/Libraries/LibRelay/FleetReducer.cpp
+++ b/Libraries/LibRelay/FleetReducer.cpp
@@ -29,6 +29,9 @@
 /// A server that a peer has announced to change is avoided until it is not in
 /// the peer's reports for some of them.
 constexpr auto AvoidChangingServer = Duration{700ms};
+/// Others notice within a second that a watcher of the store is gone, also if
+/// some reports are lost; watchers are few, so that this costs little.
+constexpr auto WatcherInterval = Duration{150ms};
 /// Prefixes in one report: a datagram should not be cut up on the way.
 constexpr auto MaximumPrefixesInReport = std::size_t{60};
 
@@ -92,21 +95,30 @@
   Subject.HasServers = true;
 }
 
-auto FleetReducer::on(ServerChanged const &Happened) -> void {
-  put(Happened.Described);
+auto FleetReducer::on(ServersUpdated const &Happened) -> void {
+  apply(Happened.Updates);
 }
 
-auto FleetReducer::on(ServerRemoved const &Happened) -> void {
-  auto const *server = Subject.Servers.find(Happened.Id);
-  if (server == nullptr || server->Described.Revision > Happened.Revision)
+auto FleetReducer::apply(std::span<ServerUpdate const> Updates) -> void {
+  for (auto const &it : Updates) {
+    if (it.Described)
+      put(*it.Described);
+    else
+      noteRemoval(it);
+  }
+}
+
+auto FleetReducer::noteRemoval(ServerUpdate const &Update) -> void {
+  auto const *server = Subject.Servers.find(Update.Id);
+  if (server == nullptr || server->Described.Revision > Update.Revision)
     return;
   if (isAroundOutage() && !server->Described.IsDraining) {
-    Subject.Vanished.try_emplace(Happened.Id, now());
+    Subject.Vanished.try_emplace(Update.Id, now());
     log(LogLevel::Info, "server-entry-lapsed", "server={} revision={}",
-        Happened.Id, Happened.Revision);
+        Update.Id, Update.Revision);
     return;
   }
-  remove(Happened.Id, "entry removed");
+  remove(Update.Id, "entry removed");
 }
 
 auto FleetReducer::on(StoreReachable const &Happened) -> void {
@@ -219,6 +231,14 @@
     if (server != nullptr && now() < server->ChangingUntil)
       message.Changing.push_back(server->Key);
   }
+  auto const &following = Subject.Following;
+  if (following.IsWatcher) {
+    auto &watch = message.Watch.emplace();
+    watch.Age = now() - std::min(following.ConfigurationConfirmed,
+                                 following.ServersConfirmed);
+    watch.Configuration = following.ConfigurationRevision;
+    following.Changes.describe(watch);
+  }
   emit(SendPeerReport{Subject.Peers.recipients(now()), std::move(message)});
 }
 
@@ -247,7 +267,10 @@
   for (auto const &id : gone)
     remove(id, "entry lapsed");
   if (now() >= Subject.NextReport) {
-    Subject.NextReport = now() + Subject.Peers.reportInterval();
+    auto interval = Subject.Peers.reportInterval();
+    if (Subject.Following.IsWatcher)
+      interval = std::min(interval, WatcherInterval);
+    Subject.NextReport = now() + interval;
     Subject.Peers.expire(now(), Subject.Servers);
     Subject.Prefixes.expire(now() - PrefixLifetime);
     report();
--- a/Libraries/LibRelay/FleetReducer.h
+++ b/Libraries/LibRelay/FleetReducer.h
@@ -5,6 +5,8 @@
 
 #include "LibRelay/SubReducer.h"
 
+#include <span>
+
 namespace dotterel::relay {
 
 /// Takes in what is known of the fleet and tells the other instances.
@@ -14,8 +16,7 @@
 
   auto on(ConfigurationReceived const &Happened) -> void;
   auto on(ServersListed const &Happened) -> void;
-  auto on(ServerChanged const &Happened) -> void;
-  auto on(ServerRemoved const &Happened) -> void;
+  auto on(ServersUpdated const &Happened) -> void;
   auto on(StoreReachable const &Happened) -> void;
   auto on(PeersListed const &Happened) -> void;
   auto on(PeerReported const &Happened) -> void;
@@ -23,7 +24,11 @@
   auto on(LeaveRequested const &Happened) -> void;
   auto on(Tick const &Happened) -> void;
 
+  /// Applies changes of servers in the order in which they were made.
+  auto apply(std::span<ServerUpdate const> Updates) -> void;
+
 private:
+  auto noteRemoval(ServerUpdate const &Update) -> void;
   auto put(ServerDescription const &Described) -> void;
   auto remove(std::string const &Id, std::string_view Reason) -> void;
   [[nodiscard]] auto isAroundOutage() const -> bool;
--- a/Libraries/LibRelay/Peers.cpp
+++ b/Libraries/LibRelay/Peers.cpp
@@ -22,6 +22,10 @@
 /// Silent peers are tried this often, and forgotten after the longer time.
 constexpr auto SilentTryInterval = Duration{2s};
 constexpr auto ForgetAfter = Duration{60s};
+/// Others rely on a watcher whose store has answered within this time. Leaving
+/// servers must be known within some seconds, so half a second to a second is
+/// left for an instance to ask the store itself.
+constexpr auto FreshBound = Duration{1s};
 
 auto encodeLoads(PeerReport const &Message) -> json {
   auto loads = json::array();
@@ -59,7 +63,57 @@
                              From[n + 2].get<double>()}});
 }
 
-constexpr auto ReportFields = std::size_t{12};
+auto encodeUpdate(ServerUpdate const &From) -> json {
+  if (!From.Described)
+    return json::array({From.Id, From.Revision});
+  auto const &server = *From.Described;
+  return json::array({From.Id, From.Revision, server.Service, server.Address,
+                      server.Domain, server.Slots, server.IsDraining,
+                      static_cast<int>(server.Stage), server.StartedAt});
+}
+
+auto decodeUpdate(json const &From) -> ServerUpdate {
+  auto update = ServerUpdate{From.at(0).get<std::string>(),
+                             From.at(1).get<std::uint64_t>(), std::nullopt};
+  if (From.size() == 2)
+    return update;
+  auto &server = update.Described.emplace();
+  server.Id = update.Id;
+  server.Revision = update.Revision;
+  server.Service = From.at(2).get<std::string>();
+  server.Address = From.at(3).get<std::string>();
+  server.Domain = From.at(4).get<std::string>();
+  server.Slots = From.at(5).get<std::uint32_t>();
+  server.IsDraining = From.at(6).get<bool>();
+  server.Stage = static_cast<EngineStage>(From.at(7).get<std::uint8_t>());
+  server.StartedAt = From.at(8).get<std::uint64_t>();
+  return update;
+}
+
+auto encodeWatch(std::optional<WatchReport> const &From) -> json {
+  if (!From)
+    return nullptr;
+  auto updates = json::array();
+  for (auto const &it : From->Updates)
+    updates.push_back(encodeUpdate(it));
+  return json::array({toMilliseconds(From->Age), From->Configuration,
+                      From->From, From->AsOf, std::move(updates)});
+}
+
+auto decodeWatch(json const &From) -> std::optional<WatchReport> {
+  if (From.is_null())
+    return std::nullopt;
+  auto watch = WatchReport{};
+  watch.Age = std::chrono::milliseconds(From.at(0).get<std::int64_t>());
+  watch.Configuration = From.at(1).get<std::uint64_t>();
+  watch.From = From.at(2).get<std::uint64_t>();
+  watch.AsOf = From.at(3).get<std::uint64_t>();
+  for (auto const &it : From.at(4))
+    watch.Updates.push_back(decodeUpdate(it));
+  return watch;
+}
+
+constexpr auto ReportFields = std::size_t{13};
 
 } // namespace
 
@@ -69,7 +123,7 @@
                    Message.CallerAddress, Message.PeerAddress, Message.IsReady,
                    Message.IsLeaving, Message.Weight, encodeLoads(Message),
                    encodePrefixes(Message), encodeDemands(Message),
-                   Message.Changing});
+                   Message.Changing, encodeWatch(Message.Watch)});
   auto bytes = std::string{};
   json::to_cbor(document, bytes);
   return bytes;
@@ -100,6 +154,7 @@
                                   prefixes[n + 1].get<ServerKey>()});
     decodeDemands(document[10], message);
     message.Changing = document[11].get<std::vector<ServerKey>>();
+    message.Watch = decodeWatch(document[12]);
     return message;
   } catch (json::exception const &) {
     // Not a report; the caller counts and logs it.
@@ -199,6 +254,11 @@
              std::max(ShortestSilence, MissedReports * reportInterval());
 }
 
+auto PeerTable::isFresh(Peer const &Target, Instant Now) const -> bool {
+  return Target.Last && Target.Last->Watch && !Target.Last->IsLeaving &&
+         Now - Target.HeardAt + Target.Last->Watch->Age < FreshBound;
+}
+
 auto PeerTable::reportInterval() const -> Duration {
   return std::max(ShortestInterval,
                   Duration{1s} * static_cast<std::int64_t>(Known.size()) /
--- a/Libraries/LibRelay/Peers.h
+++ b/Libraries/LibRelay/Peers.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "LibRelay/DemandMeter.h"
+#include "LibRelay/Following.h"
 #include "LibRelay/ServerTable.h"
 
 #include <map>
@@ -52,6 +53,8 @@
   std::vector<PeerDemand> Demands;
   /// Servers that are about to change their stage.
   std::vector<ServerKey> Changing;
+  /// Set by instances that watch the store for all.
+  std::optional<WatchReport> Watch;
 };
 
 [[nodiscard]] auto encodePeerReport(PeerReport const &Message) -> std::string;
@@ -100,6 +103,9 @@
 
   [[nodiscard]] auto isAlive(Peer const &Target, Instant Now) const -> bool;
 
+  /// Returns whether a peer watches the store and the store answers it.
+  [[nodiscard]] auto isFresh(Peer const &Target, Instant Now) const -> bool;
+
   /// Time between two reports; grows with the fleet so that what an instance
   /// receives per second does not.
   [[nodiscard]] auto reportInterval() const -> Duration;
--- a/Libraries/LibRelay/Reducer.cpp
+++ b/Libraries/LibRelay/Reducer.cpp
@@ -3,6 +3,7 @@
 #include "LibCore/Dispatcher.h"
 #include "LibRelay/AttemptReducer.h"
 #include "LibRelay/FleetReducer.h"
+#include "LibRelay/FollowReducer.h"
 #include "LibRelay/RequestReducer.h"
 #include "LibRelay/RoleReducer.h"
 
@@ -20,8 +21,8 @@
 auto reduce(State &Subject, Event const &Happened) -> Effects {
   auto effects = Effects{};
   Subject.Now = Happened.At;
-  std::visit(Dispatcher<State, Effects, FleetReducer, RoleReducer,
-                        AttemptReducer, RequestReducer>(Subject, effects),
+  std::visit(Dispatcher<State, Effects, FleetReducer, FollowReducer,
+                        RoleReducer, AttemptReducer, RequestReducer>(Subject, effects),
              Happened.Body);
   return effects;
 }
--- a/Libraries/LibRelay/RoleReducer.cpp
+++ b/Libraries/LibRelay/RoleReducer.cpp
@@ -114,22 +114,17 @@
   Subject.Roles.Orders.erase(it);
 }
 
-auto RoleReducer::on(ServerChanged const &Happened) -> void {
-  auto it = Subject.Roles.Orders.find(Happened.Described.Id);
-  auto isDone = it != Subject.Roles.Orders.end() &&
-                it->second.Stage == Happened.Described.Stage;
-  if (!isDone)
-    return;
-  log(LogLevel::Info, "order-carried-out", "server={} stage={}",
-      Happened.Described.Id, static_cast<int>(Happened.Described.Stage));
-  Subject.Roles.Orders.erase(it);
-  if (auto *server = Subject.Servers.find(Happened.Described.Id))
-    server->ChangingUntil = {};
-}
-
 auto RoleReducer::expireOrders() -> void {
-  std::erase_if(Subject.Roles.Orders,
-                [&](auto const &it) { return now() >= it.second.Until; });
+  std::erase_if(Subject.Roles.Orders, [&](auto const &it) {
+    auto *server = Subject.Servers.find(it.first);
+    auto isDone = server == nullptr || server->Described.Stage == it.second.Stage;
+    if (server != nullptr && isDone) {
+      log(LogLevel::Info, "order-carried-out", "server={} stage={}", it.first,
+          static_cast<int>(it.second.Stage));
+      server->ChangingUntil = {};
+    }
+    return isDone || now() >= it.second.Until;
+  });
 }
 
 auto RoleReducer::on(Tick const & /*Happened*/) -> void {
--- a/Libraries/LibRelay/RoleReducer.h
+++ b/Libraries/LibRelay/RoleReducer.h
@@ -21,7 +21,6 @@
   auto on(AuthorityRead const &Happened) -> void;
   auto on(AuthorityWritten const &Happened) -> void;
   auto on(OrderAnswered const &Happened) -> void;
-  auto on(ServerChanged const &Happened) -> void;
   auto on(Tick const &Happened) -> void;
 
 private:
--- a/Libraries/LibRelay/State.h
+++ b/Libraries/LibRelay/State.h
@@ -4,6 +4,7 @@
 
 #include "LibRelay/DemandMeter.h"
 #include "LibRelay/Event.h"
+#include "LibRelay/Following.h"
 #include "LibRelay/PrefixIndex.h"
 #include "LibRelay/RetryAllowance.h"
 #include "LibRelay/SpeedModel.h"
@@ -154,6 +155,7 @@
   /// Entries that vanished around an outage of the store, and since when.
   std::map<std::string, Instant> Vanished;
   StoreState Store;
+  relay::Following Following;
   PeerTable Peers;
   std::optional<Instant> PeersListedAt;
   std::uint64_t ReportsSent = 0;
