--- a/Libraries/LibGateway/PeerSocket.cpp
+++ b/Libraries/LibGateway/PeerSocket.cpp
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <boost/asio/ip/udp.hpp>
+#include <fmt/format.h>
 
 namespace dotterel {
 
@@ -37,11 +38,14 @@
       if (ec)
         continue;
       auto message = relay::decodePeerReport({buf.data(), n});
-      if (message)
+      if (message) {
+        message->PeerAddress = fmt::format(
+            "{}:{}", sender.address().to_string(), sender.port());
         Owner.feed(relay::PeerReported{std::move(*message)});
-      else
+      } else {
         log(LogLevel::Warning, "peer-report-unreadable",
             {{"from", sender.address().to_string()}, {"bytes", n}});
+      }
     }
   }
 
--- a/Libraries/LibRelay/FleetReducer.cpp
+++ b/Libraries/LibRelay/FleetReducer.cpp
@@ -19,7 +19,7 @@
 constexpr auto MaximumSteered = std::size_t{64};
 /// Time in which an instance that has just started hears from its peers; a
 /// steering answer before would send all callers to few instances.
-constexpr auto HearPeersFirst = Duration{800ms};
+constexpr auto HearPeersFirst = Duration{1300ms};
 /// An instance that cannot list its peers answers with itself after this.
 constexpr auto AnswerAlone = Duration{4s};
 /// A stopping instance waits this long for callers that do not know yet.
@@ -32,6 +32,9 @@
 /// Others notice within a second that a watcher of the store is gone, also if
 /// some reports are lost; watchers are few, so that this costs little.
 constexpr auto WatcherInterval = Duration{150ms};
+/// What changes seldom is in every so many reports, and in the first ones.
+constexpr auto FullReportInterval = Duration{1s};
+constexpr auto FullReportsAtStart = std::uint64_t{5};
 /// Prefixes in one report: a datagram should not be cut up on the way.
 constexpr auto MaximumPrefixesInReport = std::size_t{60};
 
@@ -205,11 +208,18 @@
 
 auto FleetReducer::report() -> void {
   auto message = PeerReport{};
-  message.Instance = Subject.Self.Instance;
+  auto isFirstSeconds = Subject.ReportsSent < FullReportsAtStart;
+  message.IsFull = isFirstSeconds || now() >= Subject.NextFullReport;
+  if (message.IsFull) {
+    Subject.NextFullReport = now() + FullReportInterval;
+    message.Instance = Subject.Self.Instance;
+    message.CallerAddress = Subject.Self.CallerAddress;
+    for (auto const &it : Subject.Roles.Demand)
+      message.Demands.push_back(
+          {hashText(it.first), it.second.Meter.perSecond(now())});
+  }
   message.Incarnation = Subject.Self.Incarnation;
   message.Number = ++Subject.ReportsSent;
-  message.CallerAddress = Subject.Self.CallerAddress;
-  message.PeerAddress = Subject.Self.PeerAddress;
   message.IsReady = Subject.isReady();
   message.IsLeaving = Subject.LeavingSince.has_value();
   message.Weight = Subject.Self.Weight;
@@ -223,9 +233,6 @@
   message.Prefixes.assign(uses.end() - static_cast<std::ptrdiff_t>(count),
                           uses.end());
   uses.clear();
-  for (auto const &it : Subject.Roles.Demand)
-    message.Demands.push_back(
-        {hashText(it.first), it.second.Meter.perSecond(now())});
   for (auto const &it : Subject.Roles.Orders) {
     auto const *server = Subject.Servers.find(it.first);
     if (server != nullptr && now() < server->ChangingUntil)
--- a/Libraries/LibRelay/Peers.cpp
+++ b/Libraries/LibRelay/Peers.cpp
@@ -14,7 +14,7 @@
 
 /// Reports that an instance takes in per second; each costs some ten
 /// microseconds of processor time.
-constexpr auto ReportsPerSecond = 300;
+constexpr auto ReportsPerSecond = 600;
 constexpr auto ShortestInterval = Duration{100ms};
 /// Reports that may be lost before a peer counts as silent.
 constexpr auto MissedReports = 6;
@@ -120,7 +120,7 @@
 auto encodePeerReport(PeerReport const &Message) -> std::string {
   auto document =
       json::array({Message.Instance, Message.Incarnation, Message.Number,
-                   Message.CallerAddress, Message.PeerAddress, Message.IsReady,
+                   Message.CallerAddress, Message.IsFull, Message.IsReady,
                    Message.IsLeaving, Message.Weight, encodeLoads(Message),
                    encodePrefixes(Message), encodeDemands(Message),
                    Message.Changing, encodeWatch(Message.Watch)});
@@ -139,7 +139,7 @@
     message.Incarnation = document[1].get<std::uint64_t>();
     message.Number = document[2].get<std::uint64_t>();
     message.CallerAddress = document[3].get<std::string>();
-    message.PeerAddress = document[4].get<std::string>();
+    message.IsFull = document[4].get<bool>();
     message.IsReady = document[5].get<bool>();
     message.IsLeaving = document[6].get<bool>();
     message.Weight = document[7].get<double>();
@@ -187,6 +187,14 @@
       return false;
     forgetLoads(peer, Servers);
   }
+  if (!Message.IsFull) {
+    // Nothing can be said of an instance that has not introduced itself.
+    if (!peer.Last || peer.Last->Incarnation != Message.Incarnation)
+      return false;
+    Message.Instance = peer.Last->Instance;
+    Message.CallerAddress = peer.Last->CallerAddress;
+    Message.Demands = peer.Last->Demands;
+  }
   for (auto const &it : Message.Loads) {
     if (auto *server = Servers.findKey(it.Server))
       server->OfPeers.add(it.Load);
--- a/Libraries/LibRelay/Peers.h
+++ b/Libraries/LibRelay/Peers.h
@@ -37,11 +37,15 @@
 
 /// One datagram.
 struct PeerReport {
+  /// Instance, CallerAddress and Demands change seldom; reports that are not
+  /// full leave them out.
+  bool IsFull = true;
   std::string Instance;
   std::uint64_t Incarnation = 0;
   /// Rises by one with each message of an incarnation.
   std::uint64_t Number = 0;
   std::string CallerAddress;
+  /// Where the report came from; not part of the datagram.
   std::string PeerAddress;
   /// Takes new connections of callers.
   bool IsReady = false;
--- a/Libraries/LibRelay/State.h
+++ b/Libraries/LibRelay/State.h
@@ -160,6 +160,7 @@
   std::optional<Instant> PeersListedAt;
   std::uint64_t ReportsSent = 0;
   Instant NextReport;
+  Instant NextFullReport;
   std::vector<PeerPrefixUse> NewPrefixUses;
   PrefixIndex Prefixes;
   std::map<std::string, SpeedModel> Speeds;
