--- a/Libraries/LibControl/Reducer.cpp
+++ b/Libraries/LibControl/Reducer.cpp
@@ -18,9 +18,9 @@
 namespace {
 
 using AllHandlers =
-    Dispatcher<State, Effects, MembershipReducer, ConfigurationReducer, BackendReducer,
-               AuthorityReducer, OrderReducer, KeyReducer, CallReducer,
-               SteeringReducer, LifecycleReducer>;
+    Dispatcher<State, Effects, MembershipReducer, ConfigurationReducer,
+               BackendReducer, AuthorityReducer, OrderReducer, KeyReducer,
+               CallReducer, SteeringReducer, LifecycleReducer>;
 
 } // namespace
 
--- a/Libraries/LibCore/BootClock.cpp
+++ b/Libraries/LibCore/BootClock.cpp
@@ -8,7 +8,8 @@
   auto now = timespec{};
   // Cannot fail: the clock exists on every kernel that is supported.
   (void)::clock_gettime(CLOCK_BOOTTIME, &now);
-  return std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+  return std::chrono::seconds(now.tv_sec) +
+         std::chrono::nanoseconds(now.tv_nsec);
 }
 
 } // namespace dotterel
--- a/Libraries/LibGateway/CallerFront.cpp
+++ b/Libraries/LibGateway/CallerFront.cpp
@@ -27,10 +27,10 @@
 /// Steering and readiness callers keep a connection this long.
 constexpr auto InternalIdle = Duration{10s};
 
-using Output = std::variant<relay::ForwardAnswer, relay::BeginStream,
-                            relay::ForwardBytes, relay::EndStream,
-                            relay::AbortStream, relay::Refuse,
-                            relay::AnswerSteering>;
+using Output =
+    std::variant<relay::ForwardAnswer, relay::BeginStream, relay::ForwardBytes,
+                 relay::EndStream, relay::AbortStream, relay::Refuse,
+                 relay::AnswerSteering>;
 
 /// What a handler still has to write to its caller.
 struct Session {
@@ -128,9 +128,9 @@
       Owner.feed(relay::CallerLeft{number});
       session->push(relay::AbortStream{number});
     });
-    Owner.feed(relay::RequestArrived{
-        number, std::make_shared<relay::Request const>(
-                    platform::readRequest(Exchange))});
+    Owner.feed(
+        relay::RequestArrived{number, std::make_shared<relay::Request const>(
+                                          platform::readRequest(Exchange))});
     auto problem = std::exception_ptr{};
     try {
       co_await writeAll(Exchange, *session);
@@ -208,7 +208,9 @@
       co_await Exchange.respond(refuse(ResultCode::NotConfigured));
     else
       co_await Exchange.respond(
-          {StatusOk, std::string(JsonType), {},
+          {StatusOk,
+           std::string(JsonType),
+           {},
            platform::writeSteering(What.Addresses, What.Lifetime)});
     co_return true;
   }
@@ -241,15 +243,18 @@
 }
 
 auto CallerFront::run(relay::ForwardAnswer &What) -> void {
-  Self->push(What.Number, std::move(What));
+  auto number = What.Number;
+  Self->push(number, std::move(What));
 }
 
 auto CallerFront::run(relay::BeginStream &What) -> void {
-  Self->push(What.Number, std::move(What));
+  auto number = What.Number;
+  Self->push(number, std::move(What));
 }
 
 auto CallerFront::run(relay::ForwardBytes &What) -> void {
-  Self->push(What.Number, std::move(What));
+  auto number = What.Number;
+  Self->push(number, std::move(What));
 }
 
 auto CallerFront::run(relay::EndStream &What) -> void {
@@ -265,7 +270,8 @@
 }
 
 auto CallerFront::run(relay::AnswerSteering &What) -> void {
-  Self->push(What.Number, std::move(What));
+  auto number = What.Number;
+  Self->push(number, std::move(What));
 }
 
 auto CallerFront::applyLimits(relay::CallerLimits const &Limits) -> void {
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -97,7 +97,9 @@
   auto serveMetrics(HttpExchange &Exchange) -> Awaitable<void> {
     if (Exchange.path() != MetricsPath)
       co_return co_await Exchange.respond({StatusNotFound, "", {}, ""});
-    co_await Exchange.respond({StatusOk, "text/plain; version=0.0.4", {},
+    co_await Exchange.respond({StatusOk,
+                               "text/plain; version=0.0.4",
+                               {},
                                Measured.text(Loop.state())});
   }
 
@@ -110,8 +112,8 @@
     auto refuse = [](ResultCode Code) {
       return HttpReply{describe(Code).HttpStatus, "", {}, ""};
     };
-    MetricsServer = std::make_unique<HttpServer>(
-        Context, metricsAddress(Given), HttpLimits{}, handler, refuse);
+    MetricsServer = std::make_unique<HttpServer>(Context, metricsAddress(Given),
+                                                 HttpLimits{}, handler, refuse);
     MetricsServer->start();
   }
 
--- a/Libraries/LibGateway/PeerSocket.cpp
+++ b/Libraries/LibGateway/PeerSocket.cpp
@@ -39,8 +39,8 @@
         continue;
       auto message = relay::decodePeerReport({buf.data(), n});
       if (message) {
-        message->PeerAddress = fmt::format(
-            "{}:{}", sender.address().to_string(), sender.port());
+        message->PeerAddress =
+            fmt::format("{}:{}", sender.address().to_string(), sender.port());
         Owner.feed(relay::PeerReported{std::move(*message)});
       } else {
         log(LogLevel::Warning, "peer-report-unreadable",
--- a/Libraries/LibGateway/ServerClient.cpp
+++ b/Libraries/LibGateway/ServerClient.cpp
@@ -188,8 +188,7 @@
   }
 
   auto readStream(AttemptName Attempt, RunningPointer Target,
-                  relay::ServerAnswer Header, bool IsClean)
-      -> Awaitable<void> {
+                  relay::ServerAnswer Header, bool IsClean) -> Awaitable<void> {
     auto connection = Target->Connection;
     Owner.feed(relay::AttemptStreamBegan{Attempt, std::move(Header)});
     auto framer = relay::EventFramer{};
@@ -224,9 +223,9 @@
   }
 
   auto freeHandle(relay::FreeHandle What) -> Awaitable<void> {
-    auto result = co_await exchange(
-        What.Address, platform::freeHandleRequest(What.Handle),
-        FreeHandleTimeout);
+    auto result = co_await exchange(What.Address,
+                                    platform::freeHandleRequest(What.Handle),
+                                    FreeHandleTimeout);
     if (!result.Reply)
       log(LogLevel::Warning, "handle-not-freed",
           {{"address", What.Address}, {"handle", What.Handle}});
@@ -326,8 +325,7 @@
     std::erase_if(it->second.Connections, [&](auto const &Kept) {
       return now >= Kept.Until || !Kept.Connection->isQuiet();
     });
-    it = it->second.Connections.empty() ? Self->Pools.erase(it)
-                                        : std::next(it);
+    it = it->second.Connections.empty() ? Self->Pools.erase(it) : std::next(it);
   }
 }
 
--- a/Libraries/LibGateway/StoreFollower.cpp
+++ b/Libraries/LibGateway/StoreFollower.cpp
@@ -255,32 +255,33 @@
   }
 
   auto followServers() -> Awaitable<void> {
-    return follow({platform::ServerKind,
-                   [this](std::vector<StoredObject> const &Objects,
-                          std::uint64_t AsOf) {
-                     auto listed = relay::ServersListed{{}, AsOf};
-                     for (auto const &it : Objects) {
-                       if (auto server = platform::readServer(it))
-                         listed.Servers.push_back(std::move(*server));
-                     }
-                     Owner.feed(std::move(listed));
-                   },
-                   [this](StoreChanges const &Given) {
-                     auto updated = relay::ServersUpdated{{}, Given.AsOf};
-                     for (auto const &it : Given.Changes)
-                       updated.Updates.push_back(readUpdate(it));
-                     Owner.feed(std::move(updated));
-                   },
-                   &relay::Following::needsServers,
-                   &relay::Following::ServersAsOf});
+    return follow(
+        {platform::ServerKind,
+         [this](std::vector<StoredObject> const &Objects, std::uint64_t AsOf) {
+           auto listed = relay::ServersListed{{}, AsOf};
+           for (auto const &it : Objects) {
+             if (auto server = platform::readServer(it))
+               listed.Servers.push_back(std::move(*server));
+           }
+           Owner.feed(std::move(listed));
+         },
+         [this](StoreChanges const &Given) {
+           auto updated = relay::ServersUpdated{{}, Given.AsOf};
+           for (auto const &it : Given.Changes)
+             updated.Updates.push_back(readUpdate(it));
+           Owner.feed(std::move(updated));
+         },
+         &relay::Following::needsServers, &relay::Following::ServersAsOf});
   }
 
   /// Creates or replaces this instance's own record.
   auto registerSelf(Line &Over) -> Awaitable<bool> {
     auto body = platform::writePeer(Record);
-    auto request =
-        HttpRequest{"POST", platform::listPath(platform::InstanceKind, ""),
-                    "application/json", {}, body};
+    auto request = HttpRequest{"POST",
+                               platform::listPath(platform::InstanceKind, ""),
+                               "application/json",
+                               {},
+                               body};
     auto reply = co_await call(Over, request, CallTimeout);
     if (reply && reply->Status == StatusConflict) {
       request.Method = "PUT";
@@ -319,8 +320,8 @@
   }
 
   auto readAuthority() -> Awaitable<void> {
-    auto path = platform::objectPath(platform::AuthorityKind,
-                                     platform::AuthorityName);
+    auto path =
+        platform::objectPath(platform::AuthorityKind, platform::AuthorityName);
     auto request = HttpRequest{"GET", std::move(path), "", {}, ""};
     auto line = Line{};
     auto reply = co_await call(line, request, CallTimeout);
@@ -334,14 +335,15 @@
 
   auto writeAuthority(relay::WriteAuthority What) -> Awaitable<void> {
     auto isNew = What.ExpectedRevision == 0;
-    auto body =
-        platform::writeAuthority(What.Holder, What.ExpectedRevision);
-    auto request = HttpRequest{
-        isNew ? "POST" : "PUT",
-        isNew ? platform::listPath(platform::AuthorityKind, "")
-              : platform::objectPath(platform::AuthorityKind,
-                                     platform::AuthorityName),
-        "application/json", {}, body};
+    auto body = platform::writeAuthority(What.Holder, What.ExpectedRevision);
+    auto request =
+        HttpRequest{isNew ? "POST" : "PUT",
+                    isNew ? platform::listPath(platform::AuthorityKind, "")
+                          : platform::objectPath(platform::AuthorityKind,
+                                                 platform::AuthorityName),
+                    "application/json",
+                    {},
+                    body};
     auto line = Line{};
     auto validUntil = bootTime() + AuthorityValidity;
     auto reply = co_await call(line, request, CallTimeout);
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -44,8 +44,8 @@
 public:
   Exchange(beast::tcp_stream &Stream, http::request<http::string_body> Request,
            Duration WriteTimeout, bool const &IsClosing)
-      : Stream(Stream), Request(std::move(Request)),
-        WriteTimeout(WriteTimeout), IsClosing(IsClosing) {}
+      : Stream(Stream), Request(std::move(Request)), WriteTimeout(WriteTimeout),
+        IsClosing(IsClosing) {}
 
   [[nodiscard]] auto method() const -> std::string_view override {
     return toView(Request.method_string());
@@ -104,7 +104,9 @@
       -> Awaitable<void> override {
     Fields.push_back({"Cache-Control", "no-cache"});
     co_await beginAnswer({static_cast<unsigned>(http::status::ok),
-                          std::move(ContentType), std::move(Fields), {}});
+                          std::move(ContentType),
+                          std::move(Fields),
+                          {}});
   }
 
   auto beginAnswer(HttpReply Header) -> Awaitable<void> override {
@@ -286,8 +288,8 @@
       co_await refuse(Stream, Buffer, refusalCode(ec));
       co_return false;
     }
-    auto exchange = Exchange(Stream, parser.release(), Limits.WriteTimeout,
-                             IsClosing);
+    auto exchange =
+        Exchange(Stream, parser.release(), Limits.WriteTimeout, IsClosing);
     co_await Handler(exchange);
     co_return exchange.finish();
   }
--- a/Libraries/LibRelay/Admission.cpp
+++ b/Libraries/LibRelay/Admission.cpp
@@ -22,8 +22,8 @@
 auto refusalOf(Call const &Target, Choice const &Chosen, Instant Now)
     -> std::optional<Refusal> {
   auto const &route = *Target.Matched;
-  auto share = std::max(SmallestWait,
-                        LongestWait - WaitLossPerRank * route.Priority);
+  auto share =
+      std::max(SmallestWait, LongestWait - WaitLossPerRank * route.Priority);
   auto limit = scaled(route.Target, share);
   auto comeBack = [](Duration Excess) {
     return std::clamp(Excess, ShortestReturn, LongestReturn);
--- a/Libraries/LibRelay/AttemptReducer.cpp
+++ b/Libraries/LibRelay/AttemptReducer.cpp
@@ -59,8 +59,8 @@
   send.IsStream = call->Matched->IsStream && !attempt.IsPrefill;
   auto &orders = send.Orders;
   if (call->Content->TimeLimit)
-    orders.TimeLimit =
-        std::max(Duration{1ms}, *call->Content->TimeLimit - (now() - call->Arrived));
+    orders.TimeLimit = std::max(Duration{1ms}, *call->Content->TimeLimit -
+                                                   (now() - call->Arrived));
   orders.ExpectedServer = attempt.Server;
   orders.IsPrefill = attempt.IsPrefill;
   orders.PrefilledAt = attempt.PrefilledAt;
@@ -93,8 +93,8 @@
   if (call.ServersUsed >= call.Matched->MaximumServers)
     return false;
   if (HasReachedServer &&
-      !Subject.Retries[call.Service].withdraw(
-          Subject.Given.Retries, Subject.Peers.fleetSize(), now()))
+      !Subject.Retries[call.Service].withdraw(Subject.Given.Retries,
+                                              Subject.Peers.fleetSize(), now()))
     return false;
   call.Avoided.insert(call.Current->Server);
   auto requests = RequestReducer(Subject, Out);
--- a/Libraries/LibRelay/Configuration.h
+++ b/Libraries/LibRelay/Configuration.h
@@ -85,9 +85,7 @@
 
   [[nodiscard]] auto version() const -> std::uint64_t { return Version; }
   [[nodiscard]] auto limits() const -> CallerLimits const & { return Limits; }
-  [[nodiscard]] auto routes() const -> std::span<Route const> {
-    return Routes;
-  }
+  [[nodiscard]] auto routes() const -> std::span<Route const> { return Routes; }
 
   [[nodiscard]] auto services() const
       -> std::map<std::string, Service, std::less<>> const & {
--- a/Libraries/LibRelay/Effect.h
+++ b/Libraries/LibRelay/Effect.h
@@ -161,8 +161,7 @@
                  ForwardAnswer, BeginStream, ForwardBytes, EndStream,
                  AbortStream, Refuse, CloseIdleConnections, AnswerSteering,
                  SendPeerReport, ReadAuthority, WriteAuthority, SendOrder,
-                 WriteLog, CountOne, ObserveDuration,
-                 StopProcess>;
+                 WriteLog, CountOne, ObserveDuration, StopProcess>;
 
 using Effects = std::vector<Effect>;
 
--- a/Libraries/LibRelay/FleetReducer.cpp
+++ b/Libraries/LibRelay/FleetReducer.cpp
@@ -165,8 +165,8 @@
   auto hasHeard = Subject.PeersListedAt
                       ? now() - *Subject.PeersListedAt > HearPeersFirst
                       : now() - Subject.Started > AnswerAlone;
-  auto answer = AnswerSteering{
-      Happened.Number, {}, Subject.Given.SteeringLifetime};
+  auto answer =
+      AnswerSteering{Happened.Number, {}, Subject.Given.SteeringLifetime};
   if (!hasHeard || !Subject.Current)
     return emit(std::move(answer));
   struct Candidate {
@@ -176,8 +176,8 @@
   auto found = std::vector<Candidate>{};
   auto consider = [&](std::string const &Address, double Weight) {
     // Sampling without replacement by weight: each draws Weight / hash.
-    auto drawn = rendezvousScore(Happened.Number ^ Subject.Self.Incarnation,
-                                 Address);
+    auto drawn =
+        rendezvousScore(Happened.Number ^ Subject.Self.Incarnation, Address);
     found.push_back({Weight / (1.0 + static_cast<double>(drawn)), Address});
   };
   if (Subject.isReady())
@@ -261,7 +261,8 @@
   for (auto const &it : Subject.Calls)
     numbers.push_back(it.first);
   for (auto it : numbers)
-    RequestReducer(Subject, Out).fail(it, ResultCode::InstanceLeaving, Duration{});
+    RequestReducer(Subject, Out)
+        .fail(it, ResultCode::InstanceLeaving, Duration{});
   emit(StopProcess{});
 }
 
--- a/Libraries/LibRelay/Following.cpp
+++ b/Libraries/LibRelay/Following.cpp
@@ -33,8 +33,8 @@
 }
 
 auto ServerChangeLog::trim(Instant Now) -> void {
-  while (!Batches.empty() && (Now - Batches.front().At > KeepChanges ||
-                              Count > MaximumChanges)) {
+  while (!Batches.empty() &&
+         (Now - Batches.front().At > KeepChanges || Count > MaximumChanges)) {
     From = Batches.front().To;
     Count -= Batches.front().Updates.size();
     Batches.pop_front();
--- a/Libraries/LibRelay/Peers.cpp
+++ b/Libraries/LibRelay/Peers.cpp
@@ -58,9 +58,9 @@
 
 auto decodeDemands(json const &From, PeerReport &Into) -> void {
   for (auto n = std::size_t{0}; n + 2 < From.size(); n += 3)
-    Into.Demands.push_back({From[n].get<std::uint64_t>(),
-                            {From[n + 1].get<double>(),
-                             From[n + 2].get<double>()}});
+    Into.Demands.push_back(
+        {From[n].get<std::uint64_t>(),
+         {From[n + 1].get<double>(), From[n + 2].get<double>()}});
 }
 
 auto encodeUpdate(ServerUpdate const &From) -> json {
@@ -150,8 +150,8 @@
                                 loads[n + 2].get<std::uint64_t>()}});
     auto const &prefixes = document[9];
     for (auto n = std::size_t{0}; n + 1 < prefixes.size(); n += 2)
-      message.Prefixes.push_back({prefixes[n].get<std::uint64_t>(),
-                                  prefixes[n + 1].get<ServerKey>()});
+      message.Prefixes.push_back(
+          {prefixes[n].get<std::uint64_t>(), prefixes[n + 1].get<ServerKey>()});
     decodeDemands(document[10], message);
     message.Changing = document[11].get<std::vector<ServerKey>>();
     message.Watch = decodeWatch(document[12]);
--- a/Libraries/LibRelay/Placement.cpp
+++ b/Libraries/LibRelay/Placement.cpp
@@ -138,7 +138,8 @@
     auto const *latest = static_cast<Holder const *>(nullptr);
     for (auto const &it : Subject.Prefixes.holders(prefix.Hash)) {
       auto const *server = Subject.Servers.findKey(it.Server);
-      if (server == nullptr || server == &Engine || !server->isUsable(Subject.Now) ||
+      if (server == nullptr || server == &Engine ||
+          !server->isUsable(Subject.Now) ||
           server->Health.isEjected(Subject.Now))
         continue;
       if (latest == nullptr || it.LastUsed > latest->LastUsed)
@@ -186,7 +187,8 @@
                    Engine.Health.slowStartFactor(Subject.Now);
   candidate.Cost += displacementSeconds(model, total - cached);
   auto longestReading = scaled(Target.Matched->LongestGap, ReadingShareOfGap);
-  if (!details.IsPrefill && load.Requests > 0 && wait + reading > longestReading)
+  if (!details.IsPrefill && load.Requests > 0 &&
+      wait + reading > longestReading)
     candidate.Cost += LateStreamsSeconds;
   return candidate;
 }
@@ -231,8 +233,8 @@
     seconds *= it->Slowness * (1 + FailureCost * it->FailureShare);
     auto total = Target.Content->PromptTokens;
     auto cached = Subject.Prefixes.cachedTokens(Target.Prefixes, it->Key);
-    auto cost = seconds +
-                displacementSeconds(model, total - std::min(total, cached));
+    auto cost =
+        seconds + displacementSeconds(model, total - std::min(total, cached));
     if (source != nullptr && it->Described.Domain != source->Described.Domain)
       cost += moveSeconds(*service.Engine, Target.Content->PromptTokens);
     cost += penalty(Number, *it);
--- a/Libraries/LibRelay/Reducer.cpp
+++ b/Libraries/LibRelay/Reducer.cpp
@@ -21,9 +21,10 @@
 auto reduce(State &Subject, Event const &Happened) -> Effects {
   auto effects = Effects{};
   Subject.Now = Happened.At;
-  std::visit(Dispatcher<State, Effects, FleetReducer, FollowReducer,
-                        RoleReducer, AttemptReducer, RequestReducer>(Subject, effects),
-             Happened.Body);
+  std::visit(
+      Dispatcher<State, Effects, FleetReducer, FollowReducer, RoleReducer,
+                 AttemptReducer, RequestReducer>(Subject, effects),
+      Happened.Body);
   return effects;
 }
 
--- a/Libraries/LibRelay/RequestReducer.cpp
+++ b/Libraries/LibRelay/RequestReducer.cpp
@@ -92,9 +92,8 @@
     demand.Since = now();
   auto shared = Target.Prefixes.empty() ? 0 : Target.Prefixes.back().Tokens;
   auto total = std::max(Target.Content->PromptTokens, shared);
-  demand.Meter.record({static_cast<double>(total - shared),
-                       static_cast<double>(total)},
-                      now());
+  demand.Meter.record(
+      {static_cast<double>(total - shared), static_cast<double>(total)}, now());
 }
 
 auto RequestReducer::place(RequestNumber Number, ResultCode Failure) -> void {
@@ -156,9 +155,9 @@
       Next.PromptTokens, milliseconds(Next.Forecast));
   emit(CountOne{CountMetric::Attempts, Target.Matched->Name, {}});
   auto const *service = Target.Configured->findService(Target.Service);
-  auto share = service == nullptr ? 0
-                                  : service->ConnectionLimit /
-                                        (2 * Subject.Peers.fleetSize());
+  auto share = service == nullptr
+                   ? 0
+                   : service->ConnectionLimit / (2 * Subject.Peers.fleetSize());
   auto name = AttemptName{Number, Next.Number};
   auto address = Next.Address;
   Target.Current = std::move(Next);
@@ -192,10 +191,10 @@
   // A status that promises "not run" must be true.
   auto status = describe(Code).HttpStatus;
   auto promises = status == 503 || status == 429 || status == 408;
-  if (promises && call.MayHaveRun && !call.mayRepeat())
-    Code = ResultCode::AnswerLost;
-  else if (call.MayHaveRun && Code == ResultCode::DeadlineInfeasible)
+  if (call.MayHaveRun && Code == ResultCode::DeadlineInfeasible)
     Code = ResultCode::DeadlinePassed;
+  else if (promises && call.MayHaveRun && !call.mayRepeat())
+    Code = ResultCode::AnswerLost;
   emit(Refuse{Number, Code, RetryAfter});
   finish(Number, Code, describe(Code).HttpStatus);
 }
--- a/Libraries/LibRelay/RolePlan.cpp
+++ b/Libraries/LibRelay/RolePlan.cpp
@@ -58,8 +58,8 @@
   auto decode = Fleet.DecodeRequests / (Traits.Slots * SlotUse);
   if (Traits.LinkMegabitsPerSecond > 0) {
     auto bits = Demand.PromptTokens * Traits.TokenBytes * BitsPerByte;
-    decode = std::max(decode, bits / (Traits.LinkMegabitsPerSecond *
-                                      MegabitBits * LinkUse));
+    decode = std::max(
+        decode, bits / (Traits.LinkMegabitsPerSecond * MegabitBits * LinkUse));
   }
   if (prefill + decode <= 0)
     return Fleet.Prefill;
--- a/Libraries/LibRelay/RoleReducer.cpp
+++ b/Libraries/LibRelay/RoleReducer.cpp
@@ -53,8 +53,8 @@
   auto const &authority = Subject.Roles.Authority;
   if (!authority.IsKnown)
     return false;
-  auto isOwn = authority.Holder.empty() ||
-               authority.Holder == Subject.Self.Instance;
+  auto isOwn =
+      authority.Holder.empty() || authority.Holder == Subject.Self.Instance;
   return isOwn || now() - authority.UnchangedSince >= TakeOverAfter;
 }
 
@@ -117,7 +117,8 @@
 auto RoleReducer::expireOrders() -> void {
   std::erase_if(Subject.Roles.Orders, [&](auto const &it) {
     auto *server = Subject.Servers.find(it.first);
-    auto isDone = server == nullptr || server->Described.Stage == it.second.Stage;
+    auto isDone =
+        server == nullptr || server->Described.Stage == it.second.Stage;
     if (server != nullptr && isDone) {
       log(LogLevel::Info, "order-carried-out", "server={} stage={}", it.first,
           static_cast<int>(it.second.Stage));
@@ -179,12 +180,11 @@
   auto change = toPrefill ? wanted - fleet.Prefill : fleet.Prefill - wanted;
   auto isIdle = !roles.Demand.contains(Target.Name);
   auto share = isIdle ? 1 : LargestBatch;
-  auto most = std::max(
-      1.0, share * static_cast<double>(fleet.Prefill + fleet.Decode));
+  auto most =
+      std::max(1.0, share * static_cast<double>(fleet.Prefill + fleet.Decode));
   auto &chosen = byStage[from];
-  std::ranges::sort(chosen, {}, [](Server const *it) {
-    return it->load().Requests;
-  });
+  std::ranges::sort(chosen, {},
+                    [](Server const *it) { return it->load().Requests; });
   auto count = std::min({static_cast<std::size_t>(change),
                          static_cast<std::size_t>(most), chosen.size()});
   chosen.resize(count);
@@ -196,8 +196,8 @@
   auto &roles = Subject.Roles;
   auto meter = roles.Demand.find(Target.Name);
   if (meter == roles.Demand.end()) {
-    auto isFirst = Subject.Given.IsFirstStart &&
-                   now() - Subject.Started > ServersSettle;
+    auto isFirst =
+        Subject.Given.IsFirstStart && now() - Subject.Started > ServersSettle;
     return isFirst ? initialPrefillEngines(Fleet, Subject.Given.PrefillShare)
                    : Fleet.Prefill;
   }
--- a/Libraries/LibRelay/RoleReducer.h
+++ b/Libraries/LibRelay/RoleReducer.h
@@ -30,8 +30,7 @@
   auto plan() -> void;
   auto planService(Service const &Target) -> void;
   [[nodiscard]] auto wantedPrefill(Service const &Target,
-                                   EngineFleet const &Fleet)
-      -> std::uint32_t;
+                                   EngineFleet const &Fleet) -> std::uint32_t;
   auto announce(std::vector<Server *> const &Chosen, EngineStage Stage) -> void;
   auto advance() -> void;
 };
--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -9,10 +9,14 @@
 trap 'rm -f "$results"' EXIT
 
 echo "seed $DOTTEREL_SEED"
-for library in LibCore LibConfiguration LibPeer LibControl LibInstance; do
+for library in LibCore LibConfiguration LibPeer LibControl LibInstance \
+  LibRelay Platform LibGateway; do
   echo "== $library"
+  # Tests of the whole gateway share its ports.
+  jobs=()
+  [ "$library" = LibGateway ] && jobs=(-j1)
   RC_PARAMS="seed=$DOTTEREL_SEED max_success=400 max_size=150" \
-    timeout 600 "build/Tests/Test$library" --tap 2>&1 | tee -a "$results"
+    timeout 600 "build/Tests/Test$library" --tap "${jobs[@]}" 2>&1 | tee -a "$results"
 done
 
 echo "== pages"
@@ -66,7 +70,8 @@
 
 # A program that crashed before it printed its results must not look green.
 for wanted in ResultCode:: Selector:: Codec:: Scenarios:: Promises:: \
-  EventStream:: Models:: Fuzz::PeerCodec Fuzz::CallerFront \
+  EventStream:: RelayAtMostOnce:: RelayRoles:: PlatformStore:: Gateway:: \
+  Models:: Fuzz::PeerCodec Fuzz::CallerFront \
   BadInput::RanToItsEnd AtMostOnce::RanToItsEnd Configuration::RanToItsEnd \
   PlannedChanges::RanToItsEnd Authority-fencing-true::RanToItsEnd \
   Authority-fencing-false::RanToItsEnd; do
--- a/Programs/dotterelstream/RelayCommand.cpp
+++ b/Programs/dotterelstream/RelayCommand.cpp
@@ -24,8 +24,9 @@
                "leaves. SIGHUP reads the settings again.");
   auto const *variable = std::getenv(SettingsVariable);
   auto path = TCLAP::ValueArg<std::string>(
-      "s", "settings", "Settings (docs/SETTINGS.md); by default the file that "
-                       "DOTTERELSTREAM_SETTINGS names",
+      "s", "settings",
+      "Settings (docs/SETTINGS.md); by default the file that "
+      "DOTTERELSTREAM_SETTINGS names",
       variable == nullptr, variable == nullptr ? "" : variable, "file", line);
   if (!line.parseArguments(Given))
     return;
--- /dev/null
+++ b/Tests/LibGateway/PlatformStandIn.cpp
@@ -0,0 +1,195 @@
+#include "LibGateway/PlatformStandIn.h"
+
+#include "LibNet/HttpServer.h"
+
+#include <atomic>
+#include <fmt/format.h>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+namespace dotterel::test {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr auto StorePort = 21741;
+constexpr auto ServerPort = 21742;
+
+auto address(int Port) -> std::string {
+  return fmt::format("127.0.0.1:{}", Port);
+}
+
+auto configuration() -> json {
+  auto route = [](std::string const &Name, std::string const &Kind) {
+    return json{{"name", Name},
+                {"host", "h.example"},
+                {"path_prefix", "/" + Name + "/"},
+                {"kind", Kind},
+                {"timeout_ms", 2000},
+                {"target_latency_ms", 300},
+                {"priority", 0},
+                {"service", "s1"},
+                {"max_attempts", 1},
+                {"target_gap_ms", 200}};
+  };
+  return {{"version", 3},
+          {"routes",
+           {route("once", "non_idempotent"), route("stream", "streaming")}},
+          {"services", {{{"name", "s1"}, {"max_conns", 100}}}}};
+}
+
+} // namespace
+
+struct PlatformStandIn::Implementation {
+  Implementation()
+      : Store(
+            Context, address(StorePort), HttpLimits{},
+            [this](HttpExchange &it) { return serveStore(it); }, refuse),
+        Server(
+            Context, address(ServerPort), HttpLimits{},
+            [this](HttpExchange &it) { return serve(it); }, refuse) {
+    Store.start();
+    Server.start();
+    Runner = std::thread([this] { Context.run(); });
+  }
+
+  ~Implementation() {
+    Context.stop();
+    Runner.join();
+  }
+
+  static auto refuse(ResultCode Code) -> HttpReply {
+    return {describe(Code).HttpStatus, "", {}, ""};
+  }
+
+  auto serverObject() -> json {
+    return {{"metadata", {{"name", "i-1"}, {"revision", Revision.load()}}},
+            {"spec",
+             {{"service", "s1"},
+              {"address", address(ServerPort)},
+              {"zone", "z1"},
+              {"slots", 6},
+              {"state", IsDraining ? "draining" : "ready"},
+              {"born", 1000}}}};
+  }
+
+  auto serveStore(HttpExchange &Exchange) -> Awaitable<void> {
+    auto path = std::string(Exchange.path());
+    auto watched = Exchange.query("watch");
+    auto items = json::array();
+    if (path == "/-/objects/servers")
+      items.push_back(serverObject());
+    if (path == "/-/objects/config")
+      items.push_back({{"metadata", {{"name", "main"}, {"revision", 2}}},
+                       {"spec", configuration()}});
+    auto body = json{{"as_of", Revision.load()}};
+    if (watched.empty()) {
+      body["items"] = items;
+      body["more_pages"] = false;
+    } else {
+      co_await pauseUnlessNewer(std::stoull(watched));
+      body["as_of"] = Revision.load();
+      body["events"] = json::array();
+      if (path == "/-/objects/servers" && Revision > std::stoull(watched))
+        body["events"].push_back(
+            {{"deleted", false}, {"object", serverObject()}});
+    }
+    co_await Exchange.respond({200, "application/json", {}, body.dump()});
+  }
+
+  auto pauseUnlessNewer(std::uint64_t Known) -> Awaitable<void> {
+    auto timer = asio::steady_timer(Context);
+    for (auto n = 0; n < 20 && Revision <= Known; ++n) {
+      timer.expires_after(10ms);
+      co_await timer.async_wait(asio::use_awaitable);
+    }
+  }
+
+  auto serve(HttpExchange &Exchange) -> Awaitable<void> {
+    ++Served;
+    auto fields = std::string{};
+    Exchange.visitFields([&](std::string_view Name, std::string_view Value) {
+      fields += fmt::format("{}: {}\n", Name, Value);
+    });
+    {
+      auto lock = std::lock_guard(Mutex);
+      LastFields = fields;
+    }
+    auto id = Exchange.field("Attempt-Id");
+    switch (Mode.load()) {
+    case ServerMode::Close:
+      co_return Exchange.abort();
+    case ServerMode::Refuse:
+      co_return co_await Exchange.respond(
+          {503, "", {{"Not-Executed", "1"}}, ""});
+    case ServerMode::LateAnswer:
+      co_await answer(Exchange, "another", "late");
+      co_return co_await answer(Exchange, id, "right");
+    case ServerMode::Echo:
+      co_return co_await answer(Exchange, id, Exchange.body());
+    case ServerMode::Stream:
+    case ServerMode::CutStream:
+      co_return co_await stream(Exchange, id);
+    }
+  }
+
+  static auto answer(HttpExchange &Exchange, std::string Id, std::string Body)
+      -> Awaitable<void> {
+    co_await Exchange.respond(
+        {200,
+         "text/plain",
+         {{"Attempt-Id", std::move(Id)}, {"Server-Seal", "seal-1"}},
+         std::move(Body)});
+  }
+
+  auto stream(HttpExchange &Exchange, std::string Id) -> Awaitable<void> {
+    co_await Exchange.beginStream(
+        "text/event-stream",
+        {{"Attempt-Id", std::move(Id)}, {"Server-Seal", "seal-1"}});
+    for (auto n = 1; n <= 2; ++n)
+      co_await Exchange.writeChunk(fmt::format("id: {}\ndata: {}\n\n", n, n));
+    if (Mode == ServerMode::CutStream) {
+      co_await Exchange.writeChunk("id: 3\ndat");
+      co_return Exchange.abort();
+    }
+    co_await Exchange.writeChunk("id: 3\ndata: 3\n\n");
+    co_await Exchange.endStream();
+  }
+
+  asio::io_context Context{1};
+  std::atomic<ServerMode> Mode = ServerMode::Echo;
+  std::atomic<bool> IsDraining = false;
+  std::atomic<std::uint64_t> Revision = 10;
+  std::atomic<unsigned> Served = 0;
+  std::mutex Mutex;
+  std::string LastFields;
+  HttpServer Store;
+  HttpServer Server;
+  std::thread Runner;
+};
+
+PlatformStandIn::PlatformStandIn() : Self(std::make_unique<Implementation>()) {}
+
+PlatformStandIn::~PlatformStandIn() = default;
+
+auto PlatformStandIn::setMode(ServerMode Mode) -> void { Self->Mode = Mode; }
+
+auto PlatformStandIn::drainServer() -> void {
+  Self->IsDraining = true;
+  ++Self->Revision;
+}
+
+auto PlatformStandIn::storeAddress() const -> std::string {
+  return address(StorePort);
+}
+
+auto PlatformStandIn::served() const -> unsigned { return Self->Served; }
+
+auto PlatformStandIn::lastFields() const -> std::string {
+  auto lock = std::lock_guard(Self->Mutex);
+  return Self->LastFields;
+}
+
+} // namespace dotterel::test
--- /dev/null
+++ b/Tests/LibGateway/TestGateway.cpp
@@ -0,0 +1,243 @@
+#include "LibGateway/Gateway.h"
+#include "LibGateway/PlatformStandIn.h"
+#include "LibNet/HttpClient.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <csignal>
+#include <fmt/format.h>
+#include <optional>
+#include <thread>
+
+#include <criterion/criterion.h>
+
+namespace dotterel::test {
+
+namespace {
+
+constexpr auto CallerPort = 21743;
+constexpr auto ReadyPort = 21744;
+constexpr auto DirectoryPort = 21745;
+constexpr auto PeerPort = 21746;
+constexpr auto MetricsPort = 21747;
+
+auto address(int Port) -> std::string {
+  return fmt::format("127.0.0.1:{}", Port);
+}
+
+auto call(int Port, HttpRequest Request) -> HttpResult {
+  auto context = asio::io_context{1};
+  auto result = HttpResult{};
+  asio::co_spawn(context, exchange(address(Port), std::move(Request), 3s),
+                 [&](std::exception_ptr const &, HttpResult Given) {
+                   result = std::move(Given);
+                 });
+  context.run();
+  return result;
+}
+
+auto status(HttpResult const &From) -> unsigned {
+  return From.Reply ? From.Reply->Status : 0;
+}
+
+auto get(int Port, std::string Path) -> HttpResult {
+  return call(Port, {"GET", std::move(Path), "", {}, ""});
+}
+
+/// Sends bytes as they are and returns what comes until the connection ends.
+auto sendRaw(std::string const &Bytes) -> std::string {
+  auto context = asio::io_context{1};
+  auto socket = asio::ip::tcp::socket(context);
+  socket.connect({asio::ip::make_address("127.0.0.1"), CallerPort});
+  asio::write(socket, asio::buffer(Bytes));
+  auto answer = std::string{};
+  auto ec = boost::system::error_code{};
+  asio::read(socket, asio::dynamic_buffer(answer), ec);
+  return answer;
+}
+
+/// A gateway in front of the stand-in, ready to serve.
+class RunningGateway {
+public:
+  RunningGateway() {
+    auto text = fmt::format(
+        R"({{"instance":"i0","failureDomain":"z1","host":"127.0.0.1",
+             "callerAddress":"{}","readinessAddress":"{}",
+             "directoryAddress":"{}","peerPort":{},"storeAddress":"{}",
+             "metricsPort":{},"logLevel":"error"}})",
+        address(CallerPort), address(ReadyPort), address(DirectoryPort),
+        PeerPort, Platform.storeAddress(), MetricsPort);
+    Subject.emplace(GatewaySettings::parse(text), "unused");
+    Runner = std::thread([this] { Subject->run(); });
+    for (auto n = 0; n < 200 && status(get(ReadyPort, "/-/ready")) != 200; ++n)
+      std::this_thread::sleep_for(20ms);
+  }
+
+  ~RunningGateway() {
+    if (Runner.joinable())
+      stop();
+  }
+
+  auto stop() -> void {
+    std::raise(SIGTERM);
+    Runner.join();
+  }
+
+  auto request(std::string const &Route, std::vector<HttpField> Fields = {},
+               std::string_view Body = "body") -> HttpResult {
+    Fields.push_back({"Host", "h.example"});
+    Fields.push_back({"Attempt-Id", "9c41"});
+    return call(CallerPort,
+                {"POST", "/" + Route + "/x?q=1", "", std::move(Fields), Body});
+  }
+
+  PlatformStandIn Platform;
+
+private:
+  std::optional<Gateway> Subject;
+  std::thread Runner;
+};
+
+} // namespace
+
+Test(Gateway, PassesRequestAndAnswerOnUnchanged) {
+  auto gateway = RunningGateway();
+  auto body = std::string(100000, 'b');
+  auto result = gateway.request(
+      "once", {{"Deadline-Ms", "1500"}, {"Kv-Hold", "forged"}}, body);
+  cr_assert_eq(status(result), 200);
+  cr_assert(result.Reply->Body == body);
+  auto fields = gateway.Platform.lastFields();
+  cr_assert(fields.find("Host: h.example\n") != std::string::npos);
+  cr_assert(fields.find("Expect-Instance: i-1\n") != std::string::npos);
+  cr_assert(fields.find("Deadline-Ms: 1") != std::string::npos);
+  cr_assert(fields.find("Kv-Hold") == std::string::npos);
+}
+
+Test(Gateway, PassesAStreamOn) {
+  auto gateway = RunningGateway();
+  gateway.Platform.setMode(ServerMode::Stream);
+  auto result = gateway.request("stream");
+  cr_assert_eq(status(result), 200);
+  cr_assert(result.Reply->Body ==
+            "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n");
+}
+
+Test(Gateway, CutStreamDoesNotLookComplete) {
+  auto gateway = RunningGateway();
+  gateway.Platform.setMode(ServerMode::CutStream);
+  auto result = gateway.request("stream");
+  cr_assert_not(result.Reply.has_value());
+}
+
+Test(Gateway, AnswerOfAnotherRequestIsNotPassedOn) {
+  auto gateway = RunningGateway();
+  gateway.Platform.setMode(ServerMode::LateAnswer);
+  auto result = gateway.request("once");
+  cr_assert_eq(status(result), 200);
+  cr_assert(result.Reply->Body == "right");
+}
+
+Test(Gateway, ExtraAnswerIsNotTheNextOne) {
+  auto gateway = RunningGateway();
+  gateway.Platform.setMode(ServerMode::LateAnswer);
+  for (auto n = 0; n < 5; ++n)
+    cr_assert(gateway.request("once").Reply->Body == "right");
+}
+
+Test(Gateway, LostAnswerIsNotAskedForAgain) {
+  auto gateway = RunningGateway();
+  gateway.Platform.setMode(ServerMode::Close);
+  auto before = gateway.Platform.served();
+  cr_assert_eq(status(gateway.request("once")), 502);
+  cr_assert_eq(gateway.Platform.served(), before + 1);
+}
+
+Test(Gateway, RefusalComesWithATimeToReturn) {
+  auto gateway = RunningGateway();
+  gateway.Platform.setMode(ServerMode::Refuse);
+  auto answer = sendRaw("POST /once/x HTTP/1.1\r\nHost: h.example\r\n"
+                        "Attempt-Id: 1\r\nContent-Length: 0\r\n"
+                        "Connection: close\r\n\r\n");
+  cr_assert(answer.starts_with("HTTP/1.1 503"));
+  cr_assert(answer.find("\r\nRetry-After: 0.") != std::string::npos);
+  cr_assert(answer.find("no-backend-available") != std::string::npos);
+}
+
+Test(Gateway, LeavingServerGetsNoMoreRequests) {
+  auto gateway = RunningGateway();
+  cr_assert_eq(status(gateway.request("once")), 200);
+  gateway.Platform.drainServer();
+  std::this_thread::sleep_for(1000ms);
+  auto before = gateway.Platform.served();
+  cr_assert_eq(status(gateway.request("once")), 503);
+  cr_assert_eq(gateway.Platform.served(), before);
+}
+
+Test(Gateway, UnknownPathsAndHostsAreNotFound) {
+  auto gateway = RunningGateway();
+  cr_assert_eq(status(gateway.request("other")), 404);
+  cr_assert_eq(gateway.Platform.served(), 0);
+}
+
+Test(Gateway, SmuggledRequestIsRefused) {
+  auto gateway = RunningGateway();
+  for (auto const *framing :
+       {"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+        "Content-Length: 4\r\nContent-Length: 5\r\n",
+        "Content-Length: -1\r\n"}) {
+    auto answer = sendRaw(fmt::format("POST /once/x HTTP/1.1\r\n"
+                                      "Host: h.example\r\n{}\r\n"
+                                      "0\r\n\r\nPOST /once/y HTTP/1.1\r\n",
+                                      framing));
+    cr_assert(answer.starts_with("HTTP/1.1 400"), "%s gave %s", framing,
+              answer.c_str());
+  }
+  cr_assert_eq(gateway.Platform.served(), 0);
+}
+
+Test(Gateway, TellsCallersWhereToConnect) {
+  auto gateway = RunningGateway();
+  auto result = HttpResult{};
+  for (auto n = 0; n < 100 && status(result) != 200; ++n) {
+    result = get(DirectoryPort, "/-/resolve?name=h.example&region=r&zone=z");
+    std::this_thread::sleep_for(50ms);
+  }
+  cr_assert_eq(status(result), 200);
+  cr_assert(result.Reply->Body.find(address(CallerPort)) != std::string::npos);
+}
+
+Test(Gateway, ShowsMetrics) {
+  auto gateway = RunningGateway();
+  (void)gateway.request("once");
+  auto result = get(MetricsPort, "/metrics");
+  cr_assert_eq(status(result), 200);
+  auto const &text = result.Reply->Body;
+  cr_assert(text.find("dotterel_relay_answers_total{result=\"completed\","
+                      "route=\"once\"} 1") != std::string::npos);
+  cr_assert(
+      text.find("dotterel_relay_state{name=\"configuration_version\"} 3") !=
+      std::string::npos);
+}
+
+Test(Gateway, StopsWhenItsRequestsAreAnswered) {
+  auto gateway = RunningGateway();
+  auto started = std::chrono::steady_clock::now();
+  gateway.stop();
+  cr_assert_lt(toSeconds(std::chrono::steady_clock::now() - started), 6.0);
+}
+
+Test(GatewaySettings, RefusesWhatIsMissingOrOutOfRange) {
+  for (auto const *text : {"{}", "torn", R"({"instance": 5})"}) {
+    auto isRefused = false;
+    try {
+      (void)GatewaySettings::parse(text);
+    } catch (std::exception const &) {
+      isRefused = true;
+    }
+    cr_assert(isRefused, "%s", text);
+  }
+}
+
+} // namespace dotterel::test
--- /dev/null
+++ b/Tests/LibRelay/RelayNode.cpp
@@ -0,0 +1,159 @@
+#include "LibRelay/RelayNode.h"
+
+#include <fmt/format.h>
+
+namespace dotterel::relay::test {
+
+namespace {
+
+constexpr auto TickSpan = Duration{50ms};
+
+auto pathOf(Kind Route) -> std::string {
+  switch (Route) {
+  case Kind::Booking:
+    return "/book/x";
+  case Kind::Lookup:
+    return "/look/x";
+  case Kind::Stream:
+    return "/stream/x";
+  case Kind::PlainStream:
+    return "/once/x";
+  }
+  return "/";
+}
+
+auto makeRoute(std::string Name, std::string Prefix, std::string Service)
+    -> Route {
+  auto route = Route{};
+  route.Name = std::move(Name);
+  route.Host = "h";
+  route.PathPrefix = std::move(Prefix);
+  route.Timeout = 4s;
+  route.Target = 600ms;
+  route.LongestGap = 200ms;
+  route.Services = {{std::move(Service), 1}};
+  return route;
+}
+
+} // namespace
+
+auto describeServer(std::string Id, std::string Service, EngineStage Stage)
+    -> ServerDescription {
+  auto server = ServerDescription{};
+  server.Address = "10.0.0.1:" + Id;
+  server.Id = std::move(Id);
+  server.Service = std::move(Service);
+  server.Domain = "a";
+  server.Slots = Stage == EngineStage::Any ? 6 : 64;
+  server.Stage = Stage;
+  server.StartedAt = 1;
+  server.Revision = 2;
+  return server;
+}
+
+auto makeConfiguration(std::uint64_t Version)
+    -> std::shared_ptr<Configuration const> {
+  auto booking = makeRoute("booking", "/book/", "plain");
+  auto lookup = makeRoute("lookup", "/look/", "plain");
+  lookup.IsIdempotent = true;
+  lookup.MaximumServers = 2;
+  auto stream = makeRoute("stream", "/stream/", "model");
+  stream.IsStream = true;
+  stream.IsResumable = true;
+  stream.MaximumServers = 2;
+  auto once = makeRoute("once", "/once/", "model");
+  once.IsStream = true;
+  auto engines = Service{"model", 800, EngineTraits{}};
+  engines.Engine->Slots = 64;
+  engines.Engine->TokenBytes = 163840;
+  engines.Engine->LinkMegabitsPerSecond = 1600000;
+  engines.Engine->CanMoveCache = true;
+  return std::make_shared<Configuration const>(
+      Version, std::vector<Route>{booking, lookup, stream, once},
+      std::vector<Service>{{"plain", 200, std::nullopt}, engines},
+      CallerLimits{});
+}
+
+auto prompt(std::uint64_t Shared, std::uint32_t SharedTokens,
+            std::uint32_t OwnTokens) -> std::vector<PromptPart> {
+  static auto own = std::uint64_t{1000000};
+  return {{Shared, SharedTokens}, {++own, OwnTokens}};
+}
+
+RelayNode::RelayNode(std::string const &Instance) : Now(Instant{} + 1h) {
+  auto self = Identity{};
+  self.Instance = Instance;
+  self.Incarnation = 7;
+  self.Domain = "a";
+  self.CallerAddress = "c-" + Instance;
+  self.PeerAddress = "p-" + Instance;
+  auto options = Options{};
+  options.Retries.Slack = 100;
+  Current = makeState(self, options, Now);
+  auto listed = ServersListed{{}, 2};
+  for (auto n = 0; n < 3; ++n) {
+    listed.Servers.push_back(describeServer(fmt::format("p{}", n), "plain"));
+    listed.Servers.push_back(
+        describeServer(fmt::format("d{}", n), "model", EngineStage::Decode));
+  }
+  for (auto n = 0; n < 2; ++n)
+    listed.Servers.push_back(
+        describeServer(fmt::format("f{}", n), "model", EngineStage::Prefill));
+  feed(StoreReachable{true, ""});
+  feed(ConfigurationReceived{makeConfiguration(1), 1});
+  feed(ConfigurationConfirmed{2});
+  feed(listed);
+  pass(3s);
+}
+
+auto RelayNode::feed(EventBody Happened) -> Effects {
+  Last = reduce(Current, Event{Now, std::move(Happened)});
+  return Last;
+}
+
+auto RelayNode::pass(Duration Span) -> Effects {
+  auto all = Effects{};
+  for (auto passed = Duration{}; passed < Span; passed += TickSpan) {
+    Now += TickSpan;
+    for (auto &it : feed(Tick{}))
+      all.push_back(std::move(it));
+  }
+  Last = all;
+  return all;
+}
+
+auto RelayNode::request(Kind Route, std::vector<PromptPart> Parts,
+                        std::optional<Duration> TimeLimit) -> RequestNumber {
+  auto content = Request{};
+  content.Method = "POST";
+  content.Target = pathOf(Route);
+  content.Host = "h";
+  content.Id = fmt::format("r{}", ++LastNumber);
+  content.TimeLimit = TimeLimit;
+  content.Parts = std::move(Parts);
+  for (auto const &it : content.Parts)
+    content.PromptTokens += it.Tokens;
+  feed(RequestArrived{LastNumber,
+                      std::make_shared<Request const>(std::move(content))});
+  return LastNumber;
+}
+
+auto RelayNode::current(RequestNumber Number) const -> Attempt const * {
+  auto it = Current.Calls.find(Number);
+  if (it == Current.Calls.end() || !it->second.Current)
+    return nullptr;
+  return &*it->second.Current;
+}
+
+auto RelayNode::name(RequestNumber Number) const -> AttemptName {
+  auto const *attempt = current(Number);
+  return {Number, attempt == nullptr ? 0 : attempt->Number};
+}
+
+auto RelayNode::connect(RequestNumber Number) -> std::optional<SendAttempt> {
+  feed(AttemptConnected{name(Number), false});
+  auto const *send = effect<SendAttempt>(Last);
+  return send == nullptr ? std::nullopt : std::optional(*send);
+}
+
+} // namespace dotterel::relay::test
--- /dev/null
+++ b/Tests/LibRelay/RelayNode.h
@@ -0,0 +1,73 @@
+/// \file
+/// One relaying instance that is driven by events alone.
+#pragma once
+
+#include "LibRelay/Reducer.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace dotterel::relay::test {
+
+/// Routes of the configuration that every test node has.
+enum class Kind { Booking, Lookup, Stream, PlainStream };
+
+/// An instance with a configuration of one plain service ("plain", servers p0
+/// to p2) and one of engines ("model": f0, f1 read prompts, d0 to d2 make
+/// tokens). Time stands still unless a test moves it.
+class RelayNode {
+public:
+  explicit RelayNode(std::string const &Instance = "i0");
+
+  auto feed(EventBody Happened) -> Effects;
+  /// Moves time and ticks on the way.
+  auto pass(Duration Span) -> Effects;
+
+  /// A request arrives; returns its number.
+  auto request(Kind Route, std::vector<PromptPart> Parts = {},
+               std::optional<Duration> TimeLimit = std::nullopt)
+      -> RequestNumber;
+
+  /// Connects the current attempt of a request and returns what is sent.
+  auto connect(RequestNumber Number) -> std::optional<SendAttempt>;
+  auto current(RequestNumber Number) const -> Attempt const *;
+  auto name(RequestNumber Number) const -> AttemptName;
+
+  /// The effects of the last call.
+  Effects Last;
+  State Current;
+  Instant Now;
+
+private:
+  RequestNumber LastNumber = 0;
+};
+
+/// Returns the first effect of a type, or null.
+template <typename T> auto effect(Effects const &From) -> T const * {
+  for (auto const &it : From) {
+    if (auto const *found = std::get_if<T>(&it))
+      return found;
+  }
+  return nullptr;
+}
+
+template <typename T> auto countEffects(Effects const &From) -> std::size_t {
+  auto n = std::size_t{0};
+  for (auto const &it : From)
+    n += std::holds_alternative<T>(it) ? 1 : 0;
+  return n;
+}
+
+[[nodiscard]] auto describeServer(std::string Id, std::string Service,
+                                  EngineStage Stage = EngineStage::Any)
+    -> ServerDescription;
+
+[[nodiscard]] auto makeConfiguration(std::uint64_t Version)
+    -> std::shared_ptr<Configuration const>;
+
+/// A prompt with a shared beginning and an own part.
+[[nodiscard]] auto prompt(std::uint64_t Shared, std::uint32_t SharedTokens,
+                          std::uint32_t OwnTokens) -> std::vector<PromptPart>;
+
+} // namespace dotterel::relay::test
--- /dev/null
+++ b/Tests/LibRelay/TestFleet.cpp
@@ -0,0 +1,283 @@
+#include "LibRelay/RelayNode.h"
+
+#include <fmt/format.h>
+
+#include <criterion/criterion.h>
+
+namespace dotterel::relay::test {
+
+namespace {
+
+auto removal(std::string Id, std::uint64_t Revision) -> ServersUpdated {
+  return {{{std::move(Id), Revision, std::nullopt}}, Revision};
+}
+
+/// A report of a live peer.
+auto report(std::string const &Name, std::uint64_t Number) -> PeerReport {
+  auto message = PeerReport{};
+  message.Instance = Name;
+  message.Incarnation = 5;
+  message.Number = Number;
+  message.CallerAddress = "c-" + Name;
+  message.PeerAddress = "p-" + Name;
+  message.IsReady = true;
+  return message;
+}
+
+auto ask(RelayNode &Node) -> std::vector<std::string> {
+  Node.feed(SteeringRequested{1000000});
+  return effect<AnswerSteering>(Node.Last)->Addresses;
+}
+
+} // namespace
+
+Test(RelayFleet, ConfigurationNeverGoesBack) {
+  auto node = RelayNode();
+  node.feed(ConfigurationReceived{makeConfiguration(5), 9});
+  node.feed(ConfigurationReceived{makeConfiguration(4), 10});
+  cr_assert_eq(node.Current.Current->version(), 5);
+}
+
+Test(RelayFleet, RequestKeepsTheConfigurationItCameUnder) {
+  auto node = RelayNode();
+  auto number = node.request(Kind::Booking);
+  auto const *route = node.Current.Calls.at(number).Matched;
+  node.feed(ConfigurationReceived{
+      std::make_shared<Configuration const>(
+          9, std::vector<Route>{}, std::vector<Service>{}, CallerLimits{}),
+      9});
+  cr_assert(node.Current.Calls.at(number).Matched == route);
+  cr_assert(route->Name == "booking");
+  auto unknown = node.request(Kind::Booking);
+  cr_assert(!node.Current.Calls.contains(unknown));
+  cr_assert_eq(describe(effect<Refuse>(node.Last)->Code).HttpStatus, 404);
+}
+
+Test(RelayFleet, InstanceWithoutConfigurationSaysUnavailable) {
+  auto state = makeState({}, {}, Instant{} + 1h);
+  auto content = std::make_shared<Request const>();
+  auto effects =
+      reduce(state, Event{Instant{} + 1h, RequestArrived{1, content}});
+  auto const *refused = effect<Refuse>(effects);
+  cr_assert_not_null(refused);
+  cr_assert_eq(describe(refused->Code).HttpStatus, 503);
+}
+
+Test(RelayFleet, RemovedServerIsGoneAtOnce) {
+  auto node = RelayNode();
+  node.feed(removal("p0", 3));
+  cr_assert_null(node.Current.Servers.find("p0"));
+}
+
+Test(RelayFleet, OlderNewsOfAServerIsIgnored) {
+  auto node = RelayNode();
+  auto newer = describeServer("p0", "plain");
+  newer.Revision = 8;
+  node.feed(ServersUpdated{{{"p0", 8, newer}}, 8});
+  node.feed(removal("p0", 6));
+  cr_assert_not_null(node.Current.Servers.find("p0"));
+}
+
+Test(RelayFleet, EntryThatLapsedInAnOutageMayComeBack) {
+  auto node = RelayNode();
+  node.feed(StoreReachable{false, "status 0"});
+  node.pass(3s);
+  node.feed(StoreReachable{true, ""});
+  node.feed(removal("p0", 3));
+  node.feed(removal("p1", 4));
+  cr_assert_not_null(node.Current.Servers.find("p0"));
+  node.pass(1s);
+  auto back = describeServer("p0", "plain");
+  back.Revision = 5;
+  node.feed(ServersUpdated{{{"p0", 5, back}}, 5});
+  node.pass(1500ms);
+  cr_assert_not_null(node.Current.Servers.find("p0"));
+  cr_assert_null(node.Current.Servers.find("p1"));
+}
+
+Test(RelayFleet, LeavingServerIsGoneAlsoAroundAnOutage) {
+  auto node = RelayNode();
+  node.Current.Servers.find("p0")->Described.IsDraining = true;
+  node.feed(StoreReachable{false, "status 0"});
+  node.feed(StoreReachable{true, ""});
+  node.feed(removal("p0", 3));
+  cr_assert_null(node.Current.Servers.find("p0"));
+}
+
+Test(RelayFleet, NewRunOfAServerForgetsTheOld) {
+  auto node = RelayNode();
+  auto &old = *node.Current.Servers.find("p0");
+  old.FailureShare = 1;
+  old.Own.Requests = 9;
+  auto next = describeServer("p0", "plain");
+  next.StartedAt = 2;
+  next.Revision = 3;
+  node.feed(ServersUpdated{{{"p0", 3, next}}, 3});
+  auto const &server = *node.Current.Servers.find("p0");
+  cr_assert_eq(server.FailureShare, 0);
+  cr_assert_eq(server.Own.Requests, 0);
+}
+
+Test(RelayFleet, SteeringNamesLiveInstancesThatTakeCallers) {
+  auto node = RelayNode();
+  node.feed(PeersListed{{{"i1", "p-i1"}, {"i2", "p-i2"}, {"i3", "p-i3"}}});
+  cr_assert(ask(node).empty());
+  for (auto n = 1U; n < 30; ++n) {
+    node.pass(50ms);
+    node.feed(PeerReported{report("i1", n)});
+    auto leaving = report("i2", n);
+    leaving.IsReady = false;
+    node.feed(PeerReported{leaving});
+  }
+  auto addresses = ask(node);
+  std::ranges::sort(addresses);
+  cr_assert(addresses == (std::vector<std::string>{"c-i0", "c-i1"}));
+  node.pass(3s);
+  cr_assert(ask(node) == std::vector<std::string>{"c-i0"});
+}
+
+Test(RelayFleet, SteeringFollowsTheWeights) {
+  constexpr auto Questions = 4000;
+  auto node = RelayNode();
+  node.feed(PeersListed{});
+  node.pass(2s);
+  for (auto n = 1; n < 100; ++n) {
+    auto peer = report(fmt::format("i{}", n), 1);
+    peer.Weight = n == 1 ? 4 : 1;
+    node.feed(PeerReported{peer});
+  }
+  auto heavy = 0;
+  for (auto n = 0U; n < Questions; ++n) {
+    node.feed(SteeringRequested{n});
+    auto const &found = effect<AnswerSteering>(node.Last)->Addresses;
+    cr_assert_eq(found.size(), 64);
+    heavy += std::ranges::count(found, "c-i1") > 0 ? 1 : 0;
+  }
+  // A weight of four leaves it out far less often than the others' third.
+  cr_assert_gt(heavy, Questions * 9 / 10);
+}
+
+Test(RelayFleet, PeersLoadsCountUntilTheyFallSilent) {
+  auto node = RelayNode();
+  auto key = node.Current.Servers.find("f0")->Key;
+  auto message = report("i1", 1);
+  message.Loads = {{key, {3, 9000}}};
+  node.feed(PeerReported{message});
+  cr_assert_eq(node.Current.Servers.find("f0")->load().PromptTokens, 9000);
+  message.Number = 2;
+  message.Loads = {{key, {1, 1000}}};
+  node.feed(PeerReported{message});
+  cr_assert_eq(node.Current.Servers.find("f0")->load().PromptTokens, 1000);
+  message.Number = 1;
+  message.Loads = {{key, {7, 7000}}};
+  node.feed(PeerReported{message});
+  cr_assert_eq(node.Current.Servers.find("f0")->load().PromptTokens, 1000);
+  node.pass(3s);
+  cr_assert_eq(node.Current.Servers.find("f0")->load().PromptTokens, 0);
+}
+
+Test(RelayFleet, LeavingInstanceServesForAWhileThenRefuses) {
+  auto node = RelayNode();
+  auto running = node.request(Kind::Booking);
+  (void)node.connect(running);
+  node.feed(LeaveRequested{});
+  cr_assert_not(node.Current.isReady());
+  auto early = node.request(Kind::Booking, {}, 500ms);
+  cr_assert_not_null(node.current(early));
+  auto effects = node.pass(2100ms);
+  cr_assert_null(effect<StopProcess>(effects));
+  (void)node.request(Kind::Booking);
+  cr_assert_eq(describe(effect<Refuse>(node.Last)->Code).HttpStatus, 503);
+  auto answer = ServerAnswer{};
+  answer.Status = 200;
+  node.feed(AttemptAnswered{node.name(running), answer});
+  cr_assert_not_null(effect<StopProcess>(node.pass(1s)));
+}
+
+Test(RelayFleet, LeavingInstanceEndsInTime) {
+  auto node = RelayNode();
+  auto number = node.request(Kind::Stream, prompt(1, 1000, 500));
+  (void)node.connect(number);
+  node.feed(LeaveRequested{});
+  auto effects = node.pass(8s);
+  cr_assert_not_null(effect<StopProcess>(effects));
+  cr_assert(node.Current.Calls.empty());
+}
+
+Test(RelayPeers, ReportsSurviveTheWire) {
+  auto message = report("i1", 3);
+  message.Weight = 0.084;
+  message.Loads = {{0xfedcba98U, {3, 5000000000ULL}}};
+  message.Prefixes = {{0xfedcba9876543210ULL, 77}};
+  message.Demands = {{9, {100, 200}}};
+  message.Changing = {1, 2};
+  auto watch = WatchReport{};
+  watch.Age = 120ms;
+  watch.From = 4;
+  watch.AsOf = 9;
+  watch.Updates = {
+      {"s1", 5, std::nullopt},
+      {"d0", 9, describeServer("d0", "model", EngineStage::Decode)}};
+  message.Watch = watch;
+  auto read = decodePeerReport(encodePeerReport(message));
+  cr_assert(read.has_value());
+  cr_assert(read->Instance == "i1");
+  cr_assert_eq(read->Loads[0].Load.PromptTokens, 5000000000ULL);
+  cr_assert_eq(read->Prefixes[0].Hash, 0xfedcba9876543210ULL);
+  cr_assert(read->Changing == message.Changing);
+  cr_assert(read->Watch->Age == 120ms);
+  cr_assert_not(read->Watch->Updates[0].Described.has_value());
+  cr_assert(read->Watch->Updates[1].Described->Stage == EngineStage::Decode);
+  cr_assert(read->Watch->Updates[1].Described->Address ==
+            watch.Updates[1].Described->Address);
+}
+
+Test(RelayPeers, TornReportsAreRefused) {
+  auto bytes = encodePeerReport(report("i1", 3));
+  for (auto n = std::size_t{0}; n < bytes.size(); ++n)
+    cr_assert_not(decodePeerReport(bytes.substr(0, n)).has_value());
+  cr_assert_not(decodePeerReport("not a report").has_value());
+  for (auto n = std::size_t{0}; n < bytes.size(); ++n) {
+    auto spoiled = bytes;
+    spoiled[n] = static_cast<char>(spoiled[n] ^ 0x55);
+    // Must not throw or read out of bounds; some changes are still reports.
+    (void)decodePeerReport(spoiled);
+  }
+}
+
+Test(RelayRetries, AllInstancesTogetherStayWithinTheLimit) {
+  constexpr auto Window = 10;
+  auto limits = RetryLimits{0.2, 119, 10s};
+  for (auto instances : {1U, 17U, 142U, 300U}) {
+    auto slack = std::max(limits.Slack, 1.1 * instances);
+    limits.Slack = slack;
+    auto all = std::vector<RetryAllowance>(instances);
+    auto now = Instant{} + 1h;
+    auto granted = std::vector<unsigned>{};
+    auto requests = 0U;
+    for (auto second = 0; second < 3 * Window; ++second) {
+      now += 1s;
+      auto count = 0U;
+      for (auto &it : all) {
+        for (auto n = 0; n < 5; ++n) {
+          it.deposit(limits);
+          ++requests;
+          while (it.withdraw(limits, instances, now))
+            ++count;
+        }
+      }
+      granted.push_back(count);
+    }
+    auto perWindow = static_cast<double>(requests) / 3;
+    for (auto first = std::size_t{0}; first + Window <= granted.size();
+         ++first) {
+      auto sum = 0U;
+      for (auto n = first; n < first + Window; ++n)
+        sum += granted[n];
+      cr_assert_leq(sum, limits.Ratio * perWindow + slack, "%u instances",
+                    instances);
+    }
+  }
+}
+
+} // namespace dotterel::relay::test
--- /dev/null
+++ b/Tests/LibRelay/TestFollowing.cpp
@@ -0,0 +1,141 @@
+#include "LibCore/Hash.h"
+#include "LibRelay/RelayNode.h"
+
+#include <criterion/criterion.h>
+
+namespace dotterel::relay::test {
+
+namespace {
+
+/// Names of two peers that come before "i0" in the order of watchers, so that
+/// it relies on them.
+auto earlierNames() -> std::vector<std::string> {
+  auto names = std::vector<std::string>{};
+  for (auto n = 1; names.size() < 2; ++n) {
+    auto name = "x" + std::to_string(n);
+    if (hashText(name) < hashText("i0"))
+      names.push_back(name);
+  }
+  return names;
+}
+
+auto watcher(std::string const &Name, std::uint64_t Number, Duration Age)
+    -> PeerReport {
+  auto message = PeerReport{};
+  message.Instance = Name;
+  message.Incarnation = 5;
+  message.Number = Number;
+  message.CallerAddress = "c-" + Name;
+  message.PeerAddress = "p-" + Name;
+  message.IsReady = true;
+  auto &watch = message.Watch.emplace();
+  watch.Age = Age;
+  watch.From = 2;
+  watch.AsOf = 2;
+  return message;
+}
+
+/// A node that relies on two fresh watchers.
+class Relying {
+public:
+  Relying() {
+    Node.feed(PeersListed{});
+    hear(0ms);
+    Node.pass(50ms);
+  }
+
+  auto hear(Duration Age) -> void {
+    ++Number;
+    for (auto const &it : Names)
+      Node.feed(PeerReported{watcher(it, Number, Age)});
+  }
+
+  RelayNode Node;
+  std::vector<std::string> Names = earlierNames();
+  std::uint64_t Number = 0;
+};
+
+} // namespace
+
+Test(RelayFollowing, InstanceAloneWatchesItself) {
+  auto node = RelayNode();
+  cr_assert(node.Current.Following.IsWatcher);
+  cr_assert(node.Current.Following.needsServers());
+}
+
+Test(RelayFollowing, OthersRelyOnFreshWatchers) {
+  auto it = Relying();
+  cr_assert_not(it.Node.Current.Following.IsWatcher);
+  cr_assert_not(it.Node.Current.Following.needsServers());
+  cr_assert_not(it.Node.Current.Following.needsConfiguration());
+}
+
+Test(RelayFollowing, SilentWatchersAreReplacedWithinASecond) {
+  auto it = Relying();
+  it.Node.pass(1050ms);
+  cr_assert(it.Node.Current.Following.needsServers());
+}
+
+Test(RelayFollowing, WatchersWhoseStoreIsSilentAreReplaced) {
+  auto it = Relying();
+  it.hear(2s);
+  it.Node.pass(50ms);
+  cr_assert(it.Node.Current.Following.IsWatcher);
+}
+
+Test(RelayFollowing, ChangesArriveByReport) {
+  auto it = Relying();
+  auto message = watcher(it.Names[0], 50, 0ms);
+  message.Watch->AsOf = 4;
+  auto leaving = describeServer("p0", "plain");
+  leaving.IsDraining = true;
+  leaving.Revision = 3;
+  message.Watch->Updates = {{"p0", 3, leaving}, {"p1", 4, std::nullopt}};
+  it.Node.feed(PeerReported{message});
+  cr_assert(it.Node.Current.Servers.find("p0")->Described.IsDraining);
+  cr_assert_null(it.Node.Current.Servers.find("p1"));
+  cr_assert_eq(it.Node.Current.Following.ServersAsOf, 4);
+  cr_assert_not(it.Node.Current.Following.needsServers());
+}
+
+Test(RelayFollowing, MissedChangesAreReadFromTheStore) {
+  auto it = Relying();
+  auto message = watcher(it.Names[0], 50, 0ms);
+  message.Watch->From = 6;
+  message.Watch->AsOf = 9;
+  it.Node.feed(PeerReported{message});
+  cr_assert(it.Node.Current.Following.needsServers());
+  it.Node.feed(ServersUpdated{{}, 9});
+  cr_assert_not(it.Node.Current.Following.needsServers());
+}
+
+Test(RelayFollowing, NewerConfigurationIsReadFromTheStore) {
+  auto it = Relying();
+  auto message = watcher(it.Names[0], 50, 0ms);
+  message.Watch->Configuration = 12;
+  it.Node.feed(PeerReported{message});
+  cr_assert(it.Node.Current.Following.needsConfiguration());
+  it.Node.feed(ConfigurationReceived{makeConfiguration(2), 12});
+  it.Node.feed(ConfigurationConfirmed{12});
+  cr_assert_not(it.Node.Current.Following.needsConfiguration());
+}
+
+Test(RelayFollowing, LogNamesTheRevisionsItIsCompleteBetween) {
+  auto log = ServerChangeLog{};
+  auto now = Instant{} + 1h;
+  log.reset(10);
+  log.add({{"a", 11, std::nullopt}}, 12, now);
+  log.add({}, 15, now + 1s);
+  auto watch = WatchReport{};
+  log.describe(watch);
+  cr_assert_eq(watch.From, 10);
+  cr_assert_eq(watch.AsOf, 15);
+  cr_assert_eq(watch.Updates.size(), 1);
+  log.add({}, 16, now + 10s);
+  auto later = WatchReport{};
+  log.describe(later);
+  cr_assert_eq(later.From, 16);
+  cr_assert(later.Updates.empty());
+}
+
+} // namespace dotterel::relay::test
--- /dev/null
+++ b/Tests/LibRelay/TestRelayPlacement.cpp
@@ -0,0 +1,159 @@
+#include "LibRelay/Admission.h"
+#include "LibRelay/Placement.h"
+#include "LibRelay/RelayNode.h"
+
+#include <criterion/criterion.h>
+
+namespace dotterel::relay::test {
+
+namespace {
+
+auto sharedHash(std::vector<PromptPart> const &Parts) -> std::uint64_t {
+  auto request = Request{};
+  request.Parts = Parts;
+  return sharedPrefixes(request).back().Hash;
+}
+
+/// Makes a server hold a prompt's shared beginning.
+auto cacheAt(RelayNode &Node, std::string const &Server,
+             std::vector<PromptPart> const &Parts) -> void {
+  auto key = Node.Current.Servers.find(Server)->Key;
+  Node.Current.Prefixes.record(sharedHash(Parts), key, Node.Now);
+}
+
+} // namespace
+
+// Load: many prompts with few beginnings. Reading a beginning anew costs more
+// than any wait that a single request causes.
+Test(RelayPlacement, PromptGoesWhereItsBeginningIsCached) {
+  for (auto const *holder : {"f0", "f1"}) {
+    auto node = RelayNode();
+    auto parts = prompt(5, 13000, 3000);
+    cacheAt(node, holder, parts);
+    auto number = node.request(Kind::Stream, parts);
+    cr_assert(node.current(number)->Server == holder);
+    cr_assert_eq(node.current(number)->PromptTokens, 3000);
+  }
+}
+
+// Load: one beginning is asked for far more often than the rest.
+Test(RelayPlacement, OverloadedHolderIsCopiedFrom) {
+  auto node = RelayNode();
+  auto parts = prompt(5, 13000, 3000);
+  cacheAt(node, "f0", parts);
+  node.Current.Servers.find("f0")->Own.PromptTokens = 60000;
+  auto number = node.request(Kind::Stream, parts);
+  auto const *attempt = node.current(number);
+  cr_assert(attempt->Server != "f0");
+  cr_assert(attempt->CopyFrom ==
+            node.Current.Servers.find("f0")->Described.Address);
+  cr_assert_eq(attempt->PromptTokens, 3000);
+}
+
+// Load: streams run at all engines that make tokens while long prompts come.
+Test(RelayPlacement, RunningStreamsAreNotPausedByReading) {
+  auto node = RelayNode();
+  for (auto const *it : {"d0", "d1", "d2"})
+    node.Current.Servers.find(it)->Own.Requests = 4;
+  auto admitted = 0;
+  for (auto n = 0U; n < 20; ++n) {
+    auto number = node.request(Kind::Stream, prompt(100 + n, 2000, 1500));
+    auto const *attempt = node.current(number);
+    if (attempt == nullptr)
+      continue;
+    ++admitted;
+    cr_assert(attempt->IsPrefill);
+  }
+  cr_assert_gt(admitted, 5);
+}
+
+Test(RelayPlacement, ReadPromptContinuesWithItsHandle) {
+  auto node = RelayNode();
+  auto number = node.request(Kind::Stream, prompt(5, 13000, 3000));
+  auto first = node.connect(number);
+  cr_assert(first->Orders.IsPrefill);
+  auto address = node.current(number)->Address;
+  node.feed(AttemptPrefilled{node.name(number), "h1"});
+  auto second = node.connect(number);
+  cr_assert_not(second->Orders.IsPrefill);
+  cr_assert(second->Orders.PrefilledAt == address);
+  cr_assert(second->Orders.PrefillHandle == "h1");
+  cr_assert(second->IsStream);
+}
+
+Test(RelayPlacement, LeavingMisplacedAndChangingServersAreLeftOut) {
+  auto node = RelayNode();
+  node.Current.Servers.find("p0")->Described.IsDraining = true;
+  node.Current.Servers.find("p1")->IsMisplaced = true;
+  for (auto n = 0; n < 20; ++n) {
+    auto number = node.request(Kind::Lookup);
+    cr_assert(node.current(number)->Server == "p2");
+  }
+  node.Current.Servers.find("p2")->ChangingUntil = node.Now + 1s;
+  (void)node.request(Kind::Lookup);
+  auto const *refused = effect<Refuse>(node.Last);
+  cr_assert_not_null(refused);
+  cr_assert_eq(describe(refused->Code).HttpStatus, 503);
+}
+
+// Load: one server fails half of its requests while it looks healthy.
+Test(RelayPlacement, FailingServerGetsLess) {
+  auto node = RelayNode();
+  auto counts = std::map<std::string, int>{};
+  for (auto n = 0; n < 300; ++n) {
+    auto number = node.request(Kind::Lookup);
+    auto server = node.current(number)->Server;
+    ++counts[server];
+    (void)node.connect(number);
+    if (server == "p0" && n % 2 == 0) {
+      node.feed(AttemptBroken{node.name(number), "reset"});
+      node.feed(CallerLeft{number});
+      continue;
+    }
+    auto answer = ServerAnswer{};
+    answer.Status = 200;
+    node.feed(AttemptAnswered{node.name(number), answer});
+  }
+  cr_assert_lt(counts["p0"], 60);
+}
+
+// Load beyond what the engines can read: the queue stays short, because what
+// would wait longer than callers aim for is refused at once.
+Test(RelayAdmission, RefusesAtOnceWithATimeToComeBack) {
+  auto node = RelayNode();
+  auto refused = 0;
+  for (auto n = 0U; n < 200; ++n) {
+    (void)node.request(Kind::Stream, prompt(1000 + n, 100, 8000));
+    auto const *answer = effect<Refuse>(node.Last);
+    if (answer == nullptr)
+      continue;
+    ++refused;
+    cr_assert_eq(describe(answer->Code).HttpStatus, 503);
+    cr_assert(answer->RetryAfter && *answer->RetryAfter >= 200ms);
+  }
+  cr_assert_gt(refused, 100);
+  cr_assert_gt(200 - refused, 5);
+}
+
+Test(RelayAdmission, LessUrgentIsRefusedFirst) {
+  auto call = Call{};
+  auto route = Route{};
+  route.Target = 1s;
+  call.Deadline = Instant{} + 10s;
+  call.Matched = &route;
+  auto choice = Choice{};
+  choice.Wait = 900ms;
+  choice.Forecast = 1s;
+  route.Priority = 0;
+  cr_assert_not(refusalOf(call, choice, Instant{}).has_value());
+  route.Priority = 2;
+  cr_assert(refusalOf(call, choice, Instant{}).has_value());
+}
+
+Test(RelayAdmission, LargePromptIsNotRefusedForItsOwnSize) {
+  auto node = RelayNode();
+  auto number = node.request(Kind::Stream, prompt(5, 13000, 40000));
+  cr_assert_not_null(node.current(number));
+}
+
+} // namespace dotterel::relay::test
--- /dev/null
+++ b/Tests/LibRelay/TestRoles.cpp
@@ -0,0 +1,115 @@
+#include "LibRelay/RelayNode.h"
+#include "LibRelay/RolePlan.h"
+
+#include <fmt/format.h>
+
+#include <criterion/criterion.h>
+
+namespace dotterel::relay::test {
+
+namespace {
+
+/// A node at the first start of the system that wants to change stages.
+auto firstStart() -> RelayNode {
+  auto node = RelayNode();
+  for (auto n = 3; n < 12; ++n) {
+    auto server =
+        describeServer(fmt::format("d{}", n), "model", EngineStage::Decode);
+    node.feed(ServersUpdated{{{server.Id, 2, server}}, 2});
+  }
+  node.Current.Given.IsFirstStart = true;
+  return node;
+}
+
+auto untilRead(RelayNode &Node) -> void {
+  for (auto n = 0; n < 40 && effect<ReadAuthority>(Node.Last) == nullptr; ++n)
+    Node.pass(50ms);
+  cr_assert_not_null(effect<ReadAuthority>(Node.Last));
+}
+
+} // namespace
+
+Test(RelayRoles, OrdersFollowAConditionalWrite) {
+  auto node = firstStart();
+  untilRead(node);
+  node.feed(AuthorityRead{true, 0, ""});
+  auto effects = node.pass(1500ms);
+  cr_assert_null(effect<SendOrder>(effects));
+  cr_assert_not_null(effect<WriteAuthority>(effects));
+  node.feed(AuthorityWritten{true, 40, 5s});
+  cr_assert_gt(countEffects<SendOrder>(node.Last), 0);
+  auto const *order = effect<SendOrder>(node.Last);
+  cr_assert_eq(order->Fence, 40);
+  cr_assert(order->Holder == "i0");
+  cr_assert(order->ValidUntil == 5s);
+}
+
+Test(RelayRoles, LostWriteSendsNothing) {
+  auto node = firstStart();
+  untilRead(node);
+  node.feed(AuthorityRead{true, 0, ""});
+  node.pass(1500ms);
+  node.feed(AuthorityWritten{false, 0, 5s});
+  cr_assert_eq(countEffects<SendOrder>(node.Last), 0);
+  cr_assert_eq(countEffects<SendOrder>(node.pass(3s)), 0);
+}
+
+Test(RelayRoles, AnotherHolderIsReplacedOnlyAfterItsOrdersAreOut) {
+  auto node = firstStart();
+  untilRead(node);
+  node.feed(AuthorityRead{true, 33, "i9"});
+  auto written = Duration{};
+  for (auto passed = Duration{}; passed < 12s; passed += 50ms) {
+    auto effects = node.pass(50ms);
+    if (effect<ReadAuthority>(effects) != nullptr)
+      node.feed(AuthorityRead{true, 33, "i9"});
+    if (effect<WriteAuthority>(effects) != nullptr && written == Duration{})
+      written = passed;
+  }
+  cr_assert(written >= 9s);
+}
+
+Test(RelayRoles, OnlyTheFirstInstanceGivesOrders) {
+  auto node = firstStart();
+  auto message = PeerReport{};
+  message.Instance = "a";
+  message.Incarnation = 4;
+  message.PeerAddress = "a";
+  message.IsReady = true;
+  for (auto n = 1U; n < 100; ++n) {
+    message.Number = n;
+    node.feed(PeerReported{message});
+    cr_assert_null(effect<ReadAuthority>(node.pass(50ms)));
+  }
+}
+
+Test(RelayRoles, PromptsNeedMoreEnginesThatRead) {
+  auto traits = EngineTraits{};
+  traits.Slots = 64;
+  auto fleet = EngineFleet{6, 12, 100, 45000};
+  auto demand = EngineDemand{400000, 900000};
+  cr_assert_gt(planPrefillEngines(fleet, demand, traits), 10);
+  // Long answers: all places are taken and little is read.
+  fleet = EngineFleet{12, 6, 380, 45000};
+  demand = EngineDemand{20000, 60000};
+  cr_assert_lt(planPrefillEngines(fleet, demand, traits), 8);
+}
+
+Test(RelayRoles, SmallDifferencesAreNotWorthAnOrder) {
+  auto traits = EngineTraits{};
+  traits.Slots = 64;
+  for (auto tokens = 180000; tokens < 260000; tokens += 10000) {
+    auto fleet = EngineFleet{12, 6, 130, 45000};
+    auto demand = EngineDemand{static_cast<double>(tokens), 600000};
+    cr_assert_eq(planPrefillEngines(fleet, demand, traits), 12);
+  }
+}
+
+Test(RelayRoles, BothStagesKeepEngines) {
+  auto fleet = EngineFleet{6, 12, 0, 45000};
+  cr_assert_eq(initialPrefillEngines(fleet, 1.0), 15);
+  cr_assert_eq(initialPrefillEngines(fleet, 0.0), 3);
+  cr_assert_eq(initialPrefillEngines({1, 2, 0, 1}, 1.0), 1);
+}
+
+} // namespace dotterel::relay::test
--- /dev/null
+++ b/Tests/LibRelay/TestStreams.cpp
@@ -0,0 +1,129 @@
+#include "LibRelay/EventFramer.h"
+#include "LibRelay/RelayNode.h"
+
+#include <fmt/format.h>
+
+#include <criterion/criterion.h>
+
+namespace dotterel::relay::test {
+
+namespace {
+
+auto event(std::uint64_t Id) -> StreamEvent {
+  return {Id, true, fmt::format("id: {}\ndata: x\n\n", Id)};
+}
+
+auto header() -> ServerAnswer {
+  auto answer = ServerAnswer{};
+  answer.Status = 200;
+  return answer;
+}
+
+/// Brings a request past prefill, to the engine that makes tokens.
+auto reachDecode(RelayNode &Node, RequestNumber Number) -> void {
+  while (Node.current(Number)->IsPrefill) {
+    (void)Node.connect(Number);
+    Node.feed(AttemptPrefilled{Node.name(Number), "handle"});
+  }
+  (void)Node.connect(Number);
+  Node.feed(AttemptStreamBegan{Node.name(Number), header()});
+}
+
+} // namespace
+
+Test(RelayStreams, HeaderWaitsForTheFirstEvent) {
+  auto node = RelayNode();
+  auto number = node.request(Kind::Stream, prompt(1, 1000, 500));
+  reachDecode(node, number);
+  cr_assert_null(effect<BeginStream>(node.Last));
+  node.feed(AttemptStreamed{node.name(number), {event(7)}});
+  cr_assert_not_null(effect<BeginStream>(node.Last));
+  cr_assert_not_null(effect<ForwardBytes>(node.Last));
+}
+
+Test(RelayStreams, BrokenStreamGoesOnAfterTheLastEvent) {
+  auto node = RelayNode();
+  auto number = node.request(Kind::Stream, prompt(1, 1000, 500));
+  reachDecode(node, number);
+  node.feed(AttemptStreamed{node.name(number), {event(7)}});
+  node.feed(AttemptBroken{node.name(number), "reset"});
+  cr_assert_null(effect<AbortStream>(node.Last));
+  auto send = node.connect(number);
+  cr_assert(send.has_value());
+  cr_assert_eq(send->Orders.LastEvent, 7);
+  node.feed(AttemptStreamBegan{node.name(number), header()});
+  // The server repeats an event that the caller has.
+  node.feed(AttemptStreamed{node.name(number), {event(7), event(14)}});
+  cr_assert_null(effect<BeginStream>(node.Last));
+  auto const *bytes = effect<ForwardBytes>(node.Last);
+  cr_assert_not_null(bytes);
+  cr_assert(bytes->Bytes == event(14).Bytes);
+  node.feed(AttemptStreamEnded{node.name(number), ""});
+  cr_assert_not_null(effect<EndStream>(node.Last));
+}
+
+Test(RelayStreams, StreamThatMayNotRunAgainIsCutVisibly) {
+  auto node = RelayNode();
+  auto number = node.request(Kind::PlainStream, prompt(1, 1000, 500));
+  reachDecode(node, number);
+  node.feed(AttemptStreamed{node.name(number), {event(7)}});
+  node.feed(AttemptBroken{node.name(number), "reset"});
+  cr_assert_not_null(effect<AbortStream>(node.Last));
+  cr_assert_null(effect<ConnectAttempt>(node.Last));
+}
+
+Test(RelayStreams, SilentStreamGoesOnElsewhere) {
+  auto node = RelayNode();
+  auto number = node.request(Kind::Stream, prompt(1, 1000, 500));
+  reachDecode(node, number);
+  node.feed(AttemptStreamed{node.name(number), {event(7)}});
+  auto first = node.current(number)->Server;
+  auto effects = node.pass(1200ms);
+  cr_assert_not_null(effect<CancelAttempt>(effects));
+  cr_assert(node.current(number)->Server != first);
+}
+
+Test(RelayStreams, PrefilledPromptIsFreedIfItsCallerLeaves) {
+  auto node = RelayNode();
+  auto number = node.request(Kind::Stream, prompt(1, 9000, 4000));
+  cr_assert(node.current(number)->IsPrefill);
+  (void)node.connect(number);
+  node.feed(AttemptPrefilled{node.name(number), "handle"});
+  node.feed(CallerLeft{number});
+  auto const *freed = effect<FreeHandle>(node.Last);
+  cr_assert_not_null(freed);
+  cr_assert(freed->Handle == "handle");
+}
+
+Test(RelayStreams, FailedPrefillLeavesTheRequestNotRun) {
+  auto node = RelayNode();
+  auto number = node.request(Kind::PlainStream, prompt(1, 9000, 4000));
+  cr_assert(node.current(number)->IsPrefill);
+  (void)node.connect(number);
+  cr_assert_not(node.Current.Calls.at(number).MayHaveRun);
+  node.feed(AttemptBroken{node.name(number), "reset"});
+  cr_assert_not_null(effect<ConnectAttempt>(node.Last));
+  cr_assert_not(node.current(number)->IsPrefill);
+}
+
+Test(RelayStreams, FramerSplitsAtAnyByte) {
+  auto text = std::string{"id: 7\ndata: a\n\nid: 14\r\ndata: b\r\n\r\n"
+                          "data: no id\n\n"};
+  for (auto cut = std::size_t{0}; cut <= text.size(); ++cut) {
+    auto framer = EventFramer{};
+    auto events = framer.add(text.substr(0, cut));
+    for (auto &it : framer.add(text.substr(cut)))
+      events.push_back(it);
+    cr_assert_eq(events.size(), 3, "cut at %zu", cut);
+    cr_assert_eq(events[0].Id, 7);
+    cr_assert_eq(events[1].Id, 14);
+    cr_assert_not(events[2].HasId);
+    cr_assert(framer.rest().empty());
+    auto whole = std::string{};
+    for (auto const &it : events)
+      whole += it.Bytes;
+    cr_assert(whole == text);
+  }
+}
+
+} // namespace dotterel::relay::test
