LibCore: Write logs to standard output without blocking

Adds 'explain-request', which puts the lines of one request over several instances in order and names the cause, and the checks of relay settings.

--- a/Libraries/LibCore/Log.cpp
+++ b/Libraries/LibCore/Log.cpp
@@ -3,7 +3,8 @@
 #include "LibCore/Error.h"
 
 #include <chrono>
-#include <cstdio>
+#include <poll.h>
+#include <unistd.h>
 
 namespace dotterel {
 
@@ -34,6 +35,23 @@
 auto LowestLevel = LogLevel::Info;
 auto Limiter = LineLimiter{};
 
+/// Lines that were not written since the last one that was.
+auto Unwritten = std::uint64_t{0};
+
+/// Longest line that a pipe with room takes whole.
+constexpr auto LongestLine = std::size_t{4096};
+
+/// Writes \p Line unless that would block: a reader that stalls must not stall
+/// the process. Returns false if the line was dropped.
+auto writeUnlessFull(std::string_view Line) -> bool {
+  auto target = pollfd{STDOUT_FILENO, POLLOUT, 0};
+  if (::poll(&target, 1, 0) != 1 || (target.revents & POLLOUT) == 0)
+    return false;
+  auto bytes = Line.substr(0, LongestLine);
+  return ::write(STDOUT_FILENO, bytes.data(), bytes.size()) ==
+         static_cast<ssize_t>(bytes.size());
+}
+
 auto levelName(LogLevel Level) -> std::string_view {
   switch (Level) {
   case LogLevel::Debug:
@@ -98,16 +116,19 @@
   auto dropped = 0U;
   auto admitted =
       Limiter.admit(std::chrono::floor<std::chrono::seconds>(now), dropped);
-  if (dropped > 0)
-    fmt::print(stderr, "level=warning event=log-lines-dropped count={}\n",
-               dropped);
+  Unwritten += dropped;
   if (!admitted)
     return;
+  if (Unwritten > 0 &&
+      writeUnlessFull(fmt::format(
+          "level=warning event=log-lines-dropped count={}\n", Unwritten)))
+    Unwritten = 0;
   auto line =
       fmt::format("time_ms={} level={} event={}{}{}\n",
                   std::chrono::floor<std::chrono::milliseconds>(now).count(),
                   levelName(Level), Event, Pairs.empty() ? "" : " ", Pairs);
-  std::fwrite(line.data(), 1, line.size(), stderr);
+  if (!writeUnlessFull(line))
+    ++Unwritten;
 }
 
 } // namespace dotterel
--- a/Libraries/LibCore/Log.h
+++ b/Libraries/LibCore/Log.h
@@ -1,5 +1,7 @@
 /// \file
-/// Structured logs: one line of key=value pairs per event, to standard error.
+/// Structured logs: one line of key=value pairs per event, to standard
+/// output. A reader that stalls loses lines, which are counted, and never
+/// blocks the process.
 #pragma once
 
 #include <fmt/format.h>
--- /dev/null
+++ b/Libraries/LibGateway/RequestStory.cpp
@@ -0,0 +1,98 @@
+#include "LibGateway/RequestStory.h"
+
+#include <algorithm>
+#include <charconv>
+#include <fmt/format.h>
+
+namespace dotterel {
+
+namespace {
+
+auto number(std::string_view Text) -> std::int64_t {
+  auto n = std::int64_t{0};
+  // A figure that is missing counts as zero; the line itself is shown.
+  (void)std::from_chars(Text.data(), Text.data() + Text.size(), n);
+  return n;
+}
+
+auto timeOf(std::string const &Line) -> std::int64_t {
+  return number(logValue(Line, "time_ms"));
+}
+
+/// Returns the last line of an event, or an empty view.
+auto lastOf(std::vector<std::string> const &Lines, std::string_view Event)
+    -> std::string_view {
+  auto found = std::string_view{};
+  for (auto const &it : Lines) {
+    if (logValue(it, "event") == Event)
+      found = it;
+  }
+  return found;
+}
+
+auto describeCause(std::vector<std::string> const &Lines) -> std::string {
+  auto refused = lastOf(Lines, "request-refused");
+  if (!refused.empty())
+    return fmt::format("refused before it was routed: {}",
+                       logValue(refused, "code"));
+  auto finished = lastOf(Lines, "request-finished");
+  if (finished.empty())
+    return {};
+  auto code = logValue(finished, "code");
+  auto failed = lastOf(Lines, "attempt-failed");
+  auto part = lastOf(Lines, "first-part");
+  auto attempts = number(logValue(finished, "attempts"));
+  if (code == "queue-too-long" || code == "deadline-infeasible")
+    return fmt::format("refused at once ({}); it was sent to {} servers", code,
+                       attempts);
+  if (code == "answer-lost")
+    return fmt::format("server {} gave no whole answer ({}) and the request "
+                       "may not be repeated",
+                       logValue(failed, "server"), logValue(failed, "reason"));
+  if (code != "completed")
+    return fmt::format("ended as {} after {} attempts; the last failure was "
+                       "'{}' at {}",
+                       code, attempts, logValue(failed, "reason"),
+                       logValue(failed, "server"));
+  return fmt::format(
+      "completed with status {}; first part after {} ms, of which the last "
+      "server took {} (forecast {}), longest pause {} ms",
+      logValue(finished, "status"), logValue(finished, "first_ms"),
+      logValue(part, "taken_ms"), logValue(part, "forecast_ms"),
+      logValue(finished, "pause_ms"));
+}
+
+} // namespace
+
+auto logValue(std::string_view Line, std::string_view Key) -> std::string_view {
+  for (auto at = Line.find(Key); at != std::string_view::npos;
+       at = Line.find(Key, at + 1)) {
+    auto isStart = at == 0 || Line[at - 1] == ' ';
+    auto rest = Line.substr(at + Key.size());
+    if (!isStart || !rest.starts_with('='))
+      continue;
+    rest.remove_prefix(1);
+    if (!rest.starts_with('"'))
+      return rest.substr(0, rest.find(' '));
+    rest.remove_prefix(1);
+    return rest.substr(0, rest.find('"'));
+  }
+  return {};
+}
+
+auto tellRequest(std::vector<std::istream *> const &Logs, std::string_view Id)
+    -> RequestStory {
+  auto story = RequestStory{};
+  auto line = std::string{};
+  for (auto *it : Logs) {
+    while (std::getline(*it, line)) {
+      if (logValue(line, "id") == Id)
+        story.Lines.push_back(line);
+    }
+  }
+  std::ranges::stable_sort(story.Lines, {}, timeOf);
+  story.Cause = describeCause(story.Lines);
+  return story;
+}
+
+} // namespace dotterel
--- a/Meta/fleet.sh
+++ b/Meta/fleet.sh
@@ -9,7 +9,7 @@
 start() { # NAME PROGRAM ARGUMENT...
   local name=$1
   shift
-  "$@" 2>"$fleet_dir/$name.log" >&2 &
+  "$@" >"$fleet_dir/$name.log" 2>&1 &
   fleet_pids+=($!)
   eval "pid_${name//-/_}=$!"
 }
--- a/Meta/settings-page.sh
+++ b/Meta/settings-page.sh
@@ -12,6 +12,17 @@
 
 TEXT
   build/dotterelstream check --list-settings
+  cat <<'TEXT'
+
+## A relaying instance
+
+Given to `relay --settings`, or named by `DOTTERELSTREAM_SETTINGS`. The platform
+fills in `deploy/settings.json`; fields that are not listed are ignored, as the
+platform may add some. `dotterelstream check --relay-settings FILE` validates
+it. At SIGHUP `logLevel` is applied; all else is applied at the next start.
+
+TEXT
+  build/dotterelstream check --list-relay-settings
 }
 if [ "${1:-}" = --check ]; then
   diff <(page) docs/SETTINGS.md
--- a/Programs/dotterelstream/Commands.h
+++ b/Programs/dotterelstream/Commands.h
@@ -14,6 +14,7 @@
 
 auto serveCommand(Arguments const &Given) -> void;
 auto relayCommand(Arguments const &Given) -> void;
+auto explainRequestCommand(Arguments const &Given) -> void;
 auto checkCommand(Arguments const &Given) -> void;
 auto getCommand(Arguments const &Given) -> void;
 auto applyCommand(Arguments const &Given) -> void;
--- /dev/null
+++ b/Programs/dotterelstream/ExplainRequestCommand.cpp
@@ -0,0 +1,42 @@
+/// \file
+/// "explain-request" collects the lines of one request from logs.
+#include "CommandLine.h"
+
+#include "LibGateway/RequestStory.h"
+
+#include <fmt/format.h>
+#include <fstream>
+
+namespace dotterel {
+
+auto explainRequestCommand(Arguments const &Given) -> void {
+  auto line = CommandLine("explain-request",
+                          "Prints the log lines of one request from several "
+                          "instances in order, and why it ended as it did.");
+  auto id = TCLAP::UnlabeledValueArg<std::string>("id", "The request's id",
+                                                  true, "", "id", line);
+  auto paths = TCLAP::UnlabeledMultiArg<std::string>(
+      "files", "Logs of the instances", true, "file", line);
+  if (!line.parseArguments(Given))
+    return;
+  auto files = std::vector<std::ifstream>{};
+  for (auto const &it : paths.getValue()) {
+    files.emplace_back(it);
+    if (!files.back())
+      throw Error(ResultCode::InvalidUsage,
+                  fmt::format("cannot read file {}", it));
+  }
+  auto logs = std::vector<std::istream *>{};
+  for (auto &it : files)
+    logs.push_back(&it);
+  auto story = tellRequest(logs, id.getValue());
+  if (story.Lines.empty())
+    throw Error(ResultCode::ObjectNotFound,
+                fmt::format("no line names request {}", id.getValue()));
+  for (auto const &it : story.Lines)
+    fmt::print("{}\n", it);
+  fmt::print("cause: {}\n",
+             story.Cause.empty() ? "no line says how it ended" : story.Cause);
+}
+
+} // namespace dotterel
--- a/Programs/dotterelstream/Main.cpp
+++ b/Programs/dotterelstream/Main.cpp
@@ -37,6 +37,8 @@
 constexpr auto Commands = std::to_array<Command>({
     {"serve", "run an instance", serveCommand},
     {"relay", "run an instance on a platform", relayCommand},
+    {"explain-request", "show from logs what became of a request",
+     explainRequestCommand},
     {"check", "validate settings or a configuration", checkCommand},
     {"get", "print the accepted configuration", getCommand},
     {"apply", "replace the configuration", applyCommand},
@@ -50,7 +52,7 @@
 auto printHelp() -> void {
   fmt::print("usage: dotterelstream COMMAND [OPTIONS]\n\n");
   for (auto const &it : Commands)
-    fmt::print("  {:<9} {}\n", it.Name, it.Summary);
+    fmt::print("  {:<16} {}\n", it.Name, it.Summary);
   fmt::print("\n'dotterelstream COMMAND --help' lists a command's options.\n"
              "Exit codes: 0 done, 1 failure, 2 invalid usage, 3 invalid "
              "input,\n4 conflict, 5 unreachable, 6 not found.\n");
--- a/Programs/dotterelstream/ServeCommand.cpp
+++ b/Programs/dotterelstream/ServeCommand.cpp
@@ -6,6 +6,7 @@
 #include "LibConfiguration/FleetConfiguration.h"
 #include "LibConfiguration/Settings.h"
 #include "LibCore/Log.h"
+#include "LibGateway/GatewaySettings.h"
 #include "LibInstance/Instance.h"
 
 #include <fmt/format.h>
@@ -33,6 +34,12 @@
       "s", "settings", "Settings to validate", false, "", "file", line);
   auto configuration = TCLAP::ValueArg<std::string>(
       "f", "file", "Configuration to validate", false, "", "file", line);
+  auto relay = TCLAP::ValueArg<std::string>(
+      "r", "relay-settings", "Settings of a relaying instance to validate",
+      false, "", "file", line);
+  auto listRelay = TCLAP::SwitchArg(
+      "", "list-relay-settings",
+      "Print the settings of a relaying instance like --list-settings", line);
   auto list = TCLAP::SwitchArg(
       "l", "list-settings",
       "Print the settings with what is allowed and the defaults", line);
@@ -40,8 +47,13 @@
     return;
   if (list.getValue())
     return fmt::print("{}", Settings::describeFields());
-  if (!settings.isSet() && !configuration.isSet())
-    throw Error(ResultCode::InvalidUsage, "give --settings or --file");
+  if (listRelay.getValue())
+    return fmt::print("{}", GatewaySettings::describeFields());
+  if (!settings.isSet() && !configuration.isSet() && !relay.isSet())
+    throw Error(ResultCode::InvalidUsage,
+                "give --settings, --relay-settings or --file");
+  if (relay.isSet())
+    (void)GatewaySettings::load(relay.getValue());
   if (settings.isSet())
     (void)Settings::load(settings.getValue());
   if (!configuration.isSet())
