--- a/Libraries/LibRelay/Following.cpp
+++ b/Libraries/LibRelay/Following.cpp
@@ -39,8 +39,6 @@
     Count -= Batches.front().Updates.size();
     Batches.pop_front();
   }
-  if (Batches.empty())
-    From = std::max(From, AsOf);
 }
 
 auto ServerChangeLog::describe(WatchReport &Into) const -> void {
--- a/Libraries/LibRelay/RequestReducer.cpp
+++ b/Libraries/LibRelay/RequestReducer.cpp
@@ -106,8 +106,17 @@
     return fail(Number, isFirst ? ResultCode::NoBackendAvailable : Failure,
                 ReturnWithoutServer);
   if (isFirst) {
-    if (auto refusal = refusalOf(call, *chosen, now()))
+    if (auto refusal = refusalOf(call, *chosen, now())) {
+      log(LogLevel::Info, "request-not-admitted",
+          "id={} code={} best_server={} wait_ms={} forecast_ms={} "
+          "tokens_ahead={} target_ms={} priority={} retry_after_ms={}",
+          quoteLogValue(call.Content->Id), describe(refusal->Code).Name,
+          chosen->Target->Described.Id, toMilliseconds(chosen->Wait),
+          toMilliseconds(chosen->Forecast), chosen->TokensAhead,
+          toMilliseconds(call.Matched->Target), call.Matched->Priority,
+          toMilliseconds(refusal->RetryAfter));
       return fail(Number, refusal->Code, refusal->RetryAfter);
+    }
   }
   auto next = Attempt{};
   next.IsPrefill = chosen->IsPrefill;
--- a/Tests/LibRelay/TestFollowing.cpp
+++ b/Tests/LibRelay/TestFollowing.cpp
@@ -109,6 +109,19 @@
   cr_assert_not(it.Node.Current.Following.needsServers());
 }
 
+Test(RelayFollowing, LostReportsWithoutChangesCostNoCall) {
+  auto it = Relying();
+  auto log = ServerChangeLog{};
+  log.reset(2);
+  for (auto asOf = 3U; asOf < 300; ++asOf)
+    log.add({}, asOf, it.Node.Now);
+  auto message = watcher(it.Names[0], 50, 0ms);
+  log.describe(*message.Watch);
+  it.Node.feed(PeerReported{message});
+  cr_assert_eq(it.Node.Current.Following.ServersAsOf, 299);
+  cr_assert_not(it.Node.Current.Following.needsServers());
+}
+
 Test(RelayFollowing, NewerConfigurationIsReadFromTheStore) {
   auto it = Relying();
   auto message = watcher(it.Names[0], 50, 0ms);
@@ -134,7 +147,9 @@
   log.add({}, 16, now + 10s);
   auto later = WatchReport{};
   log.describe(later);
-  cr_assert_eq(later.From, 16);
+  // Nothing changed since, so that whoever knows revision 12 knows all.
+  cr_assert_eq(later.From, 12);
+  cr_assert_eq(later.AsOf, 16);
   cr_assert(later.Updates.empty());
 }
 
