--- a/Libraries/LibGateway/StoreFollower.cpp
+++ b/Libraries/LibGateway/StoreFollower.cpp
@@ -28,8 +28,8 @@
 /// Time after which an instance that relies on watchers looks again whether it
 /// has to ask the store.
 constexpr auto RelyInterval = Duration{100ms};
-/// Changes of the configuration that follow each other faster are read
-/// together.
+/// Changes that follow each other faster are read together by instances that
+/// do not watch for others: at the start of a fleet every server registers.
 constexpr auto CatchUpInterval = Duration{250ms};
 /// Pauses after a call that failed; the store refuses callers beyond its rate.
 constexpr auto ShortestPause = Duration{100ms};
@@ -209,7 +209,7 @@
       AsOf = std::max(AsOf, changes->AsOf);
       changes->AsOf = AsOf;
       What.Changed(*changes);
-      if (!following().IsDirect)
+      if (!following().IsWatcher)
         co_await pause(CatchUpInterval);
     }
   }
--- a/Libraries/LibRelay/FollowReducer.cpp
+++ b/Libraries/LibRelay/FollowReducer.cpp
@@ -66,8 +66,9 @@
 }
 
 auto FollowReducer::isWatcher() const -> bool {
+  // Before the others are known nobody can say who comes first.
   if (!Subject.PeersListedAt)
-    return true;
+    return false;
   auto own = hashText(Subject.Self.Instance);
   auto before = 0U;
   for (auto const &it : Subject.Peers.all()) {
--- a/Tests/LibRelay/TestFollowing.cpp
+++ b/Tests/LibRelay/TestFollowing.cpp
@@ -59,6 +59,10 @@
 
 Test(RelayFollowing, InstanceAloneWatchesItself) {
   auto node = RelayNode();
+  cr_assert(node.Current.Following.needsServers());
+  cr_assert_not(node.Current.Following.IsWatcher);
+  node.feed(PeersListed{});
+  node.pass(50ms);
   cr_assert(node.Current.Following.IsWatcher);
   cr_assert(node.Current.Following.needsServers());
 }
