Tests: Build the fuzzer of callers' input again

The interface of an exchange had grown by three methods that the fuzzer's exchange lacked, so that 'nothing ran of Fuzz' turned the whole run red.

--- a/Tests/Fuzz/FuzzCallerFront.cpp
+++ b/Tests/Fuzz/FuzzCallerFront.cpp
@@ -21,6 +21,18 @@
   [[nodiscard]] auto method() const -> std::string_view override {
     return {Given.method_string().data(), Given.method_string().size()};
   }
+  [[nodiscard]] auto target() const -> std::string_view override {
+    return path();
+  }
+  auto visitFields(dotterel::FieldVisitor const &Visitor) const
+      -> void override {
+    for (auto const &it : Given)
+      Visitor({it.name_string().data(), it.name_string().size()},
+              {it.value().data(), it.value().size()});
+  }
+  auto beginAnswer(dotterel::HttpReply /*Header*/) -> Awaitable<void> override {
+    co_return;
+  }
   [[nodiscard]] auto path() const -> std::string_view override {
     return {Given.target().data(), Given.target().size()};
   }
