Libraries: Write twins once and drop what nothing uses

One choice of the cheapest server instead of three loops; one round trip over a connection for exchange() and the store's calls; one sleepFor for HttpServer, StoreFollower and the stand-ins; one check of settings, in FieldReader, which parsed its schema twice; one list of the statuses that promise 'not run'; the handle of an unused read prompt is freed where attempts end, not at two of the ends. Gone: Attempt::Started, EngineTraits::CacheTokens, Candidate::Target.

--- a/Libraries/LibConfiguration/FieldReader.cpp
+++ b/Libraries/LibConfiguration/FieldReader.cpp
@@ -26,16 +26,15 @@
 
 } // namespace
 
-auto parseSettings(std::string_view Text, std::string_view Schema)
-    -> nlohmann::json {
-  auto document = nlohmann::json::parse(Text, nullptr, false);
-  if (document.is_discarded())
+FieldReader::FieldReader(std::string_view Text, std::string_view Schema)
+    : Document(nlohmann::json::parse(Text, nullptr, false)),
+      Properties(nlohmann::json::parse(Schema).at("properties")) {
+  if (Document.is_discarded())
     throw Error(ResultCode::InvalidSettings, "the file is not valid JSON");
-  auto lines = JsonSchema(Schema).violations(document);
+  auto lines = JsonSchema(Schema).violations(Document);
   if (!lines.empty())
     throw Error(ResultCode::InvalidSettings,
                 fmt::format("{}", fmt::join(lines, "\n")));
-  return document;
 }
 
 auto describeSchema(std::string_view Schema) -> std::string {
--- a/Libraries/LibConfiguration/FieldReader.h
+++ b/Libraries/LibConfiguration/FieldReader.h
@@ -10,19 +10,16 @@
 
 namespace dotterel {
 
-/// Parses \p Text and checks it against \p Schema.
-/// Errors: dotterel::Error InvalidSettings with one line per violation.
-[[nodiscard]] auto parseSettings(std::string_view Text, std::string_view Schema)
-    -> nlohmann::json;
-
 /// Returns a table of the fields of \p Schema, in Markdown.
 [[nodiscard]] auto describeSchema(std::string_view Schema) -> std::string;
 
-/// Reads optional fields, with defaults from the schema.
+/// A settings file that conforms to a schema. Fields that it leaves out have
+/// the schema's defaults. Thread safety: const methods from any thread.
 class FieldReader {
 public:
-  FieldReader(nlohmann::json const &Document, nlohmann::json const &Schema)
-      : Document(Document), Properties(Schema.at("properties")) {}
+  /// Parses \p Text and checks it against \p Schema.
+  /// Errors: dotterel::Error InvalidSettings with one line per violation.
+  FieldReader(std::string_view Text, std::string_view Schema);
 
   template <typename T>
   [[nodiscard]] auto read(std::string const &Name) const -> T {
@@ -37,8 +34,8 @@
   }
 
 private:
-  nlohmann::json const &Document;
-  nlohmann::json const &Properties;
+  nlohmann::json Document;
+  nlohmann::json Properties;
 };
 
 } // namespace dotterel
--- a/Libraries/LibConfiguration/Settings.cpp
+++ b/Libraries/LibConfiguration/Settings.cpp
@@ -1,7 +1,6 @@
 #include "LibConfiguration/Settings.h"
 
 #include "LibConfiguration/FieldReader.h"
-#include "LibConfiguration/JsonSchema.h"
 #include "LibCore/Error.h"
 
 #include <fmt/format.h>
@@ -75,9 +74,7 @@
 }
 
 auto Settings::parse(std::string_view Text) -> Settings {
-  auto document = parseSettings(Text, SettingsSchema);
-  auto schema = nlohmann::json::parse(SettingsSchema);
-  auto reader = FieldReader(document, schema);
+  auto reader = FieldReader(Text, SettingsSchema);
   auto settings = Settings{};
   settings.Instance = InstanceId(reader.read<std::string>("instance"));
   settings.Domain = FailureDomain(reader.read<std::string>("failureDomain"));
--- a/Libraries/LibGateway/GatewaySettings.cpp
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -79,9 +79,7 @@
 }
 
 auto GatewaySettings::parse(std::string_view Text) -> GatewaySettings {
-  auto document = parseSettings(Text, Schema);
-  auto schema = nlohmann::json::parse(Schema);
-  auto reader = FieldReader(document, schema);
+  auto reader = FieldReader(Text, Schema);
   auto settings = GatewaySettings{};
   settings.Self.Instance = reader.read<std::string>("instance");
   settings.Self.Domain = reader.read<std::string>("failureDomain");
--- a/Libraries/LibGateway/ServerClient.cpp
+++ b/Libraries/LibGateway/ServerClient.cpp
@@ -24,7 +24,7 @@
 /// the default where the server does not say.
 constexpr auto IdleMargin = Duration{700ms};
 constexpr auto DefaultIdle = Duration{4s};
-constexpr auto StreamStatus = 200U;
+constexpr auto StatusOk = 200U;
 constexpr auto OrderAccepted = 202U;
 /// Servers answer orders and reports within milliseconds.
 constexpr auto OrderTimeout = Duration{500ms};
@@ -155,7 +155,7 @@
       co_return finish(What.Attempt, Target, false,
                        relay::AttemptBroken{What.Attempt, "no answer"});
     auto answer = platform::readAnswer(*connection, status);
-    if (What.IsStream && status == StreamStatus && !answer.IsNotExecuted)
+    if (What.IsStream && status == StatusOk && !answer.IsNotExecuted)
       co_return co_await readStream(What.Attempt, Target, std::move(answer),
                                     isClean);
     co_await readWhole(What, Target, std::move(answer), isClean);
@@ -176,7 +176,7 @@
       co_return finish(What.Attempt, Target, false,
                        relay::AttemptBroken{What.Attempt, "answer cut off"});
     IsClean = IsClean && connection->isComplete();
-    if (What.Orders.IsPrefill && Answer.Status == StreamStatus) {
+    if (What.Orders.IsPrefill && Answer.Status == StatusOk) {
       auto handle = platform::readPrefillHandle(Answer.Body);
       if (!handle.empty())
         co_return finish(
@@ -235,7 +235,7 @@
     auto answered = relay::OrderAnswered{What.Server};
     auto report = co_await exchange(
         What.Address, platform::reportRequest(What.Server), OrderTimeout);
-    auto state = report.Reply && report.Reply->Status == StreamStatus
+    auto state = report.Reply && report.Reply->Status == StatusOk
                      ? platform::readOrderState(report.Reply->Body)
                      : std::nullopt;
     if (!state || state->IsBusy)
@@ -256,7 +256,7 @@
     answered.Result = relay::OrderResult::Unknown;
     if (co_await connection.send(request, OrderTimeout))
       answered.Status = co_await connection.readHeader(OrderTimeout);
-    if (answered.Status == StreamStatus || answered.Status == OrderAccepted)
+    if (answered.Status == StatusOk || answered.Status == OrderAccepted)
       answered.Result = relay::OrderResult::Accepted;
     else if (answered.Status != 0)
       answered.Result = relay::OrderResult::Refused;
--- a/Libraries/LibGateway/StoreFollower.cpp
+++ b/Libraries/LibGateway/StoreFollower.cpp
@@ -84,12 +84,6 @@
     std::unique_ptr<HttpConnection> Connection;
   };
 
-  auto pause(Duration Span) -> Awaitable<void> {
-    auto timer = asio::steady_timer(Context, Span);
-    auto ec = boost::system::error_code{};
-    co_await timer.async_wait(useError(ec));
-  }
-
   /// Makes one call. Returns nothing if no whole answer came.
   auto call(Line &Over, HttpRequest const &Request, Duration Timeout)
       -> Awaitable<std::optional<HttpReply>> {
@@ -104,17 +98,9 @@
       }
     }
     auto &connection = *Over.Connection;
-    auto reply = HttpReply{};
-    if (co_await connection.send(Request, CallTimeout))
-      reply.Status = co_await connection.readHeader(Timeout);
-    while (reply.Status != 0 &&
-           co_await connection.readSome(reply.Body, CallTimeout)) {
-    }
-    auto isWhole = reply.Status != 0 && connection.isComplete();
-    if (!isWhole || !connection.isReusable())
+    auto reply = co_await connection.roundTrip(Request, CallTimeout, Timeout);
+    if (!reply || !connection.isReusable())
       Over.Connection.reset();
-    if (!isWhole)
-      co_return std::nullopt;
     co_return reply;
   }
 
@@ -162,7 +148,7 @@
       auto objects = std::vector<StoredObject>{};
       auto asOf = co_await list(line, What.Kind, objects);
       if (!asOf) {
-        co_await pause(backoff.next(longestPause()));
+        co_await sleepFor(backoff.next(longestPause()));
         continue;
       }
       What.Listed(objects, *asOf);
@@ -191,7 +177,7 @@
              Backoff &Pauses) -> Awaitable<void> {
     while (true) {
       while (!What.IsNeeded(following()))
-        co_await pause(RelyInterval);
+        co_await sleepFor(RelyInterval);
       auto wait = watchWait();
       AsOf = std::max(AsOf, following().*What.KnownAsOf);
       auto reply =
@@ -202,7 +188,7 @@
                          ? platform::readChanges(reply->Body)
                          : std::nullopt;
       if (!changes) {
-        co_await pause(Pauses.next(longestPause()));
+        co_await sleepFor(Pauses.next(longestPause()));
         continue;
       }
       Pauses.reset();
@@ -210,7 +196,7 @@
       changes->AsOf = AsOf;
       What.Changed(*changes);
       if (!following().IsWatcher)
-        co_await pause(CatchUpInterval);
+        co_await sleepFor(CatchUpInterval);
     }
   }
 
@@ -300,12 +286,12 @@
     auto line = Line{};
     auto backoff = Backoff{};
     while (!co_await registerSelf(line))
-      co_await pause(backoff.next(LongestPause));
+      co_await sleepFor(backoff.next(LongestPause));
     backoff.reset();
     while (true) {
       auto objects = std::vector<StoredObject>{};
       if (!co_await list(line, platform::InstanceKind, objects)) {
-        co_await pause(backoff.next(LongestPause));
+        co_await sleepFor(backoff.next(LongestPause));
         continue;
       }
       backoff.reset();
@@ -315,7 +301,7 @@
           listed.Peers.push_back(std::move(*peer));
       }
       Owner.feed(std::move(listed));
-      co_await pause(PeerListInterval);
+      co_await sleepFor(PeerListInterval);
     }
   }
 
--- a/Libraries/LibNet/Asio.h
+++ b/Libraries/LibNet/Asio.h
@@ -18,6 +18,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "LibCore/Time.h"
+
 namespace dotterel {
 
 namespace asio = boost::asio;
@@ -42,4 +44,11 @@
   return asio::redirect_error(asio::use_awaitable, ec);
 }
 
+/// Waits for \p Span.
+inline auto sleepFor(Duration Span) -> Awaitable<void> {
+  auto timer = asio::steady_timer(co_await asio::this_coro::executor, Span);
+  auto ec = boost::system::error_code{};
+  co_await timer.async_wait(useError(ec));
+}
+
 } // namespace dotterel
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -91,6 +91,23 @@
   co_return !ec;
 }
 
+auto HttpConnection::roundTrip(HttpRequest const &Request, Duration Timeout,
+                               Duration Wait)
+    -> Awaitable<std::optional<HttpReply>> {
+  if (!co_await send(Request, Timeout))
+    co_return std::nullopt;
+  auto reply = HttpReply{};
+  reply.Status = co_await readHeader(Wait);
+  if (reply.Status == 0)
+    co_return std::nullopt;
+  reply.ContentType = contentType();
+  while (co_await readSome(reply.Body, Timeout)) {
+  }
+  if (!isComplete())
+    co_return std::nullopt;
+  co_return reply;
+}
+
 auto HttpConnection::readHeader(Duration Timeout) -> Awaitable<unsigned> {
   auto ec = boost::system::error_code{};
   Self->Stream.expires_after(Timeout);
@@ -166,15 +183,8 @@
   auto connection = HttpConnection(executor);
   if (!co_await connection.connect(Address, Timeout))
     co_return HttpResult{{}, ExchangeError::NotConnected};
-  if (!co_await connection.send(Request, Timeout))
-    co_return HttpResult{{}, ExchangeError::Broken};
-  auto status = co_await connection.readHeader(Timeout);
-  if (status == 0)
-    co_return HttpResult{{}, ExchangeError::Broken};
-  auto reply = HttpReply{status, connection.contentType(), {}, {}};
-  while (co_await connection.readSome(reply.Body, Timeout)) {
-  }
-  if (!connection.isComplete())
+  auto reply = co_await connection.roundTrip(Request, Timeout, Timeout);
+  if (!reply)
     co_return HttpResult{{}, ExchangeError::Broken};
   co_return HttpResult{std::move(reply), {}};
 }
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -57,6 +57,12 @@
   /// Connects. Returns false if no connection could be made.
   auto connect(std::string_view Address, Duration Timeout) -> Awaitable<bool>;
 
+  /// Makes one whole exchange, with \p Timeout for each step and \p Wait for
+  /// the header of the answer. Returns nothing if no whole answer came.
+  /// Precondition: as send.
+  auto roundTrip(HttpRequest const &Request, Duration Timeout, Duration Wait)
+      -> Awaitable<std::optional<HttpReply>>;
+
   /// Sends \p Request and makes ready for its answer. Returns false if it may
   /// have been sent in part only. Precondition: connected, and the answer
   /// before was read whole.
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -223,7 +223,7 @@
       auto socket = co_await Acceptor.async_accept(useError(ec));
       if (ec) {
         // Out of descriptors, most likely: let some be closed first.
-        co_await pause(AcceptRetryInterval);
+        co_await sleepFor(AcceptRetryInterval);
         continue;
       }
       socket.set_option(tcp::no_delay(true), ec);
@@ -237,12 +237,6 @@
     }
   }
 
-  auto pause(Duration Span) -> Awaitable<void> {
-    auto timer = asio::steady_timer(Acceptor.get_executor(), Span);
-    auto ec = boost::system::error_code{};
-    co_await timer.async_wait(useError(ec));
-  }
-
   auto serve(beast::tcp_stream &Stream) -> Awaitable<void> {
     auto buffer = beast::flat_buffer{};
     if (Connections > Limits.Connections) {
--- a/Libraries/LibRelay/AttemptReducer.cpp
+++ b/Libraries/LibRelay/AttemptReducer.cpp
@@ -16,10 +16,6 @@
 constexpr auto SmallestTimeForRetry = 0.2;
 constexpr auto FirstErrorStatus = 500U;
 
-auto promisesNotRun(unsigned Status) -> bool {
-  return Status == 503 || Status == 429 || Status == 408 || Status == 421;
-}
-
 } // namespace
 
 auto AttemptReducer::findCurrent(AttemptName const &Name) -> Call * {
@@ -98,8 +94,6 @@
     return false;
   call.Avoided.insert(call.Current->Server);
   auto requests = RequestReducer(Subject, Out);
-  if (!call.Current->PrefillHandle.empty() && !call.Current->IsSent)
-    emit(FreeHandle{call.Current->PrefilledAt, call.Current->PrefillHandle});
   requests.endAttempt(call);
   emit(CountOne{call.HasHeader ? CountMetric::Resumes : CountMetric::Retries,
                 call.Matched->Name,
--- a/Libraries/LibRelay/Configuration.h
+++ b/Libraries/LibRelay/Configuration.h
@@ -20,8 +20,6 @@
 struct EngineTraits {
   /// Requests in one batch.
   std::uint32_t Slots = 1;
-  /// Tokens that the KV cache holds.
-  std::uint64_t CacheTokens = 0;
   /// Bytes of KV cache per token.
   double TokenBytes = 0;
   double LinkMegabitsPerSecond = 0;
--- a/Libraries/LibRelay/Event.h
+++ b/Libraries/LibRelay/Event.h
@@ -55,6 +55,12 @@
   bool IsMisdirected = false;
 };
 
+/// Returns whether \p Status tells a caller that its request did not run and
+/// never will.
+[[nodiscard]] constexpr auto promisesNotRun(unsigned Status) -> bool {
+  return Status == 503 || Status == 429 || Status == 408 || Status == 421;
+}
+
 struct AttemptAnswered {
   AttemptName Attempt;
   ServerAnswer Answer;
--- a/Libraries/LibRelay/Placement.cpp
+++ b/Libraries/LibRelay/Placement.cpp
@@ -40,6 +40,10 @@
 /// Cost of making the streams of an engine late, in seconds: prompts are read
 /// there only if all others make them wait about this long.
 constexpr auto LateStreamsSeconds = 1.0;
+/// Part of the reading that waits at an engine which passes before a prompt
+/// that was read elsewhere makes its first token: it is read in pieces between
+/// tokens.
+constexpr auto ReadingBeforeTokens = 0.5;
 /// Extra cost of a server whose requests all fail, as a factor.
 constexpr auto FailureCost = 8.0;
 /// Cost that keeps a server as a last resort, in seconds.
@@ -98,6 +102,25 @@
                     unitInterval(rendezvousScore(seed, Target.Described.Id));
 }
 
+template <typename Function>
+auto Placement::cheapest(RequestNumber Number, Call const &Target,
+                         Function Consider) const -> std::optional<Choice> {
+  auto best = std::optional<Choice>{};
+  auto lowest = std::numeric_limits<double>::infinity();
+  for (auto *it : candidates(Target)) {
+    auto candidate = std::optional<Candidate>(Consider(*it));
+    if (!candidate)
+      continue;
+    auto cost = candidate->Cost + penalty(Number, *it);
+    if (cost >= lowest)
+      continue;
+    lowest = cost;
+    best = std::move(candidate->Details);
+    best->Target = it;
+  }
+  return best;
+}
+
 auto Placement::choose(RequestNumber Number, Call const &Target)
     -> std::optional<Choice> {
   auto const *service = Target.Configured->findService(Target.Service);
@@ -108,24 +131,16 @@
 
 auto Placement::choosePlain(RequestNumber Number, Call const &Target)
     -> std::optional<Choice> {
-  auto best = std::optional<Choice>{};
-  auto lowest = std::numeric_limits<double>::infinity();
-  for (auto *it : candidates(Target)) {
-    auto load = it->load();
+  return cheapest(Number, Target, [this](Server const &Considered) {
+    auto load = Considered.load();
     auto requests = static_cast<double>(load.Requests) + 1;
-    auto cost = requests * PlainRequestSeconds * it->Slowness *
-                (1 + FailureCost * it->FailureShare) *
-                it->Health.slowStartFactor(Subject.Now);
-    if (load.Requests >= it->Described.Slots)
+    auto cost = requests * PlainRequestSeconds * Considered.Slowness *
+                (1 + FailureCost * Considered.FailureShare) *
+                Considered.Health.slowStartFactor(Subject.Now);
+    if (load.Requests >= Considered.Described.Slots)
       cost += BeyondBatchSeconds;
-    cost += penalty(Number, *it);
-    if (cost >= lowest)
-      continue;
-    lowest = cost;
-    best = Choice{};
-    best->Target = it;
-  }
-  return best;
+    return Candidate{cost, {}};
+  });
 }
 
 auto Placement::copySource(Call const &Target, Server const &Engine,
@@ -157,9 +172,8 @@
 auto Placement::considerEngine(Call const &Target, Server &Engine,
                                Service const &Offered) -> Candidate {
   auto const &traits = *Offered.Engine;
-  auto candidate = Candidate{&Engine, 0, {}};
+  auto candidate = Candidate{};
   auto &details = candidate.Details;
-  details.Target = &Engine;
   details.IsPrefill = Engine.Described.Stage == EngineStage::Prefill;
   auto const &model = Subject.Speeds[Target.Service];
   auto cached = Subject.Prefixes.cachedTokens(Target.Prefixes, Engine.Key);
@@ -196,56 +210,45 @@
 auto Placement::chooseEngine(RequestNumber Number, Call const &Target)
     -> std::optional<Choice> {
   auto const &service = *Target.Configured->findService(Target.Service);
-  auto best = std::optional<Choice>{};
-  auto lowest = std::numeric_limits<double>::infinity();
-  for (auto *it : candidates(Target)) {
-    // A second reading counts as a retry, and a resumed stream has tokens that
-    // a prefill engine cannot make.
-    auto isPrefill = it->Described.Stage == EngineStage::Prefill;
-    if (isPrefill && (Target.PrefillsMade > 0 || Target.LastEvent > 0))
-      continue;
-    auto candidate = considerEngine(Target, *it, service);
-    auto cost = candidate.Cost + penalty(Number, *it);
-    if (cost >= lowest)
-      continue;
-    lowest = cost;
-    best = std::move(candidate.Details);
-  }
-  return best;
+  // A second reading counts as a retry, and a resumed stream has tokens that a
+  // prefill engine cannot make.
+  auto mayPrefill = Target.PrefillsMade == 0 && Target.LastEvent == 0;
+  return cheapest(
+      Number, Target, [&](Server &Engine) -> std::optional<Candidate> {
+        if (Engine.Described.Stage == EngineStage::Prefill && !mayPrefill)
+          return std::nullopt;
+        return considerEngine(Target, Engine, service);
+      });
 }
 
 auto Placement::chooseForPrefilled(RequestNumber Number, Call const &Target,
                                    std::string const &Source)
     -> std::optional<Choice> {
-  auto const &service = *Target.Configured->findService(Target.Service);
+  auto const &traits = *Target.Configured->findService(Target.Service)->Engine;
   auto const *source = Subject.Servers.find(Source);
-  auto best = std::optional<Choice>{};
-  auto lowest = std::numeric_limits<double>::infinity();
   auto const &model = Subject.Speeds[Target.Service];
-  for (auto *it : candidates(Target)) {
-    if (it->Described.Stage == EngineStage::Prefill)
-      continue;
-    auto load = it->load();
+  auto total = Target.Content->PromptTokens;
+  auto consider = [&](Server const &Engine) -> std::optional<Candidate> {
+    if (Engine.Described.Stage == EngineStage::Prefill)
+      return std::nullopt;
+    auto load = Engine.load();
     auto seconds = BatchSecondsPerRequest * load.Requests +
-                   0.5 * toSeconds(model.readingTime(load.PromptTokens, false));
-    if (load.Requests >= service.Engine->Slots)
+                   ReadingBeforeTokens *
+                       toSeconds(model.readingTime(load.PromptTokens, false));
+    if (load.Requests >= traits.Slots)
       seconds += BeyondBatchSeconds;
-    seconds *= it->Slowness * (1 + FailureCost * it->FailureShare);
-    auto total = Target.Content->PromptTokens;
-    auto cached = Subject.Prefixes.cachedTokens(Target.Prefixes, it->Key);
+    seconds *= Engine.Slowness * (1 + FailureCost * Engine.FailureShare);
+    auto cached = Subject.Prefixes.cachedTokens(Target.Prefixes, Engine.Key);
     auto cost =
         seconds + displacementSeconds(model, total - std::min(total, cached));
-    if (source != nullptr && it->Described.Domain != source->Described.Domain)
-      cost += moveSeconds(*service.Engine, Target.Content->PromptTokens);
-    cost += penalty(Number, *it);
-    if (cost >= lowest)
-      continue;
-    lowest = cost;
-    best = Choice{};
-    best->Target = it;
-    best->Forecast = fromSeconds(seconds) + SpeedModel::BaseTime;
-  }
-  return best;
+    if (source != nullptr &&
+        Engine.Described.Domain != source->Described.Domain)
+      cost += moveSeconds(traits, total);
+    auto candidate = Candidate{cost, {}};
+    candidate.Details.Forecast = fromSeconds(seconds) + SpeedModel::BaseTime;
+    return candidate;
+  };
+  return cheapest(Number, Target, consider);
 }
 
 } // namespace dotterel::relay
--- a/Libraries/LibRelay/Placement.h
+++ b/Libraries/LibRelay/Placement.h
@@ -44,12 +44,18 @@
       -> std::optional<Choice>;
 
 private:
+  /// A possible choice and what it costs, in seconds.
   struct Candidate {
-    Server *Target = nullptr;
     double Cost = 0;
     Choice Details;
   };
 
+  /// Returns the cheapest of what \p Consider makes of the servers that can
+  /// take \p Target; it returns nothing for a server to leave out.
+  template <typename Function>
+  [[nodiscard]] auto cheapest(RequestNumber Number, Call const &Target,
+                              Function Consider) const -> std::optional<Choice>;
+
   [[nodiscard]] auto choosePlain(RequestNumber Number, Call const &Target)
       -> std::optional<Choice>;
   [[nodiscard]] auto chooseEngine(RequestNumber Number, Call const &Target)
--- a/Libraries/LibRelay/RequestReducer.cpp
+++ b/Libraries/LibRelay/RequestReducer.cpp
@@ -149,7 +149,6 @@
   Next.Server = server.Described.Id;
   Next.Key = server.Key;
   Next.Address = server.Described.Address;
-  Next.Started = now();
   Next.PromptTokens = Chosen.PromptTokens;
   Next.TokensAhead = Chosen.TokensAhead;
   Next.Forecast = Chosen.Forecast;
@@ -184,8 +183,11 @@
 auto RequestReducer::endAttempt(Call &Target) -> void {
   if (!Target.Current)
     return;
-  settlePrompt(*Target.Current);
-  if (auto *server = Subject.Servers.findKey(Target.Current->Key))
+  auto &attempt = *Target.Current;
+  if (!attempt.PrefillHandle.empty() && !attempt.IsSent)
+    emit(FreeHandle{attempt.PrefilledAt, attempt.PrefillHandle});
+  settlePrompt(attempt);
+  if (auto *server = Subject.Servers.findKey(attempt.Key))
     server->Own.subtract({1, 0});
   Target.Current.reset();
 }
@@ -198,8 +200,7 @@
     return finish(Number, Code, 0);
   }
   // A status that promises "not run" must be true.
-  auto status = describe(Code).HttpStatus;
-  auto promises = status == 503 || status == 429 || status == 408;
+  auto promises = promisesNotRun(describe(Code).HttpStatus);
   if (call.MayHaveRun && Code == ResultCode::DeadlineInfeasible)
     Code = ResultCode::DeadlinePassed;
   else if (promises && call.MayHaveRun && !call.mayRepeat())
@@ -229,8 +230,6 @@
   if (attempt == nullptr)
     return;
   emit(CancelAttempt{{Number, attempt->Number}});
-  if (!attempt->PrefillHandle.empty() && !attempt->IsSent)
-    emit(FreeHandle{attempt->PrefilledAt, attempt->PrefillHandle});
   endAttempt(call);
 }
 
--- a/Libraries/LibRelay/RequestReducer.h
+++ b/Libraries/LibRelay/RequestReducer.h
@@ -24,7 +24,8 @@
   auto placePrefilled(RequestNumber Number, Attempt const &Prefill,
                       std::string const &Handle) -> void;
 
-  /// Ends the current attempt, if any, and takes its load off the server.
+  /// Ends the current attempt, if any: takes its load off the server and frees
+  /// a read prompt that was not used.
   auto endAttempt(Call &Target) -> void;
 
   /// The prompt of the current attempt has been read.
--- a/Libraries/LibRelay/State.h
+++ b/Libraries/LibRelay/State.h
@@ -56,7 +56,6 @@
   bool HasFirstPart = false;
   /// Its prompt tokens count as outstanding at the server.
   bool IsCounted = false;
-  Instant Started;
   Instant SentAt;
   Instant LastPart;
   /// Prompt tokens that the server has to read for it, and those before it.
--- a/Programs/standin/Support.h
+++ b/Programs/standin/Support.h
@@ -36,12 +36,6 @@
   return body.is_object() ? body : json::object();
 }
 
-inline auto sleepFor(Duration Span) -> Awaitable<void> {
-  auto timer = asio::steady_timer(co_await asio::this_coro::executor, Span);
-  auto ec = boost::system::error_code{};
-  co_await timer.async_wait(useError(ec));
-}
-
 inline auto refuse(ResultCode Code) -> HttpReply {
   return {describe(Code).HttpStatus, "text/plain", {}, ""};
 }
