LibRelay: Read prompts apart again after a failure

Now a prompt may be read apart a second time where the route allows two servers; the second reading counts as a server. Two tests fail before and pass after.

--- a/Libraries/LibRelay/AttemptReducer.cpp
+++ b/Libraries/LibRelay/AttemptReducer.cpp
@@ -50,6 +50,8 @@
   if (!attempt.IsPrefill) {
     call->MayHaveRun = true;
     ++call->ServersUsed;
+  } else if (call->PrefillsMade > 1) {
+    ++call->ServersUsed;
   }
   auto send = SendAttempt{Happened.Attempt, call->Content, {}, false};
   send.IsStream = call->Matched->IsStream && !attempt.IsPrefill;
--- a/Libraries/LibRelay/Placement.cpp
+++ b/Libraries/LibRelay/Placement.cpp
@@ -210,9 +210,10 @@
 auto Placement::chooseEngine(RequestNumber Number, Call const &Target)
     -> std::optional<Choice> {
   auto const &service = *Target.Configured->findService(Target.Service);
-  // A second reading counts as a retry, and a resumed stream has tokens that a
-  // prefill engine cannot make.
-  auto mayPrefill = Target.PrefillsMade == 0 && Target.LastEvent == 0;
+  // Only the first reading of a prompt alone is free; another one counts as a
+  // server, and so will the engine that makes the tokens.
+  auto mayPrefill = Target.PrefillsMade == 0 ||
+                    Target.ServersUsed + 2 <= Target.Matched->MaximumServers;
   return cheapest(
       Number, Target, [&](Server &Engine) -> std::optional<Candidate> {
         if (Engine.Described.Stage == EngineStage::Prefill && !mayPrefill)
--- a/Libraries/LibRelay/State.h
+++ b/Libraries/LibRelay/State.h
@@ -81,7 +81,7 @@
   Instant Deadline;
   std::optional<Attempt> Current;
   std::uint32_t AttemptsMade = 0;
-  /// Servers that it was sent to, refusals and prefill excluded.
+  /// Servers that it was sent to, the first reading of its prompt excluded.
   std::uint32_t ServersUsed = 0;
   std::uint32_t PrefillsMade = 0;
   bool MayHaveRun = false;
--- a/Tests/LibRelay/RelayNode.cpp
+++ b/Tests/LibRelay/RelayNode.cpp
@@ -125,13 +125,15 @@
 }
 
 auto RelayNode::request(Kind Route, std::vector<PromptPart> Parts,
-                        std::optional<Duration> TimeLimit) -> RequestNumber {
+                        std::optional<Duration> TimeLimit,
+                        std::uint64_t LastEvent) -> RequestNumber {
   auto content = Request{};
   content.Method = "POST";
   content.Target = pathOf(Route);
   content.Host = "h";
   content.Id = fmt::format("r{}", ++LastNumber);
   content.TimeLimit = TimeLimit;
+  content.LastEvent = LastEvent;
   content.Parts = std::move(Parts);
   for (auto const &it : content.Parts)
     content.PromptTokens += it.Tokens;
--- a/Tests/LibRelay/RelayNode.h
+++ b/Tests/LibRelay/RelayNode.h
@@ -26,7 +26,8 @@
 
   /// A request arrives; returns its number.
   auto request(Kind Route, std::vector<PromptPart> Parts = {},
-               std::optional<Duration> TimeLimit = std::nullopt)
+               std::optional<Duration> TimeLimit = std::nullopt,
+               std::uint64_t LastEvent = 0)
       -> RequestNumber;
 
   /// Connects the current attempt of a request and returns what is sent.
--- a/Tests/LibRelay/TestRelayPlacement.cpp
+++ b/Tests/LibRelay/TestRelayPlacement.cpp
@@ -81,6 +81,35 @@
   cr_assert(second->IsStream);
 }
 
+// Load: engines crash while they read prompts, and streams run at all engines
+// that make tokens. Reading there would pause the streams.
+Test(RelayPlacement, PromptIsReadAtAnotherEngineAfterAFailure) {
+  auto node = RelayNode();
+  auto number = node.request(Kind::Stream, prompt(5, 13000, 3000));
+  (void)node.connect(number);
+  auto first = node.current(number)->Server;
+  node.feed(AttemptBroken{node.name(number), "reset"});
+  cr_assert(node.current(number)->IsPrefill);
+  cr_assert(node.current(number)->Server != first);
+  // The second reading counts as a server, so the next must make the tokens.
+  (void)node.connect(number);
+  cr_assert_eq(node.Current.Calls.at(number).ServersUsed, 1);
+  node.feed(AttemptBroken{node.name(number), "reset"});
+  cr_assert_not(node.current(number)->IsPrefill);
+}
+
+Test(RelayPlacement, StreamThatItsCallerResumesIsReadApart) {
+  auto node = RelayNode();
+  auto parts = prompt(5, 13000, 3000);
+  auto number = node.request(Kind::Stream, parts, std::nullopt, 14);
+  auto reading = node.connect(number);
+  cr_assert(reading->Orders.IsPrefill);
+  node.feed(AttemptPrefilled{node.name(number), "h1"});
+  auto resumed = node.connect(number);
+  cr_assert(resumed->Orders.PrefillHandle == "h1");
+  cr_assert_eq(resumed->Orders.LastEvent, 14);
+}
+
 Test(RelayPlacement, LeavingMisplacedAndChangingServersAreLeftOut) {
   auto node = RelayNode();
   node.Current.Servers.find("p0")->Described.IsDraining = true;
