LibRelay: Deal beginnings of prompts and wait rather than pause streams

An engine to which a beginning is dealt by hash now counts as half a holder while no holder is known, and reading beside streams costs four seconds. Both tests fail before.

--- a/Libraries/LibRelay/Placement.cpp
+++ b/Libraries/LibRelay/Placement.cpp
@@ -39,11 +39,15 @@
 constexpr auto ReadingShareOfGap = 0.1;
 /// Cost of making the streams of an engine late, in seconds: prompts are read
 /// there only if all others make them wait about this long.
-constexpr auto LateStreamsSeconds = 1.0;
+constexpr auto LateStreamsSeconds = 4.0;
 /// Part of the reading that waits at an engine which passes before a prompt
 /// that was read elsewhere makes its first token: it is read in pieces between
 /// tokens.
 constexpr auto ReadingBeforeTokens = 0.5;
+/// How likely the engine that a prompt's beginning is dealt to by hash keeps
+/// it although this instance has heard of no holder: instances that have just
+/// started know nothing of caches, and all deal alike.
+constexpr auto DealtShare = 0.5;
 /// Extra cost of a server whose requests all fail, as a factor.
 constexpr auto FailureCost = 8.0;
 /// Cost that keeps a server as a last resort, in seconds.
@@ -214,14 +218,47 @@
   // server, and so will the engine that makes the tokens.
   auto mayPrefill = Target.PrefillsMade == 0 ||
                     Target.ServersUsed + 2 <= Target.Matched->MaximumServers;
+  auto const *dealt = dealtEngine(Target);
   return cheapest(
       Number, Target, [&](Server &Engine) -> std::optional<Candidate> {
         if (Engine.Described.Stage == EngineStage::Prefill && !mayPrefill)
           return std::nullopt;
-        return considerEngine(Target, Engine, service);
+        auto candidate = considerEngine(Target, Engine, service);
+        if (&Engine == dealt)
+          candidate.Cost -= dealtSeconds(Target, candidate.Details.IsPrefill);
+        return candidate;
       });
 }
 
+auto Placement::dealtEngine(Call const &Target) const -> Server const * {
+  if (Target.Prefixes.empty())
+    return nullptr;
+  auto hash = Target.Prefixes.back().Hash;
+  if (!Subject.Prefixes.holders(hash).empty())
+    return nullptr;
+  auto const *dealt = static_cast<Server const *>(nullptr);
+  auto highest = std::uint64_t{0};
+  for (auto const *it : Subject.Servers.ofService(Target.Service)) {
+    // Beginnings stay where prompts are read; engines that make tokens are few.
+    if (it->Described.Stage == EngineStage::Decode ||
+        !it->isUsable(Subject.Now))
+      continue;
+    auto score = rendezvousScore(hash, it->Described.Id);
+    if (dealt != nullptr && score <= highest)
+      continue;
+    dealt = it;
+    highest = score;
+  }
+  return dealt;
+}
+
+auto Placement::dealtSeconds(Call const &Target, bool IsPrefill) const
+    -> double {
+  auto const &model = Subject.Speeds[Target.Service];
+  auto tokens = Target.Prefixes.back().Tokens;
+  return DealtShare * toSeconds(model.readingTime(tokens, IsPrefill));
+}
+
 auto Placement::chooseForPrefilled(RequestNumber Number, Call const &Target,
                                    std::string const &Source)
     -> std::optional<Choice> {
--- a/Libraries/LibRelay/Placement.h
+++ b/Libraries/LibRelay/Placement.h
@@ -65,6 +65,12 @@
   [[nodiscard]] auto copySource(Call const &Target, Server const &Engine,
                                 std::uint32_t Cached, Candidate &Into)
       -> std::uint32_t;
+  /// Returns the engine that the beginning of \p Target's prompt is dealt to,
+  /// or null if holders are known or nothing is shared.
+  [[nodiscard]] auto dealtEngine(Call const &Target) const -> Server const *;
+  /// Returns what the dealt engine is expected to save of the reading.
+  [[nodiscard]] auto dealtSeconds(Call const &Target, bool IsPrefill) const
+      -> double;
   [[nodiscard]] auto candidates(Call const &Target) const
       -> std::vector<Server *>;
   [[nodiscard]] auto penalty(RequestNumber Number, Server const &Target) const
--- a/Tests/LibRelay/TestRelayPlacement.cpp
+++ b/Tests/LibRelay/TestRelayPlacement.cpp
@@ -67,6 +67,41 @@
   cr_assert_gt(admitted, 5);
 }
 
+// Load: all instances start at once and have to find what engines keep.
+Test(RelayPlacement, InstancesThatKnowNothingDealBeginningsAlike) {
+  for (auto n = 0U; n < 20; ++n) {
+    auto parts = prompt(300 + n, 13000, 500);
+    auto chosen = std::set<std::string>{};
+    for (auto const *name : {"i0", "i1", "i2", "i3"}) {
+      auto node = RelayNode(name);
+      // Instances do not see the same loads.
+      node.Current.Servers.find(name[1] % 2 == 0 ? "f0" : "f1")
+          ->OfPeers.PromptTokens = 3000;
+      chosen.insert(node.current(node.request(Kind::Stream, parts))->Server);
+    }
+    cr_assert_eq(chosen.size(), 1);
+  }
+}
+
+// Load: long prompts while streams run at all engines that make tokens.
+Test(RelayPlacement, PromptsWaitRatherThanPauseStreams) {
+  auto node = RelayNode();
+  for (auto const *it : {"d0", "d1", "d2"})
+    node.Current.Servers.find(it)->Own.Requests = 4;
+  // A queue of two seconds at an engine that reads 40,000 tokens per second.
+  for (auto const *it : {"f0", "f1"})
+    node.Current.Servers.find(it)->OfPeers.PromptTokens = 80000;
+  auto call = Call{};
+  call.Configured = node.Current.Current;
+  call.Matched = node.Current.Current->findRoute("h", "/stream/");
+  call.Service = "model";
+  auto request = Request{};
+  request.PromptTokens = 8000;
+  call.Content = std::make_shared<Request const>(request);
+  auto chosen = Placement(node.Current).choose(1, call);
+  cr_assert(chosen && chosen->IsPrefill);
+}
+
 Test(RelayPlacement, ReadPromptContinuesWithItsHandle) {
   auto node = RelayNode();
   auto number = node.request(Kind::Stream, prompt(5, 13000, 3000));
