LibRelay: Tell peers of servers that cannot be reached

Reports now name servers to which no connection was found within the last second; a server that two instances name within 1.5 s is a last resort for all for a second. One instance alone is not believed, since it may be cut off itself. Two tests fail before and pass after.

--- a/Libraries/LibRelay/AttemptReducer.cpp
+++ b/Libraries/LibRelay/AttemptReducer.cpp
@@ -109,8 +109,11 @@
   if (call == nullptr)
     return;
   observeFailure(*call, Happened.Attempt, Happened.Reason);
-  if (auto *server = serverOf(*call))
+  if (auto *server = serverOf(*call)) {
     server->Health.eject(now());
+    server->UnreachableAt = now();
+    server->Suspected.record(Subject.Self.Incarnation, now());
+  }
   if (!retry(Happened.Attempt.Request, ResultCode::NoBackendAvailable, false))
     RequestReducer(Subject, Out)
         .fail(Happened.Attempt.Request, ResultCode::NoBackendAvailable,
@@ -166,7 +169,7 @@
   if (auto *server = serverOf(Target)) {
     server->observeOutcome(isError);
     if (!isError)
-      server->Health.recordSuccess();
+      server->recordSuccess();
     if (!isError && !Target.Matched->IsStream)
       server->observeDuration(now() - attempt.SentAt, Target.Matched->Target);
   }
@@ -199,7 +202,7 @@
   if (server == nullptr)
     return;
   server->observeOutcome(false);
-  server->Health.recordSuccess();
+  server->recordSuccess();
   log(LogLevel::Info, "first-part",
       "id={} attempt={} server={} prefill={} prefilled={} copied={} tokens={} "
       "tokens_ahead={} forecast_ms={} taken_ms={} slowness={:.2f}",
--- a/Libraries/LibRelay/FleetReducer.cpp
+++ b/Libraries/LibRelay/FleetReducer.cpp
@@ -33,6 +33,9 @@
 /// A server that a peer has announced to change is avoided until it is not in
 /// the peer's reports for some of them.
 constexpr auto AvoidChangingServer = Duration{700ms};
+/// A connection that failed is told for about the time in which a server may be
+/// back, and in several reports.
+constexpr auto ReportUnreachable = Duration{1s};
 /// Others notice within a second that a watcher of the store is gone, also if
 /// some reports are lost; watchers are few, so that this costs little.
 constexpr auto WatcherInterval = Duration{150ms};
@@ -183,6 +186,10 @@
     if (auto *server = Subject.Servers.findKey(key))
       server->ChangingUntil = now() + AvoidChangingServer;
   }
+  for (auto key : message.Unreachable) {
+    if (auto *server = Subject.Servers.findKey(key))
+      server->Suspected.record(message.Incarnation, now());
+  }
 }
 
 auto FleetReducer::on(SteeringRequested const &Happened) -> void {
@@ -251,6 +258,8 @@
     auto const &own = it.second->Own;
     if (own.Requests > 0)
       message.Loads.push_back({it.second->Key, own});
+    if (now() - it.second->UnreachableAt < ReportUnreachable)
+      message.Unreachable.push_back(it.second->Key);
   }
   auto &uses = Subject.NewPrefixUses;
   auto count = std::min(uses.size(), MaximumPrefixesInReport);
--- a/Libraries/LibRelay/Peers.cpp
+++ b/Libraries/LibRelay/Peers.cpp
@@ -113,17 +113,17 @@
   return watch;
 }
 
-constexpr auto ReportFields = std::size_t{13};
+constexpr auto ReportFields = std::size_t{14};
 
 } // namespace
 
 auto encodePeerReport(PeerReport const &Message) -> std::string {
-  auto document =
-      json::array({Message.Instance, Message.Incarnation, Message.Number,
-                   Message.CallerAddress, Message.IsFull, Message.IsReady,
-                   Message.IsLeaving, Message.Weight, encodeLoads(Message),
-                   encodePrefixes(Message), encodeDemands(Message),
-                   Message.Changing, encodeWatch(Message.Watch)});
+  auto document = json::array(
+      {Message.Instance, Message.Incarnation, Message.Number,
+       Message.CallerAddress, Message.IsFull, Message.IsReady,
+       Message.IsLeaving, Message.Weight, encodeLoads(Message),
+       encodePrefixes(Message), encodeDemands(Message), Message.Changing,
+       encodeWatch(Message.Watch), Message.Unreachable});
   auto bytes = std::string{};
   json::to_cbor(document, bytes);
   return bytes;
@@ -155,6 +155,7 @@
     decodeDemands(document[10], message);
     message.Changing = document[11].get<std::vector<ServerKey>>();
     message.Watch = decodeWatch(document[12]);
+    message.Unreachable = document[13].get<std::vector<ServerKey>>();
     return message;
   } catch (json::exception const &) {
     // Not a report; the caller counts and logs it.
--- a/Libraries/LibRelay/Peers.h
+++ b/Libraries/LibRelay/Peers.h
@@ -57,6 +57,8 @@
   std::vector<PeerDemand> Demands;
   /// Servers that are about to change their stage.
   std::vector<ServerKey> Changing;
+  /// Servers to which no connection was found lately.
+  std::vector<ServerKey> Unreachable;
   /// Set by instances that watch the store for all.
   std::optional<WatchReport> Watch;
 };
--- a/Libraries/LibRelay/Placement.cpp
+++ b/Libraries/LibRelay/Placement.cpp
@@ -99,7 +99,7 @@
   auto cost = 0.0;
   if (Target.Described.Domain != Subject.Self.Domain)
     cost += OtherDomainSeconds;
-  if (Target.Health.isEjected(Subject.Now) || Subject.Now < Target.FullUntil)
+  if (Target.isLastResort(Subject.Now) || Subject.Now < Target.FullUntil)
     cost += LastResortSeconds;
   auto seed = Subject.Self.Incarnation ^ Number;
   return cost + JitterSeconds *
@@ -158,8 +158,7 @@
     for (auto const &it : Subject.Prefixes.holders(prefix.Hash)) {
       auto const *server = Subject.Servers.findKey(it.Server);
       if (server == nullptr || server == &Engine ||
-          !server->isUsable(Subject.Now) ||
-          server->Health.isEjected(Subject.Now))
+          !server->isUsable(Subject.Now) || server->isLastResort(Subject.Now))
         continue;
       if (latest == nullptr || it.LastUsed > latest->LastUsed)
         latest = &it;
--- a/Libraries/LibRelay/RoleReducer.cpp
+++ b/Libraries/LibRelay/RoleReducer.cpp
@@ -169,7 +169,7 @@
   fleet.PrefillRate = Subject.Speeds[Target.Name].prefillRate();
   auto byStage = std::map<EngineStage, std::vector<Server *>>{};
   for (auto *it : Subject.Servers.ofService(Target.Name)) {
-    if (!it->isUsable(now()) || it->Health.isEjected(now()))
+    if (!it->isUsable(now()) || it->isLastResort(now()))
       continue;
     auto order = roles.Orders.find(it->Described.Id);
     auto stage = it->Described.Stage;
--- a/Libraries/LibRelay/ServerTable.cpp
+++ b/Libraries/LibRelay/ServerTable.cpp
@@ -15,6 +15,12 @@
 constexpr auto SmallestRatio = 0.25;
 constexpr auto LargestRatio = 8.0;
 
+/// Two instances that fail within this time have seen the same trouble: a few
+/// intervals of their reports.
+constexpr auto SuspicionsAgree = Duration{1500ms};
+/// Renewed while instances go on failing; short, as a server may be back.
+constexpr auto AvoidSuspected = Duration{1s};
+
 } // namespace
 
 auto toString(EngineStage Stage) -> std::string_view {
@@ -43,6 +49,20 @@
   PromptTokens -= std::min(PromptTokens, Other.PromptTokens);
 }
 
+auto Suspicion::record(std::uint64_t Instance, Instant Now) -> void {
+  if (LastInstance && *LastInstance != Instance &&
+      Now - LastAt < SuspicionsAgree)
+    SharedUntil = Now + AvoidSuspected;
+  LastInstance = Instance;
+  LastAt = Now;
+}
+
+auto Suspicion::clear() -> void { *this = {}; }
+
+auto Suspicion::isShared(Instant Now) const -> bool {
+  return Now < SharedUntil;
+}
+
 auto Server::load() const -> ServerLoad {
   auto sum = Own;
   sum.add(OfPeers);
@@ -59,6 +79,15 @@
   FailureShare += ObservationWeight * ((HasFailed ? 1.0 : 0.0) - FailureShare);
 }
 
+auto Server::recordSuccess() -> void {
+  Health.recordSuccess();
+  Suspected.clear();
+}
+
+auto Server::isLastResort(Instant Now) const -> bool {
+  return Health.isEjected(Now) || Suspected.isShared(Now);
+}
+
 auto ServerTable::put(ServerDescription Described) -> bool {
   auto it = ById.find(Described.Id);
   if (it != ById.end()) {
--- a/Libraries/LibRelay/ServerTable.h
+++ b/Libraries/LibRelay/ServerTable.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -59,6 +60,25 @@
   auto subtract(ServerLoad const &Other) -> void;
 };
 
+/// What instances tell each other of a server that cannot be reached. One
+/// instance may itself be cut off; two that agree are believed.
+class Suspicion {
+public:
+  /// Records that \p Instance, a number that names it, found no connection.
+  auto record(std::uint64_t Instance, Instant Now) -> void;
+
+  /// Records that this instance had an answer from the server.
+  auto clear() -> void;
+
+  /// Returns whether traffic should avoid the server at \p Now.
+  [[nodiscard]] auto isShared(Instant Now) const -> bool;
+
+private:
+  std::optional<std::uint64_t> LastInstance;
+  Instant LastAt;
+  Instant SharedUntil;
+};
+
 /// One server.
 struct Server {
   ServerDescription Described;
@@ -72,6 +92,9 @@
   Instant FullUntil;
   /// The server is about to change its stage; traffic avoids it until then.
   Instant ChangingUntil;
+  /// When this instance last found no connection to it.
+  Instant UnreachableAt;
+  Suspicion Suspected;
   /// Another server answered at the address, so the entry is out of date.
   bool IsMisplaced = false;
   /// Ratio of the time that requests took to what was forecast.
@@ -87,6 +110,10 @@
   /// Precondition: \p Forecast is positive.
   auto observeDuration(Duration Taken, Duration Forecast) -> void;
   auto observeOutcome(bool HasFailed) -> void;
+  /// Records an answer that was whole.
+  auto recordSuccess() -> void;
+  /// Returns whether the server is to be used only where no other is left.
+  [[nodiscard]] auto isLastResort(Instant Now) const -> bool;
 };
 
 /// All servers by id and by service. Thread safety: none.
--- a/Tests/LibRelay/TestFleet.cpp
+++ b/Tests/LibRelay/TestFleet.cpp
@@ -38,6 +38,43 @@
   cr_assert_eq(node.Current.Current->version(), 5);
 }
 
+// Load: a server loses power; each instance would have to find out by itself.
+Test(RelayFleet, ServerThatTwoInstancesCannotReachIsAvoided) {
+  auto node = RelayNode();
+  auto key = node.Current.Servers.find("p0")->Key;
+  auto avoids = [&] {
+    for (auto n = 0; n < 30; ++n) {
+      if (node.current(node.request(Kind::Lookup))->Server == "p0")
+        return false;
+    }
+    return true;
+  };
+  auto first = report("i1", 1);
+  first.Unreachable = {key};
+  node.feed(PeerReported{first});
+  // One instance may be cut off itself.
+  cr_assert_not(avoids());
+  auto second = report("i2", 1);
+  second.Incarnation = 6;
+  second.Unreachable = {key};
+  node.feed(PeerReported{second});
+  cr_assert(avoids());
+  node.pass(1200ms);
+  cr_assert_not(avoids());
+}
+
+Test(RelayFleet, ServerThatCannotBeReachedIsTold) {
+  auto node = RelayNode();
+  node.feed(PeersListed{{{"i1", "p-i1"}}});
+  auto number = node.request(Kind::Lookup);
+  auto key = node.current(number)->Key;
+  node.feed(AttemptUnreachable{node.name(number), "no connection"});
+  auto effects = node.pass(200ms);
+  auto const *sent = effect<SendPeerReport>(effects);
+  cr_assert_not_null(sent);
+  cr_assert(sent->Message.Unreachable == std::vector{key});
+}
+
 Test(RelayFleet, RequestKeepsTheConfigurationItCameUnder) {
   auto node = RelayNode();
   auto number = node.request(Kind::Booking);
@@ -246,6 +283,7 @@
   message.Prefixes = {{0xfedcba9876543210ULL, 77}};
   message.Demands = {{9, {100, 200}}};
   message.Changing = {1, 2};
+  message.Unreachable = {3};
   auto watch = WatchReport{};
   watch.Age = 120ms;
   watch.From = 4;
@@ -260,6 +298,7 @@
   cr_assert_eq(read->Loads[0].Load.PromptTokens, 5000000000ULL);
   cr_assert_eq(read->Prefixes[0].Hash, 0xfedcba9876543210ULL);
   cr_assert(read->Changing == message.Changing);
+  cr_assert(read->Unreachable == message.Unreachable);
   cr_assert(read->Watch->Age == 120ms);
   cr_assert_not(read->Watch->Updates[0].Described.has_value());
   cr_assert(read->Watch->Updates[1].Described->Stage == EngineStage::Decode);
