LibRelay: Let the strongest instances watch the store

The watchers had become stale for a second or more: telling 141 others of each change is more than 0.084 cores carry. Ruled out: lost reports (fewer than one in ten of the calls caught up on missed changes) and outages of the store.

Watchers are now the instances with most processor time, by name among equals. Base sites have equal instances, so nothing changes there. The test fails before and passes after.

--- a/Libraries/LibRelay/FollowReducer.cpp
+++ b/Libraries/LibRelay/FollowReducer.cpp
@@ -65,11 +65,19 @@
   following.ServersAsOf = watch->AsOf;
 }
 
+auto FollowReducer::comesBefore(PeerReport const &Other) const -> bool {
+  // Telling the whole fleet of each change is much work: the instances with
+  // most processor time watch, and weaker ones only where these are gone.
+  auto const &own = Subject.Self;
+  if (Other.Weight != own.Weight)
+    return Other.Weight > own.Weight;
+  return hashText(Other.Instance) < hashText(own.Instance);
+}
+
 auto FollowReducer::isWatcher() const -> bool {
   // Before the others are known nobody can say who comes first.
   if (!Subject.PeersListedAt)
     return false;
-  auto own = hashText(Subject.Self.Instance);
   auto before = 0U;
   for (auto const &it : Subject.Peers.all()) {
     auto const &peer = it.second;
@@ -77,7 +85,7 @@
       continue;
     // A watcher that the store does not answer does not count.
     auto isStale = peer.Last->Watch && !Subject.Peers.isFresh(peer, now());
-    if (!isStale && hashText(peer.Last->Instance) < own)
+    if (!isStale && comesBefore(*peer.Last))
       ++before;
   }
   return before < Watchers;
--- a/Libraries/LibRelay/FollowReducer.h
+++ b/Libraries/LibRelay/FollowReducer.h
@@ -21,6 +21,8 @@
   auto on(Tick const &Happened) -> void;
 
 private:
+  /// Returns whether another instance is to watch rather than this one.
+  [[nodiscard]] auto comesBefore(PeerReport const &Other) const -> bool;
   [[nodiscard]] auto isWatcher() const -> bool;
   [[nodiscard]] auto hasFreshWatcher() const -> bool;
 };
--- a/Tests/LibRelay/TestFollowing.cpp
+++ b/Tests/LibRelay/TestFollowing.cpp
@@ -74,6 +74,22 @@
   cr_assert_not(it.Node.Current.Following.needsConfiguration());
 }
 
+// Load: a fleet of unequal instances, in which the weakest cannot keep up with
+// telling all others of each change.
+Test(RelayFollowing, StrongInstancesWatch) {
+  for (auto weight : {0.5, 2.0}) {
+    auto node = RelayNode();
+    node.feed(PeersListed{});
+    for (auto const &it : earlierNames()) {
+      auto message = watcher(it, 1, 0ms);
+      message.Weight = weight;
+      node.feed(PeerReported{message});
+    }
+    node.pass(50ms);
+    cr_assert_eq(node.Current.Following.IsWatcher, weight < 1);
+  }
+}
+
 Test(RelayFollowing, SilentWatchersAreReplacedWithinASecond) {
   auto it = Relying();
   it.Node.pass(1050ms);
