Tests: Kill the home only after the booking has arrived

KilledHomeOneExecution (KNOWN-RED) once found 0 executions where it wanted 1: the check slept for 0.5 s and took for granted that the booking had reached the service by then. Whether that run was slow or had lost the send cannot be told from what was kept. The script now waits for the arrival, for a second at most (the service answers after 1.5 s), and a booking that does not arrive turns a check of its own red, so the wanted result stays as strict and a lost send would be named.

--- a/Tests/Process/AtMostOnce.sh
+++ b/Tests/Process/AtMostOnce.sh
@@ -48,7 +48,9 @@
 for n in 31 32; do control $n '{"delayMs": 1500}' >/dev/null; done
 book 1 "${prefix}f" >"$fleet_dir/killed" &
 booking=$!
-sleep 0.5
+# The service counts a booking when it arrives and answers it 1.5 s later.
+arrived() { equals 1 "$(executions "${prefix}f")"; }
+check KilledHomeHadSent wait_for 1 arrived
 kill -KILL "$(pid_of instance2)"
 wait $booking
 check KilledHomeIsUnknown equals unknown "$(cat "$fleet_dir/killed")"
