--- a/Libraries/LibGateway/GatewaySettings.cpp
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -46,6 +46,8 @@
     "serverHeartbeatMs": {"type": "integer", "minimum": 10,
       "maximum": 600000, "default": 1200,
       "description": "Time between two heartbeats of a server to the store, in ms."},
+    "leavingServerMs": {"type": "integer", "minimum": 100, "maximum": 600000,
+      "default": 2000, "description": "Time within which a leaving server must get no more requests, in ms."},
     "firstStart": {"type": "boolean", "default": false,
       "description": "The whole system starts for the first time, before any traffic."},
     "prefillShare": {"type": "number", "minimum": 0, "maximum": 1,
@@ -68,6 +70,7 @@
   options.Retries.Window =
       fromSeconds(Reader.read<double>("retryWindowSeconds"));
   options.ServerHeartbeat = Reader.readMilliseconds("serverHeartbeatMs");
+  options.WatcherFreshness = Reader.readMilliseconds("leavingServerMs") / 2;
   options.IsFirstStart = Reader.read<bool>("firstStart");
   options.PrefillShare = Reader.read<double>("prefillShare");
   options.LeaveBound = fromSeconds(Reader.read<double>("leaveBoundSeconds"));
--- a/Libraries/LibGateway/StoreFollower.cpp
+++ b/Libraries/LibGateway/StoreFollower.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 
+using platform::Freshness;
 using platform::StoreChanges;
 using platform::StoredObject;
 
@@ -117,13 +118,14 @@
 
   /// Reads all pages of a kind. Returns the revision of the first page, from
   /// which changes follow, or nothing.
-  auto list(Line &Over, std::string_view Kind, std::vector<StoredObject> &Into)
+  auto list(Line &Over, std::string_view Kind, std::vector<StoredObject> &Into,
+            Freshness Wanted = Freshness::Current)
       -> Awaitable<std::optional<std::uint64_t>> {
     auto asOf = std::optional<std::uint64_t>{};
     auto after = std::string{};
     while (true) {
-      auto reply =
-          co_await get(Over, platform::listPath(Kind, after), Duration{});
+      auto reply = co_await get(Over, platform::listPath(Kind, after, Wanted),
+                                Duration{});
       if (!reply || reply->Status != StatusOk)
         co_return std::nullopt;
       auto page = platform::readPage(reply->Body);
@@ -288,9 +290,10 @@
     while (!co_await registerSelf(line))
       co_await sleepFor(backoff.next(LongestPause));
     backoff.reset();
-    while (true) {
+    // Later lists only find instances whose reports were all lost.
+    for (auto wanted = Freshness::Current;; wanted = Freshness::Stale) {
       auto objects = std::vector<StoredObject>{};
-      if (!co_await list(line, platform::InstanceKind, objects)) {
+      if (!co_await list(line, platform::InstanceKind, objects, wanted)) {
         co_await sleepFor(backoff.next(LongestPause));
         continue;
       }
--- a/Libraries/LibRelay/Peers.cpp
+++ b/Libraries/LibRelay/Peers.cpp
@@ -22,10 +22,6 @@
 /// Silent peers are tried this often, and forgotten after the longer time.
 constexpr auto SilentTryInterval = Duration{2s};
 constexpr auto ForgetAfter = Duration{60s};
-/// Others rely on a watcher whose store has answered within this time. Leaving
-/// servers must be known within some seconds, so half a second to a second is
-/// left for an instance to ask the store itself.
-constexpr auto FreshBound = Duration{1s};
 
 auto encodeLoads(PeerReport const &Message) -> json {
   auto loads = json::array();
@@ -263,9 +259,10 @@
              std::max(ShortestSilence, MissedReports * reportInterval());
 }
 
-auto PeerTable::isFresh(Peer const &Target, Instant Now) const -> bool {
+auto PeerTable::isFresh(Peer const &Target, Instant Now, Duration Bound) const
+    -> bool {
   return Target.Last && Target.Last->Watch && !Target.Last->IsLeaving &&
-         Now - Target.HeardAt + Target.Last->Watch->Age < FreshBound;
+         Now - Target.HeardAt + Target.Last->Watch->Age < Bound;
 }
 
 auto PeerTable::reportInterval() const -> Duration {
--- a/Libraries/LibRelay/Peers.h
+++ b/Libraries/LibRelay/Peers.h
@@ -109,8 +109,10 @@
 
   [[nodiscard]] auto isAlive(Peer const &Target, Instant Now) const -> bool;
 
-  /// Returns whether a peer watches the store and the store answers it.
-  [[nodiscard]] auto isFresh(Peer const &Target, Instant Now) const -> bool;
+  /// Returns whether a peer watches the store and the store has answered it
+  /// within \p Bound.
+  [[nodiscard]] auto isFresh(Peer const &Target, Instant Now,
+                             Duration Bound) const -> bool;
 
   /// Time between two reports; grows with the fleet so that what an instance
   /// receives per second does not.
--- a/Libraries/LibRelay/State.h
+++ b/Libraries/LibRelay/State.h
@@ -37,6 +37,10 @@
   Duration LeaveBound = 8s;
   /// Time between two heartbeats of a server to the store.
   Duration ServerHeartbeat = 1200ms;
+  /// Age of a watcher's last answer up to which the others rely on it: half of
+  /// the time within which a leaving server must get no more requests, so that
+  /// the other half is left for an instance to ask the store itself.
+  Duration WatcherFreshness = 1s;
   /// The whole system starts for the first time, before any traffic.
   bool IsFirstStart = false;
   /// Part of a service's engines that read prompts until traffic shows what is
--- a/Tests/LibRelay/TestFollowing.cpp
+++ b/Tests/LibRelay/TestFollowing.cpp
@@ -74,6 +74,16 @@
   cr_assert_not(it.Node.Current.Following.needsConfiguration());
 }
 
+Test(RelayFollowing, WatchersAreReliedOnForAsLongAsTheBoundAllows) {
+  for (auto bound : {1s, 2s}) {
+    auto it = Relying();
+    it.Node.Current.Given.WatcherFreshness = bound;
+    it.hear(1500ms);
+    it.Node.pass(50ms);
+    cr_assert_eq(it.Node.Current.Following.needsServers(), bound == 1s);
+  }
+}
+
 // Load: a fleet of unequal instances, in which the weakest cannot keep up with
 // telling all others of each change.
 Test(RelayFollowing, StrongInstancesWatch) {
--- a/Tests/Platform/TestStoreFormat.cpp
+++ b/Tests/Platform/TestStoreFormat.cpp
@@ -136,6 +136,10 @@
 
 Test(PlatformStore, PathsCarryWhatTheStoreNeeds) {
   cr_assert(listPath("servers", "i-7") == "/-/objects/servers?after=i-7");
+  cr_assert(listPath("servers", "", Freshness::Stale) ==
+            "/-/objects/servers?allow_stale=1");
+  cr_assert(listPath("servers", "i-7", Freshness::Stale) ==
+            "/-/objects/servers?after=i-7&allow_stale=1");
   cr_assert(watchPath("servers", 530, std::chrono::milliseconds{400}) ==
             "/-/objects/servers?watch=530&wait_ms=400");
   cr_assert(objectPath("config", "main") == "/-/objects/config/main");
