LibRelay: Log when a server is avoided because two instances cannot reach it

Found on reading the change again: what an instance believes of a server changed without a line. Behaviour stays as it is.

--- a/Libraries/LibRelay/AttemptReducer.cpp
+++ b/Libraries/LibRelay/AttemptReducer.cpp
@@ -1,5 +1,6 @@
 #include "LibRelay/AttemptReducer.h"
 
+#include "LibRelay/FleetReducer.h"
 #include "LibRelay/RequestReducer.h"
 
 #include <algorithm>
@@ -112,7 +113,8 @@
   if (auto *server = serverOf(*call)) {
     server->Health.eject(now());
     server->UnreachableAt = now();
-    server->Suspected.record(Subject.Self.Incarnation, now());
+    FleetReducer(Subject, Out)
+        .suspect(*server, Subject.Self.PeerAddress, Subject.Self.Incarnation);
   }
   if (!retry(Happened.Attempt.Request, ResultCode::NoBackendAvailable, false))
     RequestReducer(Subject, Out)
--- a/Libraries/LibRelay/FleetReducer.cpp
+++ b/Libraries/LibRelay/FleetReducer.cpp
@@ -189,10 +189,18 @@
   }
   for (auto key : message.Unreachable) {
     if (auto *server = Subject.Servers.findKey(key))
-      server->Suspected.record(message.Incarnation, now());
+      suspect(*server, message.PeerAddress, message.Incarnation);
   }
 }
 
+auto FleetReducer::suspect(Server &Target, std::string_view PeerAddress,
+                           std::uint64_t Incarnation) -> void {
+  if (!Target.Suspected.record(Incarnation, now()))
+    return;
+  log(LogLevel::Info, "server-suspected", "server={} address={} by={}",
+      Target.Described.Id, Target.Described.Address, PeerAddress);
+}
+
 auto FleetReducer::on(SteeringRequested const &Happened) -> void {
   auto hasHeard = Subject.PeersListedAt
                       ? now() - *Subject.PeersListedAt > HearPeersFirst
--- a/Libraries/LibRelay/FleetReducer.h
+++ b/Libraries/LibRelay/FleetReducer.h
@@ -27,6 +27,11 @@
   /// Applies changes of servers in the order in which they were made.
   auto apply(std::span<ServerUpdate const> Updates) -> void;
 
+  /// Notes that the instance with \p PeerAddress and \p Incarnation, this one
+  /// or another, found no connection to \p Target.
+  auto suspect(Server &Target, std::string_view PeerAddress,
+               std::uint64_t Incarnation) -> void;
+
 private:
   /// The store has answered this instance or a fresh watcher.
   auto noteAnswer() -> void;
--- a/Libraries/LibRelay/ServerTable.cpp
+++ b/Libraries/LibRelay/ServerTable.cpp
@@ -49,12 +49,14 @@
   PromptTokens -= std::min(PromptTokens, Other.PromptTokens);
 }
 
-auto Suspicion::record(std::uint64_t Instance, Instant Now) -> void {
+auto Suspicion::record(std::uint64_t Instance, Instant Now) -> bool {
+  auto wasShared = isShared(Now);
   if (LastInstance && *LastInstance != Instance &&
       Now - LastAt < SuspicionsAgree)
     SharedUntil = Now + AvoidSuspected;
   LastInstance = Instance;
   LastAt = Now;
+  return !wasShared && isShared(Now);
 }
 
 auto Suspicion::clear() -> void { *this = {}; }
--- a/Libraries/LibRelay/ServerTable.h
+++ b/Libraries/LibRelay/ServerTable.h
@@ -65,7 +65,8 @@
 class Suspicion {
 public:
   /// Records that \p Instance, a number that names it, found no connection.
-  auto record(std::uint64_t Instance, Instant Now) -> void;
+  /// Returns whether traffic should avoid the server from now on.
+  auto record(std::uint64_t Instance, Instant Now) -> bool;
 
   /// Records that this instance had an answer from the server.
   auto clear() -> void;
--- a/Tests/LibRelay/TestFleet.cpp
+++ b/Tests/LibRelay/TestFleet.cpp
@@ -58,6 +58,8 @@
   second.Incarnation = 6;
   second.Unreachable = {key};
   node.feed(PeerReported{second});
+  auto const *line = effect<WriteLog>(node.Last);
+  cr_assert(line != nullptr && line->Event == "server-suspected");
   cr_assert(avoids());
   node.pass(1200ms);
   cr_assert_not(avoids());
