--- a/Tests/LibRelay/RelayNode.h
+++ b/Tests/LibRelay/RelayNode.h
@@ -27,8 +27,7 @@
   /// A request arrives; returns its number.
   auto request(Kind Route, std::vector<PromptPart> Parts = {},
                std::optional<Duration> TimeLimit = std::nullopt,
-               std::uint64_t LastEvent = 0)
-      -> RequestNumber;
+               std::uint64_t LastEvent = 0) -> RequestNumber;
 
   /// Connects the current attempt of a request and returns what is sent.
   auto connect(RequestNumber Number) -> std::optional<SendAttempt>;
