--- a/Libraries/LibRelay/AttemptReducer.cpp
+++ b/Libraries/LibRelay/AttemptReducer.cpp
@@ -72,10 +72,8 @@
 auto AttemptReducer::observeFailure(Call const &Target, AttemptName const &Name,
                                     std::string_view Reason) -> void {
   auto *server = serverOf(Target);
-  if (server != nullptr) {
-    server->observeOutcome(true);
-    server->Health.recordFailure(now());
-  }
+  if (server != nullptr)
+    server->recordFailure(now());
   log(LogLevel::Warning, "attempt-failed",
       "id={} attempt={} server={} reason={} failure_share={:.2f} known={}",
       quoteLogValue(Target.Content->Id), Name.Number, Target.Current->Server,
@@ -169,8 +167,9 @@
   auto isError = Answer.Status >= FirstErrorStatus;
   auto &attempt = *Target.Current;
   if (auto *server = serverOf(Target)) {
-    server->observeOutcome(isError);
-    if (!isError)
+    if (isError)
+      server->observeOutcome(true);
+    else
       server->recordSuccess();
     if (!isError && !Target.Matched->IsStream)
       server->observeDuration(now() - attempt.SentAt, Target.Matched->Target);
@@ -203,7 +202,6 @@
   auto *server = serverOf(Target);
   if (server == nullptr)
     return;
-  server->observeOutcome(false);
   server->recordSuccess();
   log(LogLevel::Info, "first-part",
       "id={} attempt={} server={} prefill={} prefilled={} copied={} tokens={} "
@@ -322,10 +320,8 @@
   if (!retry(Attempt.Request, ResultCode::RetriesExhausted, true))
     return;
   emit(CancelAttempt{Attempt});
-  if (auto *server = Subject.Servers.findKey(previous.Key)) {
-    server->observeOutcome(true);
-    server->Health.recordFailure(now());
-  }
+  if (auto *server = Subject.Servers.findKey(previous.Key))
+    server->recordFailure(now());
   log(LogLevel::Warning, "attempt-abandoned",
       "request={} attempt={} server={} reason={} waited_ms={}", Attempt.Request,
       Attempt.Number, previous.Server, quoteLogValue(Reason),
--- a/Libraries/LibRelay/FleetReducer.cpp
+++ b/Libraries/LibRelay/FleetReducer.cpp
@@ -178,8 +178,7 @@
     return;
   if (!Subject.Peers.accept(message, now(), Subject.Servers))
     return;
-  if (Subject.Peers.isFresh(Subject.Peers.all().at(message.PeerAddress), now(),
-                            Subject.Given.WatcherFreshness))
+  if (Subject.isFreshWatcher(Subject.Peers.all().at(message.PeerAddress)))
     noteAnswer();
   for (auto const &it : message.Prefixes)
     Subject.Prefixes.record(it.Hash, it.Server, now());
--- a/Libraries/LibRelay/FollowReducer.cpp
+++ b/Libraries/LibRelay/FollowReducer.cpp
@@ -84,9 +84,7 @@
     if (!Subject.Peers.isAlive(peer, now()) || peer.Last->IsLeaving)
       continue;
     // A watcher that the store does not answer does not count.
-    auto isStale =
-        peer.Last->Watch &&
-        !Subject.Peers.isFresh(peer, now(), Subject.Given.WatcherFreshness);
+    auto isStale = peer.Last->Watch && !Subject.isFreshWatcher(peer);
     if (!isStale && comesBefore(*peer.Last))
       ++before;
   }
@@ -95,8 +93,7 @@
 
 auto FollowReducer::hasFreshWatcher() const -> bool {
   return std::ranges::any_of(Subject.Peers.all(), [this](auto const &it) {
-    return Subject.Peers.isFresh(it.second, now(),
-                                 Subject.Given.WatcherFreshness);
+    return Subject.isFreshWatcher(it.second);
   });
 }
 
--- a/Libraries/LibRelay/ServerTable.cpp
+++ b/Libraries/LibRelay/ServerTable.cpp
@@ -82,10 +82,16 @@
 }
 
 auto Server::recordSuccess() -> void {
+  observeOutcome(false);
   Health.recordSuccess();
   Suspected.clear();
 }
 
+auto Server::recordFailure(Instant Now) -> void {
+  observeOutcome(true);
+  Health.recordFailure(Now);
+}
+
 auto Server::isLastResort(Instant Now) const -> bool {
   return Health.isEjected(Now) || Suspected.isShared(Now);
 }
--- a/Libraries/LibRelay/ServerTable.h
+++ b/Libraries/LibRelay/ServerTable.h
@@ -113,6 +113,8 @@
   auto observeOutcome(bool HasFailed) -> void;
   /// Records an answer that was whole.
   auto recordSuccess() -> void;
+  /// Records a broken or impossible connection, or one that was given up.
+  auto recordFailure(Instant Now) -> void;
   /// Returns whether the server is to be used only where no other is left.
   [[nodiscard]] auto isLastResort(Instant Now) const -> bool;
 };
--- a/Libraries/LibRelay/State.h
+++ b/Libraries/LibRelay/State.h
@@ -180,6 +180,10 @@
   RoleState Roles;
   std::optional<Instant> LeavingSince;
 
+  /// Returns whether \p Target watches the store and can be relied on.
+  [[nodiscard]] auto isFreshWatcher(Peer const &Target) const -> bool {
+    return Peers.isFresh(Target, Now, Given.WatcherFreshness);
+  }
   [[nodiscard]] auto isReady() const -> bool {
     return Current && HasServers && !LeavingSince;
   }
--- a/Tests/LibRelay/RelayNode.cpp
+++ b/Tests/LibRelay/RelayNode.cpp
@@ -74,6 +74,17 @@
       CallerLimits{});
 }
 
+auto report(std::string const &Name, std::uint64_t Number) -> PeerReport {
+  auto message = PeerReport{};
+  message.Instance = Name;
+  message.Incarnation = 5;
+  message.Number = Number;
+  message.CallerAddress = "c-" + Name;
+  message.PeerAddress = "p-" + Name;
+  message.IsReady = true;
+  return message;
+}
+
 auto prompt(std::uint64_t Shared, std::uint32_t SharedTokens,
             std::uint32_t OwnTokens) -> std::vector<PromptPart> {
   static auto own = std::uint64_t{1000000};
--- a/Tests/LibRelay/RelayNode.h
+++ b/Tests/LibRelay/RelayNode.h
@@ -65,6 +65,10 @@
                                   EngineStage Stage = EngineStage::Any)
     -> ServerDescription;
 
+/// A report of a live peer.
+[[nodiscard]] auto report(std::string const &Name, std::uint64_t Number)
+    -> PeerReport;
+
 [[nodiscard]] auto makeConfiguration(std::uint64_t Version)
     -> std::shared_ptr<Configuration const>;
 
--- a/Tests/LibRelay/TestFleet.cpp
+++ b/Tests/LibRelay/TestFleet.cpp
@@ -12,18 +12,6 @@
   return {{{std::move(Id), Revision, std::nullopt}}, Revision};
 }
 
-/// A report of a live peer.
-auto report(std::string const &Name, std::uint64_t Number) -> PeerReport {
-  auto message = PeerReport{};
-  message.Instance = Name;
-  message.Incarnation = 5;
-  message.Number = Number;
-  message.CallerAddress = "c-" + Name;
-  message.PeerAddress = "p-" + Name;
-  message.IsReady = true;
-  return message;
-}
-
 auto ask(RelayNode &Node) -> std::vector<std::string> {
   Node.feed(SteeringRequested{1000000});
   return effect<AnswerSteering>(Node.Last)->Addresses;
--- a/Tests/LibRelay/TestFollowing.cpp
+++ b/Tests/LibRelay/TestFollowing.cpp
@@ -21,13 +21,7 @@
 
 auto watcher(std::string const &Name, std::uint64_t Number, Duration Age)
     -> PeerReport {
-  auto message = PeerReport{};
-  message.Instance = Name;
-  message.Incarnation = 5;
-  message.Number = Number;
-  message.CallerAddress = "c-" + Name;
-  message.PeerAddress = "p-" + Name;
-  message.IsReady = true;
+  auto message = report(Name, Number);
   auto &watch = message.Watch.emplace();
   watch.Age = Age;
   watch.From = 2;
