LibRelay: Prefer servers to which a connection is idle

An instance has 0.9 requests a second for 156 engines and keeps a connection for a few seconds, so nearly every request opens one. Servers accept a limited number of connections, and a new one may hold a slot.

Change: the reducer knows which servers have idle connections (ConnectionReleased) and adds 15 ms to the cost of the others, as much as it adds for another failure domain.

Ruled out: more idle connections per server (they expire unused).

--- a/Libraries/LibGateway/ServerClient.cpp
+++ b/Libraries/LibGateway/ServerClient.cpp
@@ -90,14 +90,16 @@
     return nullptr;
   }
 
-  auto release(ActiveAttempt const &Target) -> void {
+  auto release(AttemptId Attempt, ActiveAttempt const &Target) -> void {
     auto &connection = *Target.Connection;
     auto &kept = Pools[Target.Address].Connections;
     if (Target.IsCancelled || !connection.isReusable() ||
         kept.size() >= Target.IdleLimit)
       return connection.close();
-    kept.push_back({Target.Connection, std::chrono::steady_clock::now() +
-                                           idleTimeout(connection)});
+    auto idleUntil =
+        std::chrono::steady_clock::now() + idleTimeout(connection);
+    kept.push_back({Target.Connection, idleUntil});
+    Loop.feed(relay::ConnectionReleased{Attempt, idleUntil});
   }
 
   auto connect(AttemptId Attempt, ActiveAttemptPointer Target)
@@ -228,7 +230,7 @@
       return;
     Attempts.erase(Attempt);
     if (CanReuse)
-      release(*Target);
+      release(Attempt, *Target);
     else
       Target->Connection->close();
     Loop.feed(std::move(Event));
--- a/Libraries/LibRelay/AttemptReducer.cpp
+++ b/Libraries/LibRelay/AttemptReducer.cpp
@@ -130,6 +130,14 @@
               RetryAfterFullService);
 }
 
+auto AttemptReducer::on(ConnectionReleased const &Event) -> void {
+  auto *request = findCurrent(Event.Attempt);
+  if (request == nullptr)
+    return;
+  if (auto *server = serverOf(*request))
+    server->IdleConnections.push_back(Event.IdleUntil);
+}
+
 auto AttemptReducer::observeNotice(InFlightRequest const &Request,
                                    ServerNotice const &Notice) -> void {
   if (auto *server = serverOf(Request))
--- a/Libraries/LibRelay/AttemptReducer.h
+++ b/Libraries/LibRelay/AttemptReducer.h
@@ -13,6 +13,7 @@
 
   auto on(AttemptConnected const &Event) -> void;
   auto on(AttemptUnreachable const &Event) -> void;
+  auto on(ConnectionReleased const &Event) -> void;
   auto on(AttemptResponded const &Event) -> void;
   auto on(AttemptPrefilled const &Event) -> void;
   auto on(AttemptStreamStarted const &Event) -> void;
--- a/Libraries/LibRelay/Event.h
+++ b/Libraries/LibRelay/Event.h
@@ -51,6 +51,13 @@
   std::optional<Duration> Pause;
 };
 
+/// The connection of an attempt is kept idle for further requests until
+/// IdleUntil. Arrives before the event that ends the attempt.
+struct ConnectionReleased {
+  AttemptId Attempt;
+  Instant IdleUntil;
+};
+
 /// A complete response, or the header of a streamed response.
 struct ServerResponse {
   unsigned Status = 0;
@@ -198,7 +205,7 @@
 
 using EventBody =
     std::variant<RequestArrived, CallerDisconnected, AttemptConnected,
-                 AttemptUnreachable, AttemptResponded, AttemptPrefilled,
+                 AttemptUnreachable, ConnectionReleased, AttemptResponded, AttemptPrefilled,
                  AttemptStreamStarted, AttemptEventsReceived,
                  AttemptStreamEnded, AttemptInterrupted, ConfigurationReceived,
                  ConfigurationConfirmed, ServersListed, ServersUpdated,
--- a/Libraries/LibRelay/Placement.cpp
+++ b/Libraries/LibRelay/Placement.cpp
@@ -12,6 +12,9 @@
 /// Cost of a server in another failure domain, in seconds: weighs the cost of
 /// traffic between domains against late responses.
 constexpr auto CrossDomainSeconds = 0.015;
+/// Cost of a new connection, in seconds: setting it up, and what it takes of the
+/// connections that a server accepts.
+constexpr auto NewConnectionSeconds = 0.015;
 /// Maximum of the random addition to a cost, in seconds. Without it, instances
 /// that decide on the same reports would all choose the same server.
 constexpr auto JitterSeconds = 0.02;
@@ -103,6 +106,8 @@
   auto cost = 0.0;
   if (Target.Description.Domain != CurrentState.Self.Domain)
     cost += CrossDomainSeconds;
+  if (!Target.hasIdleConnection(CurrentState.Now))
+    cost += NewConnectionSeconds;
   if (Target.isLastResort(CurrentState.Now) ||
       CurrentState.Now < Target.FullUntil)
     cost += LastResortSeconds;
--- a/Libraries/LibRelay/RequestReducer.cpp
+++ b/Libraries/LibRelay/RequestReducer.cpp
@@ -162,6 +162,7 @@
   Next.Forecast = Chosen.Forecast;
   Next.HasOutstandingTokens = true;
   server.OwnLoad.add({1, Next.PromptTokens});
+  server.takeIdleConnection(now());
   log(LogLevel::Info, "request-placed",
       "id={} attempt={} server={} prefill={} copy_from={} configuration={} "
       "load_requests={} tokens_ahead={} tokens={} forecast_ms={:.0f}",
--- a/Libraries/LibRelay/ServerTable.cpp
+++ b/Libraries/LibRelay/ServerTable.cpp
@@ -74,6 +74,18 @@
   return sum;
 }
 
+auto Server::hasIdleConnection(Instant Now) const -> bool {
+  return std::ranges::any_of(IdleConnections,
+                             [Now](Instant it) { return Now < it; });
+}
+
+auto Server::takeIdleConnection(Instant Now) -> void {
+  std::erase_if(IdleConnections, [Now](Instant it) { return Now >= it; });
+  // Connections are reused in reverse order.
+  if (!IdleConnections.empty())
+    IdleConnections.pop_back();
+}
+
 auto Server::observeDuration(Duration Taken, Duration Forecast) -> void {
   auto ratio = std::clamp(toSeconds(Taken) / toSeconds(Forecast), MinimumRatio,
                           MaximumRatio);
--- a/Libraries/LibRelay/ServerTable.h
+++ b/Libraries/LibRelay/ServerTable.h
@@ -107,6 +107,8 @@
   Instant HeldUntil;
   /// Another server responded at the address, so the entry is out of date.
   bool HasStaleAddress = false;
+  /// Times until which idle connections to the server are kept.
+  std::vector<Instant> IdleConnections;
   /// Moving average of the ratio of measured to forecast request times.
   double Slowness = 1;
   /// Moving average of the share of requests that failed.
@@ -121,6 +123,10 @@
   [[nodiscard]] auto isLeaving() const -> bool {
     return Description.IsDraining || HasAnnouncedLeaving;
   }
+  /// Returns whether a request can be sent without a new connection.
+  [[nodiscard]] auto hasIdleConnection(Instant Now) const -> bool;
+  /// Records that a request uses an idle connection, if there is one.
+  auto takeIdleConnection(Instant Now) -> void;
   /// Records how long a request took compared to its forecast. Precondition:
   /// \p Forecast is positive.
   auto observeDuration(Duration Taken, Duration Forecast) -> void;
--- a/Meta/code-mutations.sh
+++ b/Meta/code-mutations.sh
@@ -63,7 +63,7 @@
   mutate 'the era is not learned from peers' StoreWatchReducer.cpp \
     's/observeEra\(watch->AsOf.era\(\), Event.Report.PeerAddress\);//'
   mutate 'orders are not suspended after a restore' StoreWatchReducer.cpp \
-    's/RoleReducer\(CurrentState, Output\).suspendOrders\(\);//'
+    's/RoleReducer\(CurrentState, Output\).suspendOrders\(\);/return;/'
   mutate 'a lease is written at once after a restore' RoleReducer.cpp \
     's/ \|\| now\(\) < lease.SuspendedUntil//'
   mutate 'fencing numbers are revisions' RoleReducer.cpp \
--- a/Tests/LibRelay/TestRelayPlacement.cpp
+++ b/Tests/LibRelay/TestRelayPlacement.cpp
@@ -163,6 +163,42 @@
   cr_assert_eq(describe(refused->Code).HttpStatus, 503);
 }
 
+// Load: hundreds of instances share the requests, so that each has few for any
+// one server.
+Test(RelayPlacement, IdleConnectionsAreReused) {
+  constexpr auto RequestCount = 60;
+  constexpr auto IdlePeriod = Duration{3s};
+  auto node = RelayNode();
+  auto reused = 0;
+  auto last = std::string{};
+  for (auto n = 0; n < RequestCount; ++n) {
+    auto number = node.request(RouteKind::Lookup);
+    auto server = node.currentAttempt(number)->Server;
+    reused += server == last ? 1 : 0;
+    last = server;
+    (void)node.connect(number);
+    node.feed(
+        ConnectionReleased{node.attemptId(number), node.Now + IdlePeriod});
+    auto response = ServerResponse{};
+    response.Status = 200;
+    node.feed(AttemptResponded{node.attemptId(number), response});
+    node.advance(500ms);
+  }
+  cr_assert_gt(reused, RequestCount * 3 / 4);
+}
+
+Test(RelayPlacement, LoadWeighsMoreThanAnIdleConnection) {
+  auto node = RelayNode();
+  auto &busy = *node.CurrentState.Servers.find("p0");
+  busy.IdleConnections.assign(50, node.Now + 3s);
+  busy.OwnLoad.Requests = 5;
+  for (auto n = 0; n < 20; ++n) {
+    auto number = node.request(RouteKind::Lookup);
+    cr_assert(node.currentAttempt(number)->Server != "p0");
+    node.feed(CallerDisconnected{number});
+  }
+}
+
 // Load: one server fails half of its requests but accepts connections.
 Test(RelayPlacement, FailingServerGetsFewerRequests) {
   auto node = RelayNode();
