LibRelay: Prefill the shortest prompts first

A cold prompt takes 340 ms of a target of 600 ms from each one behind it.

Change: each prefill carries its rank in the engine's queue, which rises by one as the prefill time doubles (QueueOrder.h). It follows from the prompt and the measured speed, so nothing is set for a site.

--- a/Libraries/LibRelay/AttemptReducer.cpp
+++ b/Libraries/LibRelay/AttemptReducer.cpp
@@ -71,6 +71,7 @@
   parameters.PrefillAddress = attempt.PrefillAddress;
   parameters.PrefillHandle = attempt.PrefillHandle;
   parameters.CacheSource = attempt.CacheSource;
+  parameters.QueueRank = attempt.QueueRank;
   parameters.LastEventId = request->LastEventId;
   emit(std::move(send));
 }
--- a/Libraries/LibRelay/Effect.h
+++ b/Libraries/LibRelay/Effect.h
@@ -32,6 +32,8 @@
   /// Address of a server to copy the cached prefix from.
   std::string CacheSource;
   std::uint64_t LastEventId = 0;
+  /// Rank in the server's queue; see queueRank.
+  std::optional<std::uint32_t> QueueRank;
 };
 
 /// Sends the request over the attempt's connection.
--- a/Libraries/LibRelay/Placement.cpp
+++ b/Libraries/LibRelay/Placement.cpp
@@ -1,6 +1,7 @@
 #include "LibRelay/Placement.h"
 
 #include "LibCore/Hash.h"
+#include "LibRelay/QueueOrder.h"
 
 #include <algorithm>
 #include <limits>
@@ -212,6 +213,8 @@
   if (load.Requests >= traits.Slots)
     seconds += FullBatchSeconds;
   seconds = (seconds + toSeconds(SpeedModel::BaseLatency)) * Engine.Slowness;
+  if (details.IsPrefill)
+    details.QueueRank = queueRank(prefillTime);
   details.Wait = scaled(wait, Engine.Slowness);
   details.Forecast = fromSeconds(seconds);
   candidate.Cost = seconds * (1 + FailureCostFactor * Engine.FailureShare) *
--- a/Libraries/LibRelay/Placement.h
+++ b/Libraries/LibRelay/Placement.h
@@ -24,6 +24,8 @@
   std::uint64_t TokensAhead = 0;
   /// Forecast of the time until the server starts the request.
   Duration Wait{};
+  /// Rank in the engine's queue, for prompts.
+  std::optional<std::uint32_t> QueueRank;
   /// Forecast of the time to the first part of the response.
   Duration Forecast{};
 };
--- a/Libraries/LibRelay/RequestReducer.cpp
+++ b/Libraries/LibRelay/RequestReducer.cpp
@@ -160,6 +160,7 @@
   Next.PromptTokens = Chosen.PromptTokens;
   Next.TokensAhead = Chosen.TokensAhead;
   Next.Forecast = Chosen.Forecast;
+  Next.QueueRank = Chosen.QueueRank;
   Next.HasOutstandingTokens = true;
   server.OwnLoad.add({1, Next.PromptTokens});
   server.takeIdleConnection(now());
--- a/Libraries/LibRelay/State.h
+++ b/Libraries/LibRelay/State.h
@@ -70,6 +70,7 @@
   std::uint64_t PromptTokens = 0;
   std::uint64_t TokensAhead = 0;
   Duration Forecast{};
+  std::optional<std::uint32_t> QueueRank;
   /// Server that prefilled the prompt, and the handle there.
   ServerKey PrefillKey = 0;
   std::string PrefillAddress;
--- a/Tests/Platform/TestHeaders.cpp
+++ b/Tests/Platform/TestHeaders.cpp
@@ -139,8 +139,12 @@
   cr_assert(value(fields, "Kv-Fetch") == "10.1.64.8:8080");
   cr_assert(value(fields, "Last-Event-Id") == "14");
   cr_assert(value(fields, "Serving-Stage") == "(none)");
+  cr_assert(value(fields, "Request-Priority") == "(none)");
   auto prefill = relay::AttemptParameters{};
   prefill.IsPrefill = true;
+  prefill.QueueRank = 3;
+  cr_assert(value(writeRequestFields(request, prefill), "Request-Priority") ==
+            "3");
   cr_assert(value(writeRequestFields(request, prefill), "Serving-Stage") ==
             "prefill");
 }
