--- a/Libraries/LibRelay/FleetReducer.h
+++ b/Libraries/LibRelay/FleetReducer.h
@@ -29,6 +29,7 @@
   /// Compares the configuration with those that the peers report. A peer may
   /// have a newer version from before the store was restored.
   auto updateBehindPeers() -> void;
+  auto averageLoads() -> void;
   auto sendReport() -> void;
   auto stopWhenDrained() -> void;
 };
