--- a/Libraries/LibRelay/FleetReducer.cpp
+++ b/Libraries/LibRelay/FleetReducer.cpp
@@ -6,7 +6,6 @@
 #include "LibCore/Hash.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace dotterel::relay {
 
@@ -39,8 +38,6 @@
 /// Peers detect within a second that a watcher of the store is gone, even if
 /// some reports are lost. Watchers are few, so the extra reports cost little.
 constexpr auto WatcherReportInterval = Duration{150ms};
-/// Reports of a peer over which its load is averaged.
-constexpr auto AveragedReports = 3;
 /// Fields that change rarely are sent at this interval and in the first
 /// reports.
 constexpr auto FullReportInterval = Duration{1s};
@@ -230,15 +227,6 @@
   emit(StopProcess{});
 }
 
-auto FleetReducer::averageLoads() -> void {
-  auto span = toSeconds(AveragedReports * CurrentState.Peers.reportInterval());
-  auto elapsed = toSeconds(now() - CurrentState.LoadsAveragedAt);
-  CurrentState.LoadsAveragedAt = now();
-  auto weight = 1 - std::exp(-elapsed / span);
-  for (auto const &it : CurrentState.Servers.all())
-    it.second->averagePeerLoad(weight);
-}
-
 auto FleetReducer::updateBehindPeers() -> void {
   if (CurrentState.Store.Era == 0 || !CurrentState.Config)
     return;
@@ -264,7 +252,6 @@
 
 auto FleetReducer::on(Tick const & /*Event*/) -> void {
   updateBehindPeers();
-  averageLoads();
   if (now() >= CurrentState.NextReportAt) {
     auto interval = CurrentState.Peers.reportInterval();
     if (CurrentState.StoreWatch.IsWatcher)
--- a/Libraries/LibRelay/FleetReducer.h
+++ b/Libraries/LibRelay/FleetReducer.h
@@ -29,7 +29,6 @@
   /// Compares the configuration with those that the peers report. A peer may
   /// have a newer version from before the store was restored.
   auto updateBehindPeers() -> void;
-  auto averageLoads() -> void;
   auto sendReport() -> void;
   auto stopWhenDrained() -> void;
 };
--- a/Libraries/LibRelay/ServerTable.cpp
+++ b/Libraries/LibRelay/ServerTable.cpp
@@ -74,16 +74,6 @@
   return sum;
 }
 
-auto Server::expectedTokens() const -> std::uint64_t {
-  return OwnLoad.PromptTokens +
-         static_cast<std::uint64_t>(std::max(0.0, AveragePeerTokens));
-}
-
-auto Server::averagePeerLoad(double Weight) -> void {
-  AveragePeerTokens +=
-      Weight * (static_cast<double>(PeerLoad.PromptTokens) - AveragePeerTokens);
-}
-
 auto Server::hasIdleConnection(Instant Now) const -> bool {
   return std::ranges::any_of(IdleConnections,
                              [Now](Instant it) { return Now < it; });
--- a/Libraries/LibRelay/ServerTable.h
+++ b/Libraries/LibRelay/ServerTable.h
@@ -89,8 +89,6 @@
   ServerLoad OwnLoad;
   /// Load placed by the peers, according to their reports.
   ServerLoad PeerLoad;
-  /// Moving average of the prompt tokens in PeerLoad.
-  double AveragePeerTokens = 0;
   /// Traffic avoids the server until then because it responded that it was
   /// full.
   Instant FullUntil;
@@ -117,13 +115,6 @@
   double FailureShare = 0;
 
   [[nodiscard]] auto load() const -> ServerLoad;
-  /// Returns the prompt tokens that a new request is expected to find queued.
-  /// The load of the peers is known late, so its average counts: an engine that
-  /// happened to be empty is empty for all instances, which then all choose it.
-  [[nodiscard]] auto expectedTokens() const -> std::uint64_t;
-  /// Moves the average of the peers' load towards its present value by
-  /// \p Weight, from 0 to 1.
-  auto averagePeerLoad(double Weight) -> void;
   [[nodiscard]] auto isUsable(Instant Now) const -> bool {
     return !isLeaving() && !HasStaleAddress && Now >= ChangingUntil &&
            Now >= PausedUntil && Now >= HeldUntil;
