--- a/Libraries/LibGateway/ServerClient.cpp
+++ b/Libraries/LibGateway/ServerClient.cpp
@@ -96,8 +96,7 @@
     if (Target.IsCancelled || !connection.isReusable() ||
         kept.size() >= Target.IdleLimit)
       return connection.close();
-    auto idleUntil =
-        std::chrono::steady_clock::now() + idleTimeout(connection);
+    auto idleUntil = std::chrono::steady_clock::now() + idleTimeout(connection);
     kept.push_back({Target.Connection, idleUntil});
     Loop.feed(relay::ConnectionReleased{Attempt, idleUntil});
   }
--- a/Libraries/LibRelay/Event.h
+++ b/Libraries/LibRelay/Event.h
@@ -205,8 +205,8 @@
 
 using EventBody =
     std::variant<RequestArrived, CallerDisconnected, AttemptConnected,
-                 AttemptUnreachable, ConnectionReleased, AttemptResponded, AttemptPrefilled,
-                 AttemptStreamStarted, AttemptEventsReceived,
+                 AttemptUnreachable, ConnectionReleased, AttemptResponded,
+                 AttemptPrefilled, AttemptStreamStarted, AttemptEventsReceived,
                  AttemptStreamEnded, AttemptInterrupted, ConfigurationReceived,
                  ConfigurationConfirmed, ServersListed, ServersUpdated,
                  StoreReachabilityObserved, StoreEraObserved, PeersListed,
