--- a/Tests/LibRelay/RelayNode.cpp
+++ b/Tests/LibRelay/RelayNode.cpp
@@ -74,6 +74,15 @@
       CallerLimits{});
 }
 
+auto addDecodeEngines(RelayNode &Node) -> void {
+  for (auto n = 3; n < 12; ++n) {
+    auto server =
+        describeServer(fmt::format("d{}", n), "model", EngineStage::Decode);
+    Node.feed(
+        ServersUpdated{{{server.Id, server.Version, server}}, server.Version});
+  }
+}
+
 auto report(std::string const &Name, std::uint64_t Number) -> PeerReport {
   auto message = PeerReport{};
   message.Instance = Name;
--- a/Tests/LibRelay/RelayNode.h
+++ b/Tests/LibRelay/RelayNode.h
@@ -46,6 +46,10 @@
   RequestNumber LastNumber = 0;
 };
 
+/// Adds nine engines that decode, so that a plan for \p Node calls for stage
+/// changes.
+auto addDecodeEngines(RelayNode &Node) -> void;
+
 /// Returns the first effect of type T, or null.
 template <typename T> auto effect(Effects const &Source) -> T const * {
   for (auto const &it : Source) {
--- a/Tests/LibRelay/TestOrderLease.cpp
+++ b/Tests/LibRelay/TestOrderLease.cpp
@@ -84,12 +84,7 @@
     for (auto const *name : {"i0", "i1"}) {
       auto &node = Nodes.emplace_back(name);
       node.CurrentState.Options.IsFirstStart = true;
-      for (auto n = 3; n < 12; ++n) {
-        auto server =
-            describeServer(fmt::format("d{}", n), "model", EngineStage::Decode);
-        node.feed(ServersUpdated{{{server.Id, atRevision(2), server}},
-                                 atRevision(2)});
-      }
+      addDecodeEngines(node);
     }
     SuspendedUntil.resize(Nodes.size());
     Now = Nodes[0].Now;
--- a/Tests/LibRelay/TestRoles.cpp
+++ b/Tests/LibRelay/TestRoles.cpp
@@ -13,12 +13,7 @@
 /// changes.
 auto makeFirstStartNode() -> RelayNode {
   auto node = RelayNode();
-  for (auto n = 3; n < 12; ++n) {
-    auto server =
-        describeServer(fmt::format("d{}", n), "model", EngineStage::Decode);
-    node.feed(
-        ServersUpdated{{{server.Id, atRevision(2), server}}, atRevision(2)});
-  }
+  addDecodeEngines(node);
   node.CurrentState.Options.IsFirstStart = true;
   return node;
 }
--- a/Tests/LibRelay/TestServerNotices.cpp
+++ b/Tests/LibRelay/TestServerNotices.cpp
@@ -47,6 +47,15 @@
   return server;
 }
 
+/// Lets a server refuse a booking with a pause, and returns the server.
+auto pauseOneServer(RelayNode &Node, Duration Pause) -> std::string {
+  auto number = Node.request(RouteKind::Booking);
+  (void)Node.connect(number);
+  auto server = Node.currentAttempt(number)->Server;
+  refuseWithPause(Node, number, Pause);
+  return server;
+}
+
 auto relist(RelayNode &Node, std::string const &Server, std::uint64_t Revision,
             std::uint64_t StartedAt = 1) -> void {
   auto entry = describeServer(Server, "plain");
@@ -198,10 +207,7 @@
 // Load: a server is overloaded and asks for a pause.
 Test(RelayPause, PausedServerGetsNothingUntilTheEnd) {
   auto node = RelayNode();
-  auto number = node.request(RouteKind::Booking);
-  (void)node.connect(number);
-  auto server = node.currentAttempt(number)->Server;
-  refuseWithPause(node, number, 3s);
+  auto server = pauseOneServer(node, 3s);
   node.advance(2900ms);
   cr_assert_not(isUsed(node, server));
   node.advance(200ms);
@@ -229,10 +235,7 @@
 Test(RelayPause, LastsBeyondRemovalButNotForOtherInstances) {
   auto node = RelayNode();
   node.feed(PeersListed{{{"i1", "p-i1"}}});
-  auto number = node.request(RouteKind::Booking);
-  (void)node.connect(number);
-  auto server = node.currentAttempt(number)->Server;
-  refuseWithPause(node, number, 30s);
+  auto server = pauseOneServer(node, 30s);
   auto sent = effect<SendPeerReport>(node.advance(200ms))->Report;
   cr_assert(sent.Unreachable.empty() && sent.Leaving.empty());
   node.feed(
@@ -245,10 +248,7 @@
 
 Test(RelayPause, ShorterPauseDoesNotEndALongerOne) {
   auto node = RelayNode();
-  auto number = node.request(RouteKind::Booking);
-  (void)node.connect(number);
-  auto server = node.currentAttempt(number)->Server;
-  refuseWithPause(node, number, 5s);
+  auto server = pauseOneServer(node, 5s);
   auto &target = *node.CurrentState.Servers.find(server);
   cr_assert(target.PausedUntil == node.Now + 5s);
   // A response that was on the way.
@@ -263,9 +263,7 @@
   auto node = RelayNode();
   auto pause = Duration{2s};
   for (auto n = 0; n < 3; ++n) {
-    auto number = node.request(RouteKind::Booking);
-    (void)node.connect(number);
-    refuseWithPause(node, number, pause);
+    (void)pauseOneServer(node, pause);
     pause += 1s;
   }
   node.advance(500ms);
@@ -279,9 +277,7 @@
 
 Test(RelayPause, CallerIsNotToldThePauseOfOneServer) {
   auto node = RelayNode();
-  auto number = node.request(RouteKind::Booking);
-  (void)node.connect(number);
-  refuseWithPause(node, number, 1h);
+  (void)pauseOneServer(node, 1h);
   auto const *refused = effect<SendErrorResponse>(node.LastEffects);
   cr_assert_not_null(refused);
   cr_assert(*refused->RetryAfter < 1s);
--- a/Tests/LibRelay/TestStoreEra.cpp
+++ b/Tests/LibRelay/TestStoreEra.cpp
@@ -50,12 +50,7 @@
 /// A node whose plan calls for orders.
 auto makePlanningNode(bool IsFirstStart) -> RelayNode {
   auto node = RelayNode();
-  for (auto n = 3; n < 12; ++n) {
-    auto server =
-        describeServer(fmt::format("d{}", n), "model", EngineStage::Decode);
-    node.feed(
-        ServersUpdated{{{server.Id, atRevision(2), server}}, atRevision(2)});
-  }
+  addDecodeEngines(node);
   node.CurrentState.Options.IsFirstStart = IsFirstStart;
   return node;
 }
