--- a/Libraries/LibGateway/RequestTrace.cpp
+++ b/Libraries/LibGateway/RequestTrace.cpp
@@ -48,6 +48,13 @@
     return fmt::format("server {} sent no complete response ({}) and the "
                        "request must not be repeated",
                        logValue(failed, "server"), logValue(failed, "reason"));
+  auto unplaced = findLast(Lines, "request-not-placed");
+  if (code != "completed" && !unplaced.empty())
+    return fmt::format(
+        "ended as {}: no server of {} was usable; of {} servers "
+        "{} are leaving and {} asked for a pause",
+        code, logValue(unplaced, "service"), logValue(unplaced, "servers"),
+        logValue(unplaced, "leaving"), logValue(unplaced, "paused"));
   if (code != "completed")
     return fmt::format("ended as {} after {} attempts; the last failure was "
                        "'{}' at server {}",
--- a/Tests/LibGateway/TestRequestTrace.cpp
+++ b/Tests/LibGateway/TestRequestTrace.cpp
@@ -24,6 +24,19 @@
             "the request must not be repeated");
 }
 
+Test(RequestStory, NamesLeavingAndPausedServersAsTheCause) {
+  auto log = std::istringstream(
+      "time_ms=1 event=attempt-refused id=a attempt=1 server=i-7 status=503 "
+      "leaving=false pause_ms=3000\n"
+      "time_ms=2 event=request-not-placed id=a service=s1 servers=4 leaving=1 "
+      "paused=3 retry_after_ms=2900\n"
+      "time_ms=2 event=request-finished id=a code=no-backend-available "
+      "status=503 attempts=1\n");
+  cr_assert(traceRequest({&log}, "a").Cause ==
+            "ended as no-backend-available: no server of s1 was usable; of 4 "
+            "servers 1 are leaving and 3 asked for a pause");
+}
+
 Test(RequestStory, MatchesWholeIdsOnly) {
   auto log = std::istringstream("time_ms=1 event=request-placed id=ab\n");
   cr_assert(traceRequest({&log}, "a").Lines.empty());
