LibRelay: Reject reports whose CBOR announces an excessive length

The library throws for a map or array of excessive length although exceptions are switched off, and the exception left the decoder: one datagram ended an instance. The decoder now catches it, and a test holds such a report; it failed before.

Both run in Meta/test.sh.

--- a/Libraries/LibRelay/Peers.cpp
+++ b/Libraries/LibRelay/Peers.cpp
@@ -147,10 +147,11 @@
 }
 
 auto decodePeerReport(std::string_view Bytes) -> std::optional<PeerReport> {
-  auto document = json::from_cbor(Bytes, true, false);
-  if (!document.is_array() || document.size() != ReportFieldCount)
-    return std::nullopt;
   try {
+    // The library throws on an excessive length even if told not to.
+    auto document = json::from_cbor(Bytes);
+    if (!document.is_array() || document.size() != ReportFieldCount)
+      return std::nullopt;
     auto report = PeerReport{};
     report.Instance = document[0].get<std::string>();
     report.Incarnation = document[1].get<std::uint64_t>();
--- a/Meta/fuzz.sh
+++ b/Meta/fuzz.sh
@@ -19,14 +19,16 @@
   -DCMAKE_BUILD_TYPE=Release >/dev/null
 
 if [ -n "$inputs" ]; then
-  ninja -C build-sanitize FuzzPeerCodec FuzzCallerFront >/dev/null
+  targets=(PeerCodec CallerFront PeerReport RelayHeaders)
+  ninja -C build-sanitize "${targets[@]/#/Fuzz}" >/dev/null
   corpus=$(mktemp -d)
   trap 'rm -rf "$corpus"' EXIT
   printf '\0POST /v1/completions HTTP/1.1\r\nContent-Length: 60\r\n\r\n%s' \
     '{"model": "m", "prompt": "p", "max_tokens": 3, "stream": 1}' \
     >"$corpus/completion"
   printf '\3%s' "$(cat Examples/demo-configuration.json)" >"$corpus/configuration"
-  for target in PeerCodec CallerFront; do
+  printf 'Store-Era: 7\nServer-Leaving: 1\nRetry-After: 2.5' >"$corpus/headers"
+  for target in "${targets[@]}"; do
     if build-sanitize/Tests/Fuzz$target -seed="$seed" -runs="$runs" \
       -max_len=4096 -artifact_prefix="$corpus/" "$corpus" >"$corpus/log" 2>&1; then
       echo "ok - Fuzz::$target $(grep -c . "$corpus/log") lines, seed $seed, $runs runs"
--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -71,7 +71,8 @@
 # A test program that crashes before it prints results must not count as passed.
 for suite in ResultCode:: Selector:: Codec:: Scenarios:: Promises:: \
   EventStream:: RelayAtMostOnce:: RelayRoles:: PlatformStore:: Gateway:: \
-  Models:: Fuzz::PeerCodec Fuzz::CallerFront \
+  Models:: Fuzz::PeerCodec Fuzz::CallerFront Fuzz::PeerReport \
+  Fuzz::RelayHeaders \
   BadInput::RanToItsEnd AtMostOnce::RanToItsEnd Configuration::RanToItsEnd \
   PlannedChanges::RanToItsEnd Authority-fencing-true::RanToItsEnd \
   Authority-fencing-false::RanToItsEnd; do
--- a/Tests/LibRelay/TestFleet.cpp
+++ b/Tests/LibRelay/TestFleet.cpp
@@ -336,6 +336,8 @@
   for (auto n = std::size_t{0}; n < bytes.size(); ++n)
     cr_assert_not(decodePeerReport(bytes.substr(0, n)).has_value());
   cr_assert_not(decodePeerReport("not a report").has_value());
+  // A map with an excessive length; found by FuzzPeerReport, seed 1.
+  cr_assert_not(decodePeerReport(std::string(45, '\xbb')).has_value());
   for (auto n = std::size_t{0}; n < bytes.size(); ++n) {
     auto corrupted = bytes;
     corrupted[n] = static_cast<char>(corrupted[n] ^ 0x55);
