--- a/Libraries/LibRelay/Placement.cpp
+++ b/Libraries/LibRelay/Placement.cpp
@@ -13,8 +13,8 @@
 /// Cost of a server in another failure domain, in seconds: weighs the cost of
 /// traffic between domains against late responses.
 constexpr auto CrossDomainSeconds = 0.015;
-/// Cost of a new connection, in seconds: setting it up, and what it takes of the
-/// connections that a server accepts.
+/// Cost of a new connection, in seconds: setting it up, and what it takes of
+/// the connections that a server accepts.
 constexpr auto NewConnectionSeconds = 0.015;
 /// Maximum of the random addition to a cost, in seconds. Without it, instances
 /// that decide on the same reports would all choose the same server.
