LibRelay, LibNet: Record how streamed responses are framed and end

Logs and metrics could not tell whether a short answer came from a response without length or chunks, or from one whose framing ended in order. Each end of a stream is now logged with its framing and the bytes after the last complete event (stream-ended), attempt-failed names the framing, and dotterel_relay_stream_ends_total counts ends by framing.

--- a/Libraries/LibGateway/RelayMetrics.cpp
+++ b/Libraries/LibGateway/RelayMetrics.cpp
@@ -45,6 +45,10 @@
   case relay::CounterMetric::Refusals:
     return {"dotterel_relay_refusals_total",
             "Requests refused before they were routed", "result"};
+  case relay::CounterMetric::StreamEnds:
+    return {"dotterel_relay_stream_ends_total",
+            "Streams that servers ended, by framing of the response",
+            "framing"};
   }
   return {"dotterel_relay_other_total", "Other events", "kind"};
 }
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -136,6 +136,13 @@
   return {value.data(), value.size()};
 }
 
+auto HttpConnection::framing() const -> BodyFraming {
+  if (Impl->Parser->chunked())
+    return BodyFraming::Chunked;
+  return Impl->Parser->need_eof() ? BodyFraming::UntilClose
+                                  : BodyFraming::Length;
+}
+
 auto HttpConnection::readSome(std::string &Out, Duration Timeout)
     -> Awaitable<bool> {
   if (Impl->Parser->is_done())
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -5,6 +5,7 @@
 
 #include "LibCore/Time.h"
 #include "LibNet/Asio.h"
+#include "LibNet/BodyFraming.h"
 #include "LibNet/HttpField.h"
 
 #include <functional>
@@ -93,6 +94,10 @@
   /// Returns the value of the header field \p Name, or an empty string.
   [[nodiscard]] auto field(std::string_view Name) const -> std::string;
 
+  /// Returns how the end of the body is marked.
+  /// Precondition: the header section has been read.
+  [[nodiscard]] auto framing() const -> BodyFraming;
+
   /// Appends the next part of the body to \p Out. Returns false at the end of
   /// the body and on errors; isComplete tells them apart.
   auto readSome(std::string &Out, Duration Timeout) -> Awaitable<bool>;
--- a/Libraries/LibRelay/AttemptReducer.cpp
+++ b/Libraries/LibRelay/AttemptReducer.cpp
@@ -82,10 +82,12 @@
   auto *server = serverOf(Request);
   if (server != nullptr)
     server->recordFailure(now());
+  auto const &attempt = *Request.CurrentAttempt;
   log(LogLevel::Warning, "attempt-failed",
-      "id={} attempt={} server={} reason={} failure_share={:.2f} known={}",
-      quoteLogValue(Request.Content->Id), Id.Number,
-      Request.CurrentAttempt->Server, quoteLogValue(Reason),
+      "id={} attempt={} server={} reason={} framing={} failure_share={:.2f} "
+      "known={}",
+      quoteLogValue(Request.Content->Id), Id.Number, attempt.Server,
+      quoteLogValue(Reason), attempt.Framing ? toString(*attempt.Framing) : "-",
       server == nullptr ? 1 : server->FailureShare, server != nullptr);
 }
 
@@ -279,6 +281,7 @@
   if (request == nullptr)
     return;
   observeNotice(*request, Event.Header.Notice);
+  request->CurrentAttempt->Framing = Event.Header.Framing;
   // The header is forwarded with the first event; until then another server may
   // still serve the request.
   if (!request->HasHeader)
@@ -327,6 +330,14 @@
   if (request == nullptr)
     return;
   auto number = Event.Attempt.Request;
+  auto const &attempt = *request->CurrentAttempt;
+  auto framing = toString(attempt.Framing.value_or(BodyFraming::Length));
+  log(LogLevel::Info, "stream-ended",
+      "id={} attempt={} server={} framing={} remainder_bytes={} last_event={}",
+      quoteLogValue(request->Content->Id), attempt.Number, attempt.Server,
+      framing, Event.Remainder.size(), request->LastEventId);
+  emit(IncrementCounter{CounterMetric::StreamEnds, request->MatchedRoute->Name,
+                        std::string(framing)});
   beginStream(number, *request);
   if (!Event.Remainder.empty())
     emit(ForwardBytes{number, Event.Remainder});
--- a/Libraries/LibRelay/Effect.h
+++ b/Libraries/LibRelay/Effect.h
@@ -140,6 +140,8 @@
   Retries,
   Resumes,
   Refusals,
+  /// Streams that servers ended, by framing.
+  StreamEnds,
 };
 
 struct IncrementCounter {
--- a/Libraries/LibRelay/Event.h
+++ b/Libraries/LibRelay/Event.h
@@ -3,6 +3,7 @@
 /// for events and its state, which contains the instance's identity.
 #pragma once
 
+#include "LibNet/BodyFraming.h"
 #include "LibRelay/Configuration.h"
 #include "LibRelay/EventFramer.h"
 #include "LibRelay/Peers.h"
@@ -68,6 +69,7 @@
   bool IsNotExecuted = false;
   /// A different server uses the address now.
   bool IsMisdirected = false;
+  BodyFraming Framing = BodyFraming::Length;
   ServerNotice Notice{};
 };
 
--- a/Libraries/LibRelay/State.h
+++ b/Libraries/LibRelay/State.h
@@ -65,6 +65,8 @@
   bool HasOutstandingTokens = false;
   Instant SentAt;
   Instant LastPartAt;
+  /// Framing of the streamed response, once its header has arrived.
+  std::optional<BodyFraming> Framing;
   /// Prompt tokens to prefill for this attempt, and prompt tokens that were
   /// already outstanding at the server.
   std::uint64_t PromptTokens = 0;
--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -9,12 +9,12 @@
 trap 'rm -f "$results"' EXIT
 
 echo "seed $DOTTEREL_SEED"
-for library in LibCore LibConfiguration LibPeer LibControl LibInstance \
+for library in LibCore LibConfiguration LibNet LibPeer LibControl LibInstance \
   LibRelay Platform LibGateway; do
   echo "== $library"
-  # The gateway tests use the same ports and cannot run in parallel.
+  # These tests use the same ports and cannot run in parallel.
   jobs=()
-  [ "$library" = LibGateway ] && jobs=(-j1)
+  case $library in LibNet | LibGateway) jobs=(-j1) ;; esac
   RC_PARAMS="seed=$DOTTEREL_SEED max_success=400 max_size=150" \
     timeout 600 "build/Tests/Test$library" --tap "${jobs[@]}" 2>&1 | tee -a "$results"
 done
@@ -70,7 +70,7 @@
 
 # A test program that crashes before it prints results must not count as passed.
 for suite in ResultCode:: Selector:: Codec:: Scenarios:: Promises:: \
-  EventStream:: RelayAtMostOnce:: RelayRoles:: PlatformStore:: Gateway:: \
+  EventStream:: HttpClient:: RelayAtMostOnce:: RelayRoles:: PlatformStore:: Gateway:: \
   Models:: Fuzz::PeerCodec Fuzz::CallerFront Fuzz::PeerReport \
   Fuzz::RelayHeaders \
   BadInput::RanToItsEnd AtMostOnce::RanToItsEnd Configuration::RanToItsEnd \
--- a/Tests/LibRelay/TestStreams.cpp
+++ b/Tests/LibRelay/TestStreams.cpp
@@ -63,6 +63,24 @@
   cr_assert_not_null(effect<EndStream>(node.LastEffects));
 }
 
+Test(RelayStreams, EndIsLoggedWithItsFraming) {
+  auto node = RelayNode();
+  auto number = node.request(RouteKind::Stream, prompt(1, 1000, 500));
+  reachDecode(node, number);
+  auto response = header();
+  response.Framing = BodyFraming::UntilClose;
+  node.feed(AttemptStreamStarted{node.attemptId(number), response});
+  node.feed(AttemptEventsReceived{node.attemptId(number), {event(7)}});
+  node.feed(AttemptStreamEnded{node.attemptId(number), ""});
+  auto const *line = effect<WriteLog>(node.LastEffects);
+  cr_assert(line->Event == "stream-ended");
+  cr_assert(line->Pairs.ends_with(
+      "framing=until-close remainder_bytes=0 last_event=7"));
+  auto const *counter = effect<IncrementCounter>(node.LastEffects);
+  cr_assert_eq(counter->Metric, CounterMetric::StreamEnds);
+  cr_assert(counter->Label == "until-close");
+}
+
 Test(RelayStreams, NonResumableStreamIsAborted) {
   auto node = RelayNode();
   auto number = node.request(RouteKind::PlainStream, prompt(1, 1000, 500));
