Tests: Show that truncated streams are delivered as complete responses

A server that breaks off a stream inside an event, and whose response has neither a length nor chunks, ends it by closing its connection. The caller gets the rest of the stream as a complete response.

--- a/Tests/LibGateway/FakePlatform.cpp
+++ b/Tests/LibGateway/FakePlatform.cpp
@@ -44,8 +44,11 @@
 } // namespace
 
 struct FakePlatform::Implementation {
-  Implementation()
-      : Store(
+  explicit Implementation(std::string AnnouncedAddress)
+      : AnnouncedAddress(AnnouncedAddress.empty()
+                             ? address(ServerPort)
+                             : std::move(AnnouncedAddress)),
+        Store(
             Context, address(StorePort), HttpLimits{},
             [this](HttpExchange &it) { return serveStore(it); }, refuse),
         Server(
@@ -69,7 +72,7 @@
     return {{"metadata", {{"name", "i-1"}, {"revision", Revision.load()}}},
             {"spec",
              {{"service", "s1"},
-              {"address", address(ServerPort)},
+              {"address", AnnouncedAddress},
               {"zone", "z1"},
               {"slots", 6},
               {"state", IsDraining ? "draining" : "ready"},
@@ -181,6 +184,7 @@
     co_await Exchange.endStream();
   }
 
+  std::string AnnouncedAddress;
   asio::io_context Context{1};
   std::atomic<ServerMode> Mode = ServerMode::Echo;
   std::atomic<bool> IsDraining = false;
@@ -195,7 +199,8 @@
   std::thread Thread;
 };
 
-FakePlatform::FakePlatform() : Impl(std::make_unique<Implementation>()) {}
+FakePlatform::FakePlatform(std::string ServerAddress)
+    : Impl(std::make_unique<Implementation>(std::move(ServerAddress))) {}
 
 FakePlatform::~FakePlatform() = default;
 
--- a/Tests/LibGateway/FakePlatform.h
+++ b/Tests/LibGateway/FakePlatform.h
@@ -29,7 +29,8 @@
 /// Runs the store and the server on a thread of their own until destroyed.
 class FakePlatform {
 public:
-  FakePlatform();
+  /// Announces a server at \p ServerAddress, or its own if that is empty.
+  explicit FakePlatform(std::string ServerAddress = {});
   ~FakePlatform();
   FakePlatform(FakePlatform const &) = delete;
   auto operator=(FakePlatform const &) -> FakePlatform & = delete;
--- a/Tests/LibGateway/TestGateway.cpp
+++ b/Tests/LibGateway/TestGateway.cpp
@@ -1,6 +1,7 @@
 #include "LibGateway/FakePlatform.h"
 #include "LibGateway/Gateway.h"
 #include "LibNet/HttpClient.h"
+#include "LibTest/ScriptedServer.h"
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -20,6 +21,7 @@
 constexpr auto DirectoryPort = 21745;
 constexpr auto PeerPort = 21746;
 constexpr auto MetricsPort = 21747;
+constexpr auto ScriptedPort = 21748;
 
 auto address(int Port) -> std::string {
   return fmt::format("127.0.0.1:{}", Port);
@@ -56,10 +58,17 @@
   return response;
 }
 
+/// The header section of a stream that has neither a length nor chunks.
+auto streamHeader() -> std::string {
+  return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+         "Attempt-Id: 9c41\r\nServer-Seal: s\r\n\r\n";
+}
+
 /// A gateway in front of the fake platform, ready to serve.
 class RunningGateway {
 public:
-  RunningGateway() {
+  explicit RunningGateway(std::string ServerAddress = {})
+      : Platform(std::move(ServerAddress)) {
     auto text = fmt::format(
         R"({{"instance":"i0","failureDomain":"z1","host":"127.0.0.1",
              "callerAddress":"{}","readinessAddress":"{}",
@@ -130,6 +139,28 @@
   cr_assert_not(result.Response.has_value());
 }
 
+Test(Gateway, UnframedStreamThatEndsInsideAnEventIsNotComplete) {
+  for (auto end : {ConnectionEnd::Close, ConnectionEnd::Reset}) {
+    auto server =
+        ScriptedServer(address(ScriptedPort),
+                       {streamHeader() + "id: 1\ndata: 1\n\nid: 2\ndat", end});
+    auto gateway = RunningGateway(address(ScriptedPort));
+    auto result = gateway.request("stream");
+    cr_assert_eq(server.requests(), 1);
+    cr_assert_not(result.Response.has_value());
+  }
+}
+
+Test(Gateway, UnframedStreamIsForwarded) {
+  auto const *events = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n";
+  auto server =
+      ScriptedServer(address(ScriptedPort), {streamHeader() + events});
+  auto gateway = RunningGateway(address(ScriptedPort));
+  auto result = gateway.request("stream");
+  cr_assert_eq(status(result), 200);
+  cr_assert(result.Response->Body == events);
+}
+
 Test(Gateway, ResponseToAnotherRequestIsSkipped) {
   auto gateway = RunningGateway();
   gateway.Platform.setMode(ServerMode::StaleResponse);
--- a/Tests/LibRelay/TestStreams.cpp
+++ b/Tests/LibRelay/TestStreams.cpp
@@ -81,6 +81,61 @@
   cr_assert(counter->Label == "until-close");
 }
 
+Test(RelayStreams, StreamThatEndsInsideAnEventIsResumed) {
+  auto node = RelayNode();
+  auto number = node.request(RouteKind::Stream, prompt(1, 1000, 500));
+  reachDecode(node, number);
+  auto first = node.currentAttempt(number)->Server;
+  node.feed(AttemptEventsReceived{node.attemptId(number), {event(7)}});
+  node.feed(AttemptStreamEnded{node.attemptId(number), "id: 14\ndat"});
+  cr_assert_null(effect<EndStream>(node.LastEffects));
+  cr_assert_null(effect<ForwardBytes>(node.LastEffects));
+  auto send = node.connect(number);
+  cr_assert(send.has_value());
+  cr_assert_eq(send->Parameters.LastEventId, 7);
+  cr_assert(node.currentAttempt(number)->Server != first);
+}
+
+Test(RelayStreams, StreamThatEndsInsideAnEventIsAbortedIfItCannotBeResumed) {
+  auto node = RelayNode();
+  auto number = node.request(RouteKind::PlainStream, prompt(1, 1000, 500));
+  reachDecode(node, number);
+  node.feed(AttemptEventsReceived{node.attemptId(number), {event(7)}});
+  node.feed(AttemptStreamEnded{node.attemptId(number), "id: 14\ndat"});
+  cr_assert_null(effect<EndStream>(node.LastEffects));
+  cr_assert_null(effect<ForwardBytes>(node.LastEffects));
+  cr_assert_not_null(effect<AbortStream>(node.LastEffects));
+}
+
+// Without a length or chunks, a server that fails before its first event looks
+// like one that ends an empty stream.
+Test(RelayStreams, UnframedStreamWithoutEventsIsNotComplete) {
+  auto node = RelayNode();
+  auto number = node.request(RouteKind::PlainStream, prompt(1, 1000, 500));
+  reachDecode(node, number);
+  auto response = header();
+  response.Framing = BodyFraming::UntilClose;
+  node.feed(AttemptStreamStarted{node.attemptId(number), response});
+  node.feed(AttemptStreamEnded{node.attemptId(number), ""});
+  cr_assert_null(effect<EndStream>(node.LastEffects));
+  auto const *error = effect<SendErrorResponse>(node.LastEffects);
+  cr_assert_not_null(error);
+  cr_assert_eq(error->Code, ResultCode::AnswerLost);
+}
+
+// Blank lines and comments after the last event are not part of an event.
+Test(RelayStreams, BytesBetweenEventsAtTheEndAreForwarded) {
+  for (auto const *it : {"\n", "\r\n", ": done\n", ": do"}) {
+    auto node = RelayNode();
+    auto number = node.request(RouteKind::Stream, prompt(1, 1000, 500));
+    reachDecode(node, number);
+    node.feed(AttemptEventsReceived{node.attemptId(number), {event(7)}});
+    node.feed(AttemptStreamEnded{node.attemptId(number), it});
+    cr_assert_not_null(effect<EndStream>(node.LastEffects), "%s", it);
+    cr_assert(effect<ForwardBytes>(node.LastEffects)->Bytes == it);
+  }
+}
+
 Test(RelayStreams, NonResumableStreamIsAborted) {
   auto node = RelayNode();
   auto number = node.request(RouteKind::PlainStream, prompt(1, 1000, 500));
