LibRelay: Treat a stream that ends inside an event as interrupted

Cause: whether a stream is complete was decided by the framing of the HTTP response alone. A response with neither a length nor chunks ends with its connection, so an orderly close by a failing server counted as the end of the stream; the instance then forwarded the torn event and wrote its own last chunk, which turned an ambiguous end into a definite one.

A scripted server reproduces it: stream-ended framing=until-close remainder_bytes=9, then code=completed. Ruled out: an abort that loses to the end of the stream (no attempt-failed line), events lost by the instance (the engine's run broke off).

Now the reducer decides by the stream's own framing: bytes of an incomplete event after the last complete one, whatever the HTTP framing, mean that the attempt was interrupted, and so does an unframed stream without any event. The usual path follows: resumption after the last event where the route allows it, else the caller's connection is closed without the last chunk, or 502 if nothing was sent. Torn events are no longer forwarded. Blank lines and comments after the last event still are.

--- a/Libraries/LibRelay/AttemptReducer.cpp
+++ b/Libraries/LibRelay/AttemptReducer.cpp
@@ -21,6 +21,18 @@
 constexpr auto MinimumRetryTimeShare = 0.2;
 constexpr auto FirstErrorStatus = 500U;
 
+/// Returns why a stream that its server ended is not complete, or an empty view
+/// if it is.
+auto describeTruncation(Attempt const &Target, std::string_view Remainder)
+    -> std::string_view {
+  if (isInsideEvent(Remainder))
+    return "stream ended inside an event";
+  // Nothing but a whole event tells the end of such a stream from a failure.
+  if (Target.Framing == BodyFraming::UntilClose && !Target.HasFirstPart)
+    return "stream ended before its first event";
+  return {};
+}
+
 } // namespace
 
 auto AttemptReducer::findCurrent(AttemptId const &Id) -> InFlightRequest * {
@@ -338,6 +350,9 @@
       framing, Event.Remainder.size(), request->LastEventId);
   emit(IncrementCounter{CounterMetric::StreamEnds, request->MatchedRoute->Name,
                         std::string(framing)});
+  auto truncation = describeTruncation(attempt, Event.Remainder);
+  if (!truncation.empty())
+    return handleInterruption(Event.Attempt, *request, truncation);
   beginStream(number, *request);
   if (!Event.Remainder.empty())
     emit(ForwardBytes{number, Event.Remainder});
@@ -348,18 +363,21 @@
 }
 
 auto AttemptReducer::on(AttemptInterrupted const &Event) -> void {
-  auto *request = findCurrent(Event.Attempt);
-  if (request == nullptr)
-    return;
-  observeFailure(*request, Event.Attempt, Event.Reason);
-  auto number = Event.Attempt.Request;
-  auto mayRetry = request->CurrentAttempt->IsPrefill || request->isRetryable();
-  if (mayRetry && retry(number, ResultCode::RetriesExhausted, true))
+  if (auto *request = findCurrent(Event.Attempt))
+    handleInterruption(Event.Attempt, *request, Event.Reason);
+}
+
+auto AttemptReducer::handleInterruption(AttemptId const &Id,
+                                        InFlightRequest &Request,
+                                        std::string_view Reason) -> void {
+  observeFailure(Request, Id, Reason);
+  auto mayRetry = Request.CurrentAttempt->IsPrefill || Request.isRetryable();
+  if (mayRetry && retry(Id.Request, ResultCode::RetriesExhausted, true))
     return;
   RequestReducer(CurrentState, Output)
-      .fail(number,
-            request->MayHaveRun ? ResultCode::AnswerLost
-                                : ResultCode::NoBackendAvailable,
+      .fail(Id.Request,
+            Request.MayHaveRun ? ResultCode::AnswerLost
+                               : ResultCode::NoBackendAvailable,
             RetryAfterFullService);
 }
 
--- a/Libraries/LibRelay/AttemptReducer.h
+++ b/Libraries/LibRelay/AttemptReducer.h
@@ -40,6 +40,10 @@
       -> bool;
   auto handleRefusal(RequestNumber Number, InFlightRequest &Request,
                      ServerResponse const &Response) -> void;
+  /// Retries or fails a request whose attempt ended without a complete
+  /// response.
+  auto handleInterruption(AttemptId const &Id, InFlightRequest &Request,
+                          std::string_view Reason) -> void;
   auto handleResponse(RequestNumber Number, InFlightRequest &Request,
                       ServerResponse Response) -> void;
 };
--- a/Libraries/LibRelay/Event.h
+++ b/Libraries/LibRelay/Event.h
@@ -102,8 +102,8 @@
   std::vector<StreamEvent> Events;
 };
 
-/// The stream ended regularly. Remainder holds the bytes after the last
-/// complete event.
+/// The response ended as its framing demands; the stream may still be
+/// truncated. Remainder holds the bytes after the last complete event.
 struct AttemptStreamEnded {
   AttemptId Attempt;
   std::string Remainder;
--- a/Libraries/LibRelay/EventFramer.cpp
+++ b/Libraries/LibRelay/EventFramer.cpp
@@ -1,5 +1,6 @@
 #include "LibRelay/EventFramer.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace dotterel::relay {
@@ -40,6 +41,17 @@
 
 } // namespace
 
+auto isInsideEvent(std::string_view Remainder) -> bool {
+  while (!Remainder.empty()) {
+    auto end = std::min(Remainder.find('\n'), Remainder.size());
+    auto line = Remainder.substr(0, end);
+    Remainder.remove_prefix(std::min(end + 1, Remainder.size()));
+    if (!line.empty() && line != "\r" && !line.starts_with(':'))
+      return true;
+  }
+  return false;
+}
+
 auto EventFramer::add(std::string_view Bytes) -> std::vector<StreamEvent> {
   Pending.append(Bytes);
   auto events = std::vector<StreamEvent>{};
--- a/Libraries/LibRelay/EventFramer.h
+++ b/Libraries/LibRelay/EventFramer.h
@@ -16,6 +16,11 @@
   std::string Bytes;
 };
 
+/// Returns whether \p Remainder, the bytes after the last complete event,
+/// belong to an event; blank lines and comments do not. Thread safety: none
+/// needed.
+[[nodiscard]] auto isInsideEvent(std::string_view Remainder) -> bool;
+
 /// Buffers bytes until events are complete. Thread safety: none.
 class EventFramer {
 public:
