LibNet, LibGateway, LibRelay: Bound what is read from a server

A server in trouble may send bytes without end, in a header or a body. Endless header fields and endless bodies of plain responses were bounded already.

Now at most 8 interim responses and 4 responses to other requests are skipped, an event has at most 1 MiB (as in LibInstance), and prefill handles, reports and order results at most 1 MiB instead of 16 and 64 MiB. The framer no longer searches the whole pending event again with each part.

FuzzEventFramer: events do not depend on how the bytes are split.

--- a/Libraries/LibGateway/ServerClient.cpp
+++ b/Libraries/LibGateway/ServerClient.cpp
@@ -22,6 +22,12 @@
 constexpr auto ReleasePrefillTimeout = Duration{1s};
 /// Maximum size of a response body that is not streamed.
 constexpr auto MaximumBodyBytes = std::size_t{16} << 20U;
+/// The same for responses that instances read themselves: prefill handles,
+/// reports, orders.
+constexpr auto MaximumControlBytes = std::size_t{1} << 20U;
+/// Limit on consecutive responses that belong to other requests. A server that
+/// responds twice sends one.
+constexpr auto MaximumSkippedResponses = 4;
 /// Idle connections are closed this long before the server closes them, or
 /// after DefaultIdleTimeout if the server does not announce a time-out.
 constexpr auto IdleMargin = Duration{700ms};
@@ -128,20 +134,39 @@
   static auto readHeader(relay::SendAttempt const &Effect,
                          HttpConnection &Connection, bool &CanReuse)
       -> Awaitable<unsigned> {
-    while (true) {
+    for (auto n = 0; n <= MaximumSkippedResponses; ++n) {
       auto status = co_await Connection.readHeader(ExchangeTimeout);
       if (status == 0 || platform::isResponseTo(Connection, Effect.Content->Id))
         co_return status;
       log(LogLevel::Warning, "response-of-another-request",
           {{"id", Effect.Content->Id}, {"status", status}});
       CanReuse = false;
-      auto ignored = std::string{};
-      while (co_await Connection.readSome(ignored, ExchangeTimeout))
-        ignored.clear();
-      if (!Connection.isComplete())
+      if (!co_await skipBody(Connection))
         co_return 0;
       Connection.expectResponse();
     }
+    co_return 0;
+  }
+
+  /// Reads and discards a body. Returns whether it was complete.
+  static auto skipBody(HttpConnection &Connection) -> Awaitable<bool> {
+    auto bytes = std::string{};
+    for (auto n = std::size_t{0};
+         n <= MaximumBodyBytes &&
+         co_await Connection.readSome(bytes, ExchangeTimeout);
+         n += bytes.size(), bytes.clear()) {
+    }
+    co_return Connection.isComplete();
+  }
+
+  /// Reads the body until its end or until it exceeds \p Limit bytes.
+  static auto readLimited(HttpConnection &Connection, std::size_t Limit)
+      -> Awaitable<std::string> {
+    auto body = std::string{};
+    while (body.size() <= Limit &&
+           co_await Connection.readSome(body, ExchangeTimeout)) {
+    }
+    co_return body;
   }
 
   auto send(relay::SendAttempt Effect, ActiveAttemptPointer Target)
@@ -174,10 +199,9 @@
                 relay::ServerResponse Response, bool CanReuse)
       -> Awaitable<void> {
     auto connection = Target->Connection;
-    while (co_await connection->readSome(Response.Body, ExchangeTimeout)) {
-      if (Response.Body.size() > MaximumBodyBytes)
-        break;
-    }
+    Response.Body = co_await readLimited(
+        *connection,
+        Effect.Parameters.IsPrefill ? MaximumControlBytes : MaximumBodyBytes);
     if (Target->IsCancelled)
       co_return;
     // A refusal is valid even if the rest of its response is lost.
@@ -213,6 +237,9 @@
       bytes.clear();
       if (!events.empty())
         Loop.feed(relay::AttemptEventsReceived{Attempt, std::move(events)});
+      if (framer.isOverlong())
+        co_return finish(Attempt, Target, false,
+                         relay::AttemptInterrupted{Attempt, "event too long"});
     }
     if (Target->IsCancelled)
       co_return;
@@ -238,7 +265,7 @@
   auto releasePrefill(relay::ReleasePrefill Effect) -> Awaitable<void> {
     auto result = co_await exchange(
         Effect.Address, platform::releaseHandleRequest(Effect.Handle),
-        ReleasePrefillTimeout);
+        ReleasePrefillTimeout, MaximumControlBytes);
     if (!result.Response)
       log(LogLevel::Warning, "handle-not-released",
           {{"address", Effect.Address}, {"handle", Effect.Handle}});
@@ -247,8 +274,9 @@
   auto sendOrder(relay::SendOrder Effect) -> Awaitable<void> {
     auto outcome = relay::OrderResultReceived{};
     outcome.Server = Effect.Server;
-    auto report = co_await exchange(
-        Effect.Address, platform::reportRequest(Effect.Server), OrderTimeout);
+    auto report = co_await exchange(Effect.Address,
+                                    platform::reportRequest(Effect.Server),
+                                    OrderTimeout, MaximumControlBytes);
     auto state = report.Response && report.Response->Status == StatusOk
                      ? platform::readOrderState(report.Response->Body)
                      : std::nullopt;
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr auto ReadBufferBytes = std::size_t{2048};
-constexpr auto MaximumResponseBytes = std::uint64_t{64} << 20U;
+constexpr auto MaximumInterimResponses = 8;
 /// A peer that acknowledges nothing for this long is considered dead. Well
 /// above any round-trip time within a deployment, and well below the time that
 /// callers wait.
@@ -45,10 +45,11 @@
 
   auto expectResponse() -> void {
     Parser.emplace();
-    Parser->body_limit(MaximumResponseBytes);
+    Parser->body_limit(BodyLimit);
   }
 
   beast::tcp_stream Stream;
+  std::uint64_t BodyLimit = DefaultBodyLimit;
   beast::flat_buffer Buffer;
   std::optional<http::response_parser<http::buffer_body>> Parser;
 };
@@ -115,7 +116,7 @@
 auto HttpConnection::readHeader(Duration Timeout) -> Awaitable<unsigned> {
   auto ec = boost::system::error_code{};
   Impl->Stream.expires_after(Timeout);
-  while (true) {
+  for (auto n = 0; n <= MaximumInterimResponses; ++n) {
     co_await http::async_read_header(Impl->Stream, Impl->Buffer, *Impl->Parser,
                                      useError(ec));
     if (ec)
@@ -125,6 +126,11 @@
       co_return status;
     Impl->expectResponse();
   }
+  co_return 0;
+}
+
+auto HttpConnection::limitBody(std::uint64_t Bytes) -> void {
+  Impl->BodyLimit = Bytes;
 }
 
 auto HttpConnection::contentType() const -> std::string {
@@ -188,10 +194,11 @@
 
 auto HttpConnection::close() -> void { Impl->Stream.close(); }
 
-auto exchange(std::string Address, HttpRequest Request, Duration Timeout)
-    -> Awaitable<HttpResult> {
+auto exchange(std::string Address, HttpRequest Request, Duration Timeout,
+              std::uint64_t BodyLimit) -> Awaitable<HttpResult> {
   auto executor = co_await asio::this_coro::executor;
   auto connection = HttpConnection(executor);
+  connection.limitBody(BodyLimit);
   if (!co_await connection.connect(Address, Timeout))
     co_return HttpResult{{}, ExchangeError::NotConnected};
   auto response = co_await connection.roundTrip(Request, Timeout, Timeout);
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -65,6 +65,9 @@
   /// Errors: std::invalid_argument if \p Address is not "ip:port".
   auto connect(std::string_view Address, Duration Timeout) -> Awaitable<bool>;
 
+  /// Limits the bodies of the responses that follow; larger ones are errors.
+  auto limitBody(std::uint64_t Bytes) -> void;
+
   /// Sends \p Request and reads the complete response, with \p Timeout for each
   /// step and \p HeaderTimeout for the header of the response. Returns
   /// std::nullopt if no complete response arrived. Precondition: as send.
@@ -77,8 +80,8 @@
   /// and the previous response has been read completely.
   auto send(HttpRequest const &Request, Duration Timeout) -> Awaitable<bool>;
 
-  /// Reads the header section of the response, skipping interim responses.
-  /// Returns the status, or 0 on errors.
+  /// Reads the header section of the response, skipping a few interim
+  /// responses. Returns the status, or 0 on errors.
   auto readHeader(Duration Timeout) -> Awaitable<unsigned>;
 
   /// Prepares for the next response on the connection, for example after a
@@ -121,8 +124,13 @@
   std::unique_ptr<Implementation> Impl;
 };
 
-/// Makes one exchange over a new connection.
+/// Limit on the body of a response unless another one is set.
+constexpr auto DefaultBodyLimit = std::uint64_t{64} << 20U;
+
+/// Makes one exchange over a new connection, with \p Timeout for each step.
 [[nodiscard]] auto exchange(std::string Address, HttpRequest Request,
-                            Duration Timeout) -> Awaitable<HttpResult>;
+                            Duration Timeout,
+                            std::uint64_t BodyLimit = DefaultBodyLimit)
+    -> Awaitable<HttpResult>;
 
 } // namespace dotterel
--- a/Libraries/LibRelay/EventFramer.cpp
+++ b/Libraries/LibRelay/EventFramer.cpp
@@ -7,9 +7,15 @@
 
 namespace {
 
-/// Returns the offset after the blank line that ends the first event, or npos.
-auto findEnd(std::string_view Bytes) -> std::size_t {
-  for (auto n = Bytes.find('\n'); n != std::string_view::npos;
+constexpr auto MaximumEventBytes = std::size_t{1} << 20U;
+/// A blank line is recognized by at most this many bytes, from the end of the
+/// line before it.
+constexpr auto BlankLineBytes = std::size_t{3};
+
+/// Returns the offset after the first blank line whose preceding line ends at
+/// or after \p From, or npos.
+auto findEnd(std::string_view Bytes, std::size_t From) -> std::size_t {
+  for (auto n = Bytes.find('\n', From); n != std::string_view::npos;
        n = Bytes.find('\n', n + 1)) {
     auto rest = Bytes.substr(n + 1);
     if (rest.starts_with('\n'))
@@ -56,17 +62,21 @@
   Pending.append(Bytes);
   auto events = std::vector<StreamEvent>{};
   auto begin = std::size_t{0};
-  while (true) {
-    auto n = findEnd(std::string_view(Pending).substr(begin));
-    if (n == std::string_view::npos)
-      break;
+  auto end = findEnd(Pending, SearchFrom);
+  while (end != std::string::npos) {
     auto &event = events.emplace_back();
-    event.Bytes = Pending.substr(begin, n);
+    event.Bytes = Pending.substr(begin, end - begin);
     readId(event);
-    begin += n;
+    begin = end;
+    end = findEnd(Pending, begin);
   }
   Pending.erase(0, begin);
+  SearchFrom = Pending.size() - std::min(Pending.size(), BlankLineBytes - 1);
   return events;
 }
 
+auto EventFramer::isOverlong() const -> bool {
+  return Pending.size() > MaximumEventBytes;
+}
+
 } // namespace dotterel::relay
--- a/Libraries/LibRelay/EventFramer.h
+++ b/Libraries/LibRelay/EventFramer.h
@@ -27,6 +27,9 @@
   /// Adds \p Bytes and returns the events that are complete now.
   [[nodiscard]] auto add(std::string_view Bytes) -> std::vector<StreamEvent>;
 
+  /// Returns whether the last event is longer than any event may be.
+  [[nodiscard]] auto isOverlong() const -> bool;
+
   /// Returns the bytes of the incomplete last event.
   [[nodiscard]] auto remainder() const -> std::string const & {
     return Pending;
@@ -34,6 +37,8 @@
 
 private:
   std::string Pending;
+  /// Pending contains no end of an event that begins before this offset.
+  std::size_t SearchFrom = 0;
 };
 
 } // namespace dotterel::relay
--- a/Meta/code-mutations.sh
+++ b/Meta/code-mutations.sh
@@ -34,6 +34,12 @@
 if [ "$name" = LibRelay ]; then
   mutate 'a server that leaves is used' ServerTable.h \
     's/return Description.IsDraining \|\| HasAnnouncedLeaving;/return Description.IsDraining;/'
+  mutate 'a stream that ends inside an event is complete' AttemptReducer.cpp \
+    's/if \(isInsideEvent\(Remainder\)\)/if (false)/'
+  mutate 'an unframed stream without events is complete' AttemptReducer.cpp \
+    's/Target.Framing == BodyFraming::UntilClose && !Target.HasFirstPart/false/'
+  mutate 'a comment at the end is taken for an event' EventFramer.cpp \
+    's/ && !line.starts_with\(.:.\)//'
   mutate 'peers are not told of a server that leaves' FleetReducer.cpp \
     's/report.Leaving.push_back\(it.second->Key\);/;/'
   mutate 'a listed entry revives a server that leaves' ServerTable.cpp \
--- a/Meta/fuzz.sh
+++ b/Meta/fuzz.sh
@@ -19,7 +19,7 @@
   -DCMAKE_BUILD_TYPE=Release >/dev/null
 
 if [ -n "$inputs" ]; then
-  targets=(PeerCodec CallerFront PeerReport RelayHeaders)
+  targets=(PeerCodec CallerFront PeerReport RelayHeaders EventFramer)
   ninja -C build-sanitize "${targets[@]/#/Fuzz}" >/dev/null
   corpus=$(mktemp -d)
   trap 'rm -rf "$corpus"' EXIT
@@ -27,6 +27,7 @@
     '{"model": "m", "prompt": "p", "max_tokens": 3, "stream": 1}' \
     >"$corpus/completion"
   printf '\3%s' "$(cat Examples/demo-configuration.json)" >"$corpus/configuration"
+  printf '\3id: 7\ndata: a\r\n\r\n: c\n\nid: 8\nda' >"$corpus/events"
   printf 'Store-Era: 7\nServer-Leaving: 1\nRetry-After: 2.5' >"$corpus/headers"
   for target in "${targets[@]}"; do
     if build-sanitize/Tests/Fuzz$target -seed="$seed" -runs="$runs" \
--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -72,7 +72,7 @@
 for suite in ResultCode:: Selector:: Codec:: Scenarios:: Promises:: \
   EventStream:: HttpClient:: RelayAtMostOnce:: RelayRoles:: PlatformStore:: Gateway:: \
   Models:: Fuzz::PeerCodec Fuzz::CallerFront Fuzz::PeerReport \
-  Fuzz::RelayHeaders \
+  Fuzz::RelayHeaders Fuzz::EventFramer \
   BadInput::RanToItsEnd AtMostOnce::RanToItsEnd Configuration::RanToItsEnd \
   PlannedChanges::RanToItsEnd Authority-fencing-true::RanToItsEnd \
   Authority-fencing-false::RanToItsEnd; do
--- a/Tests/LibGateway/TestGateway.cpp
+++ b/Tests/LibGateway/TestGateway.cpp
@@ -107,6 +107,31 @@
   std::thread Thread;
 };
 
+/// Upper bound on the bytes taken from a server that never stops sending,
+/// including the socket buffers of all connections on the way.
+constexpr auto MaximumBytesTaken = std::size_t{32} << 20U;
+
+template <typename Predicate> auto waitUntil(Predicate IsMet) -> void {
+  for (auto n = 0; n < 150 && !IsMet(); ++n)
+    std::this_thread::sleep_for(20ms);
+}
+
+/// Checks that a request to a server that plays \p Steps and never stops
+/// sending fails well before its deadline of two seconds, and that the server's
+/// connection is closed.
+auto assertGivenUp(std::string const &Route, Script Steps) -> void {
+  auto server = ScriptedServer(address(ScriptedPort), std::move(Steps));
+  auto gateway = RunningGateway(address(ScriptedPort));
+  auto started = std::chrono::steady_clock::now();
+  auto result = gateway.request(Route);
+  auto taken = std::chrono::steady_clock::now() - started;
+  cr_assert(!result.Response || status(result) == 502);
+  cr_assert_lt(toSeconds(taken), 1.0);
+  waitUntil([&] { return server.connectionsEnded() > 0; });
+  cr_assert_eq(server.connectionsEnded(), 1);
+  cr_assert_lt(server.bytesSent(), MaximumBytesTaken);
+}
+
 } // namespace
 
 Test(Gateway, ForwardsRequestAndResponseUnchanged) {
@@ -161,6 +186,41 @@
   cr_assert(result.Response->Body == events);
 }
 
+Test(Gateway, EndlessHeaderIsGivenUpAtOnce) {
+  assertGivenUp("once", {"HTTP/1.1 200 OK\r\n", ConnectionEnd::Repeat,
+                         "X-Field: value\r\n"});
+  assertGivenUp("once", {"", ConnectionEnd::Repeat, "no response"});
+}
+
+Test(Gateway, EndlessInterimResponsesAreGivenUpAtOnce) {
+  assertGivenUp("once",
+                {"", ConnectionEnd::Repeat, "HTTP/1.1 100 Continue\r\n\r\n"});
+}
+
+Test(Gateway, EndlessResponsesToOtherRequestsAreGivenUpAtOnce) {
+  assertGivenUp("once", {"", ConnectionEnd::Repeat,
+                         "HTTP/1.1 200 OK\r\nAttempt-Id: another\r\n"
+                         "Content-Length: 0\r\n\r\n"});
+  assertGivenUp("once", {"HTTP/1.1 200 OK\r\nAttempt-Id: another\r\n\r\n",
+                         ConnectionEnd::Repeat, std::string(4096, 'x')});
+}
+
+Test(Gateway, EndlessBodyIsGivenUpAtOnce) {
+  assertGivenUp(
+      "once", {streamHeader(), ConnectionEnd::Repeat, std::string(4096, 'x')});
+}
+
+Test(Gateway, EndlessEventIsGivenUpAtOnce) {
+  auto lines = std::string{};
+  for (auto n = 0; n < 2048; ++n)
+    lines += "x\n";
+  for (auto const &repeated : {std::string(4096, 'x'), lines}) {
+    assertGivenUp("stream", {streamHeader(), ConnectionEnd::Repeat, repeated});
+    assertGivenUp("stream", {streamHeader() + "id: 1\ndata: 1\n\n",
+                             ConnectionEnd::Repeat, repeated});
+  }
+}
+
 Test(Gateway, ResponseToAnotherRequestIsSkipped) {
   auto gateway = RunningGateway();
   gateway.Platform.setMode(ServerMode::StaleResponse);
--- a/Tests/LibRelay/TestStreams.cpp
+++ b/Tests/LibRelay/TestStreams.cpp
@@ -180,6 +180,16 @@
   cr_assert_not(node.currentAttempt(number)->IsPrefill);
 }
 
+Test(RelayStreams, EventsHaveAMaximumLength) {
+  auto framer = EventFramer{};
+  cr_assert(framer.add(std::string(1U << 20U, 'x')).empty());
+  cr_assert_not(framer.isOverlong());
+  cr_assert(framer.add("x").empty());
+  cr_assert(framer.isOverlong());
+  cr_assert_eq(framer.add("\n\n").size(), 1);
+  cr_assert_not(framer.isOverlong());
+}
+
 Test(RelayStreams, FramerSplitsAtAnyByte) {
   auto text = std::string{"id: 7\ndata: a\n\nid: 14\r\ndata: b\r\n\r\n"
                           "data: no id\n\n"};
