LibGateway: Bound the bytes of a stream that wait for its caller

A server that sends events without end to a caller that does not read filled the instance's memory up to the limit of 64 MiB for one response; three of them exceed the memory of an instance. Beyond 4 MiB of backlog the caller is now cut off, which is logged, and the attempt is cancelled.

--- a/Libraries/LibGateway/CallerServer.cpp
+++ b/Libraries/LibGateway/CallerServer.cpp
@@ -27,6 +27,9 @@
 /// Applies to connections for steering and readiness checks.
 constexpr auto InternalIdleTimeout = Duration{10s};
 
+/// Limit on the bytes of a stream that wait for its caller.
+constexpr auto MaximumBacklogBytes = std::size_t{4} << 20U;
+
 using CallerEffect =
     std::variant<relay::ForwardResponse, relay::BeginStream,
                  relay::ForwardBytes, relay::EndStream, relay::AbortStream,
@@ -45,6 +48,8 @@
 
   asio::steady_timer Wake;
   std::deque<CallerEffect> Pending;
+  /// Bytes of streams in Pending.
+  std::size_t BacklogBytes = 0;
 };
 
 auto errorResponse(ResultCode Code, std::optional<Duration> RetryAfter)
@@ -157,6 +162,8 @@
       }
       auto effect = std::move(Target.Pending.front());
       Target.Pending.pop_front();
+      if (auto const *bytes = std::get_if<relay::ForwardBytes>(&effect))
+        Target.BacklogBytes -= bytes->Bytes.size();
       auto isLast = co_await std::visit(
           [&](auto &Effect) { return write(Exchange, Effect); }, effect);
       if (isLast)
@@ -179,6 +186,17 @@
     co_return false;
   }
 
+  /// Ends a stream whose caller reads more slowly than the server sends, before
+  /// it takes more memory than an instance can spare.
+  auto abandonBacklog(RequestNumber Number, Session &Target) -> void {
+    log(LogLevel::Warning, "caller-backlog-exceeded",
+        {{"request", Number}, {"bytes", Target.BacklogBytes}});
+    Target.Pending.clear();
+    Target.BacklogBytes = 0;
+    Target.push(relay::AbortStream{Number});
+    Loop.feed(relay::CallerDisconnected{Number});
+  }
+
   static auto write(HttpExchange &Exchange, relay::ForwardBytes &Effect)
       -> Awaitable<bool> {
     co_await Exchange.writeChunk(Effect.Bytes);
@@ -254,8 +272,15 @@
 }
 
 auto CallerServer::run(relay::ForwardBytes &Effect) -> void {
+  auto it = Impl->Sessions.find(Effect.Number);
+  if (it == Impl->Sessions.end())
+    return;
   auto number = Effect.Number;
-  Impl->push(number, std::move(Effect));
+  auto &session = *it->second;
+  session.BacklogBytes += Effect.Bytes.size();
+  session.push(std::move(Effect));
+  if (session.BacklogBytes > MaximumBacklogBytes)
+    Impl->abandonBacklog(number, session);
 }
 
 auto CallerServer::run(relay::EndStream &Effect) -> void {
--- a/Tests/LibGateway/TestGateway.cpp
+++ b/Tests/LibGateway/TestGateway.cpp
@@ -221,6 +221,24 @@
   }
 }
 
+// The events must not pile up in the memory of the instance.
+Test(Gateway, EndlessEventsToACallerThatDoesNotReadAreGivenUp) {
+  auto event = "data: " + std::string(4096, 'x') + "\n\n";
+  auto server = ScriptedServer(address(ScriptedPort),
+                               {streamHeader(), ConnectionEnd::Repeat, event});
+  auto gateway = RunningGateway(address(ScriptedPort));
+  auto context = asio::io_context{1};
+  auto caller = asio::ip::tcp::socket(context);
+  caller.connect({asio::ip::make_address("127.0.0.1"), CallerPort});
+  asio::write(caller,
+              asio::buffer(std::string("POST /stream/x HTTP/1.1\r\n"
+                                       "Host: h.example\r\nAttempt-Id: 9c41\r\n"
+                                       "Content-Length: 0\r\n\r\n")));
+  waitUntil([&] { return server.connectionsEnded() > 0; });
+  cr_assert_eq(server.connectionsEnded(), 1);
+  cr_assert_lt(server.bytesSent(), MaximumBytesTaken);
+}
+
 Test(Gateway, ResponseToAnotherRequestIsSkipped) {
   auto gateway = RunningGateway();
   gateway.Platform.setMode(ServerMode::StaleResponse);
