--- a/Libraries/LibRelay/EventFramer.h
+++ b/Libraries/LibRelay/EventFramer.h
@@ -37,7 +37,7 @@
 
 private:
   std::string Pending;
-  /// Pending contains no end of an event that begins before this offset.
+  /// Offset in Pending at which the search for the end of an event continues.
   std::size_t SearchFrom = 0;
 };
 
