--- a/Tests/LibRelay/TestStreams.cpp
+++ b/Tests/LibRelay/TestStreams.cpp
@@ -13,20 +13,22 @@
   return {Id, true, fmt::format("id: {}\ndata: x\n\n", Id)};
 }
 
-auto header() -> ServerResponse {
+auto header(BodyFraming Framing = BodyFraming::Chunked) -> ServerResponse {
   auto response = ServerResponse{};
   response.Status = 200;
+  response.Framing = Framing;
   return response;
 }
 
 /// Advances a request past prefill to the engine that decodes.
-auto reachDecode(RelayNode &Node, RequestNumber Number) -> void {
+auto reachDecode(RelayNode &Node, RequestNumber Number,
+                 BodyFraming Framing = BodyFraming::Chunked) -> void {
   while (Node.currentAttempt(Number)->IsPrefill) {
     (void)Node.connect(Number);
     Node.feed(AttemptPrefilled{Node.attemptId(Number), "handle"});
   }
   (void)Node.connect(Number);
-  Node.feed(AttemptStreamStarted{Node.attemptId(Number), header()});
+  Node.feed(AttemptStreamStarted{Node.attemptId(Number), header(Framing)});
 }
 
 } // namespace
@@ -66,10 +68,7 @@
 Test(RelayStreams, EndIsLoggedWithItsFraming) {
   auto node = RelayNode();
   auto number = node.request(RouteKind::Stream, prompt(1, 1000, 500));
-  reachDecode(node, number);
-  auto response = header();
-  response.Framing = BodyFraming::UntilClose;
-  node.feed(AttemptStreamStarted{node.attemptId(number), response});
+  reachDecode(node, number, BodyFraming::UntilClose);
   node.feed(AttemptEventsReceived{node.attemptId(number), {event(7)}});
   node.feed(AttemptStreamEnded{node.attemptId(number), ""});
   auto const *line = effect<WriteLog>(node.LastEffects);
@@ -112,10 +111,7 @@
 Test(RelayStreams, UnframedStreamWithoutEventsIsNotComplete) {
   auto node = RelayNode();
   auto number = node.request(RouteKind::PlainStream, prompt(1, 1000, 500));
-  reachDecode(node, number);
-  auto response = header();
-  response.Framing = BodyFraming::UntilClose;
-  node.feed(AttemptStreamStarted{node.attemptId(number), response});
+  reachDecode(node, number, BodyFraming::UntilClose);
   node.feed(AttemptStreamEnded{node.attemptId(number), ""});
   cr_assert_null(effect<EndStream>(node.LastEffects));
   auto const *error = effect<SendErrorResponse>(node.LastEffects);
