Tests: Break off a stream after each of its bytes

For each framing and for an orderly close and a reset: the caller may see a complete response only if the stream ended in order after a whole event.

--- a/Libraries/LibTest/ScriptedServer.h
+++ b/Libraries/LibTest/ScriptedServer.h
@@ -12,6 +12,7 @@
 
 #include <atomic>
 #include <cstdlib>
+#include <mutex>
 #include <string>
 #include <thread>
 
@@ -51,6 +52,13 @@
   ScriptedServer(ScriptedServer const &) = delete;
   auto operator=(ScriptedServer const &) -> ScriptedServer & = delete;
 
+  /// Sets the script of connections that are accepted from now on.
+  /// Thread safety: any thread.
+  auto setScript(Script Next) -> void {
+    auto lock = std::lock_guard(Mutex);
+    Steps = std::move(Next);
+  }
+
   [[nodiscard]] auto requests() const -> unsigned { return Requests; }
   /// Number of bytes that clients have accepted, on all connections.
   [[nodiscard]] auto bytesSent() const -> std::size_t { return BytesSent; }
@@ -62,18 +70,20 @@
     while (true) {
       auto socket = std::make_shared<asio::ip::tcp::socket>(
           co_await Acceptor.async_accept(asio::use_awaitable));
-      spawnTask(Context, [this, socket] { return play(*socket); });
+      auto lock = std::lock_guard(Mutex);
+      spawnTask(Context,
+                [this, socket, steps = Steps] { return play(*socket, steps); });
     }
   }
 
-  auto play(asio::ip::tcp::socket &Socket) -> Awaitable<void> {
+  auto play(asio::ip::tcp::socket &Socket, Script Current) -> Awaitable<void> {
     auto ec = boost::system::error_code{};
     co_await readRequest(Socket, ec);
     if (!ec)
-      co_await write(Socket, Steps.Response, ec);
-    while (!ec && Steps.End == ConnectionEnd::Repeat)
-      co_await write(Socket, Steps.Repeated, ec);
-    if (Steps.End == ConnectionEnd::Reset)
+      co_await write(Socket, Current.Response, ec);
+    while (!ec && Current.End == ConnectionEnd::Repeat)
+      co_await write(Socket, Current.Repeated, ec);
+    if (Current.End == ConnectionEnd::Reset)
       Socket.set_option(asio::socket_base::linger(true, 0), ec);
     Socket.close(ec);
     ++Ended;
@@ -105,6 +115,7 @@
         co_await asio::async_write(Socket, asio::buffer(Bytes), useError(ec));
   }
 
+  std::mutex Mutex;
   Script Steps;
   asio::io_context Context{1};
   asio::ip::tcp::acceptor Acceptor;
--- a/Tests/LibGateway/TestGateway.cpp
+++ b/Tests/LibGateway/TestGateway.cpp
@@ -64,6 +64,27 @@
          "Attempt-Id: 9c41\r\nServer-Seal: s\r\n\r\n";
 }
 
+/// A complete response that streams \p Events, in two chunks if chunked.
+auto framedStream(std::string const &Events, BodyFraming Framing)
+    -> std::string {
+  auto header = streamHeader();
+  header.resize(header.size() - 2);
+  auto half = Events.size() / 2;
+  switch (Framing) {
+  case BodyFraming::Length:
+    return fmt::format("{}Content-Length: {}\r\n\r\n{}", header, Events.size(),
+                       Events);
+  case BodyFraming::Chunked:
+    return fmt::format("{}Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n"
+                       "{:x}\r\n{}\r\n0\r\n\r\n",
+                       header, half, Events.substr(0, half),
+                       Events.size() - half, Events.substr(half));
+  case BodyFraming::UntilClose:
+    return header + "\r\n" + Events;
+  }
+  return {};
+}
+
 /// A gateway in front of the fake platform, ready to serve.
 class RunningGateway {
 public:
@@ -176,6 +197,42 @@
   }
 }
 
+// Breaks off a stream after each of its bytes. Only a stream that ends in order
+// after a whole event may reach the caller as complete.
+Test(Gateway, StreamBrokenOffAtAnyByteIsNotComplete) {
+  auto const events = std::string{"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"};
+  auto server = ScriptedServer(address(ScriptedPort), {});
+  auto gateway = RunningGateway(address(ScriptedPort));
+  auto sent = 0U;
+  for (auto framing :
+       {BodyFraming::Length, BodyFraming::Chunked, BodyFraming::UntilClose}) {
+    auto response = framedStream(events, framing);
+    auto bodyStart = response.find("\r\n\r\n") + 4;
+    for (auto cut = bodyStart; cut <= response.size(); ++cut) {
+      for (auto end : {ConnectionEnd::Close, ConnectionEnd::Reset}) {
+        server.setScript({response.substr(0, cut), end});
+        auto result = gateway.request("stream");
+        auto isComplete = status(result) == 200;
+        cr_assert_eq(server.requests(), ++sent);
+        if (framing == BodyFraming::UntilClose) {
+          // Between two events nothing tells a failure from the end.
+          auto body =
+              std::string_view(response).substr(bodyStart, cut - bodyStart);
+          cr_assert_eq(isComplete,
+                       end == ConnectionEnd::Close && body.ends_with("\n\n"));
+          cr_assert(!isComplete || result.Response->Body == body);
+        } else {
+          // A reset may overtake the end of a complete response.
+          cr_assert(!isComplete || cut == response.size());
+          cr_assert(isComplete || cut < response.size() ||
+                    end == ConnectionEnd::Reset);
+          cr_assert(!isComplete || result.Response->Body == events);
+        }
+      }
+    }
+  }
+}
+
 Test(Gateway, UnframedStreamIsForwarded) {
   auto const *events = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n";
   auto server =
