LibGateway, LibRelay: Name the request whose caller's backlog is too long

caller-backlog-exceeded named the request by its internal number, so explain-request did not find it; it now has the caller's id. Also comments that needed a second reading, and skipBody without work in a loop header.

--- a/Libraries/LibGateway/CallerServer.cpp
+++ b/Libraries/LibGateway/CallerServer.cpp
@@ -27,7 +27,7 @@
 /// Applies to connections for steering and readiness checks.
 constexpr auto InternalIdleTimeout = Duration{10s};
 
-/// Limit on the bytes of a stream that wait for its caller.
+/// Maximum number of bytes of a stream that wait to be written to its caller.
 constexpr auto MaximumBacklogBytes = std::size_t{4} << 20U;
 
 using CallerEffect =
@@ -48,7 +48,9 @@
 
   asio::steady_timer Wake;
   std::deque<CallerEffect> Pending;
-  /// Bytes of streams in Pending.
+  /// Request id that the caller chose; empty for steering requests.
+  std::string RequestId;
+  /// Number of bytes of ForwardBytes effects in Pending.
   std::size_t BacklogBytes = 0;
 };
 
@@ -134,9 +136,10 @@
       Loop.feed(relay::CallerDisconnected{number});
       session->push(relay::AbortStream{number});
     });
-    Loop.feed(
-        relay::RequestArrived{number, std::make_shared<relay::Request const>(
-                                          platform::readRequest(Exchange))});
+    auto content =
+        std::make_shared<relay::Request const>(platform::readRequest(Exchange));
+    session->RequestId = content->Id;
+    Loop.feed(relay::RequestArrived{number, std::move(content)});
     auto exception = std::exception_ptr{};
     try {
       co_await writeAll(Exchange, *session);
@@ -186,11 +189,11 @@
     co_return false;
   }
 
-  /// Ends a stream whose caller reads more slowly than the server sends, before
-  /// it takes more memory than an instance can spare.
+  /// Closes the connection of a caller whose stream exceeds
+  /// MaximumBacklogBytes, and cancels its request.
   auto abandonBacklog(RequestNumber Number, Session &Target) -> void {
     log(LogLevel::Warning, "caller-backlog-exceeded",
-        {{"request", Number}, {"bytes", Target.BacklogBytes}});
+        {{"id", Target.RequestId}, {"bytes", Target.BacklogBytes}});
     Target.Pending.clear();
     Target.BacklogBytes = 0;
     Target.push(relay::AbortStream{Number});
--- a/Libraries/LibGateway/ServerClient.cpp
+++ b/Libraries/LibGateway/ServerClient.cpp
@@ -22,11 +22,10 @@
 constexpr auto ReleasePrefillTimeout = Duration{1s};
 /// Maximum size of a response body that is not streamed.
 constexpr auto MaximumBodyBytes = std::size_t{16} << 20U;
-/// The same for responses that instances read themselves: prefill handles,
-/// reports, orders.
+/// Maximum size of the body of a response that is not forwarded: prefill
+/// handles, reports, results of orders.
 constexpr auto MaximumControlBytes = std::size_t{1} << 20U;
-/// Limit on consecutive responses that belong to other requests. A server that
-/// responds twice sends one.
+/// Maximum number of responses to other requests before the expected one.
 constexpr auto MaximumSkippedResponses = 4;
 /// Idle connections are closed this long before the server closes them, or
 /// after DefaultIdleTimeout if the server does not announce a time-out.
@@ -148,13 +147,15 @@
     co_return 0;
   }
 
-  /// Reads and discards a body. Returns whether it was complete.
+  /// Reads and discards a body of up to MaximumBodyBytes. Returns whether it
+  /// was complete.
   static auto skipBody(HttpConnection &Connection) -> Awaitable<bool> {
-    auto bytes = std::string{};
-    for (auto n = std::size_t{0};
-         n <= MaximumBodyBytes &&
-         co_await Connection.readSome(bytes, ExchangeTimeout);
-         n += bytes.size(), bytes.clear()) {
+    auto skipped = std::size_t{0};
+    auto part = std::string{};
+    while (skipped <= MaximumBodyBytes &&
+           co_await Connection.readSome(part, ExchangeTimeout)) {
+      skipped += part.size();
+      part.clear();
     }
     co_return Connection.isComplete();
   }
--- a/Libraries/LibRelay/AttemptReducer.cpp
+++ b/Libraries/LibRelay/AttemptReducer.cpp
@@ -27,7 +27,8 @@
     -> std::string_view {
   if (isInsideEvent(Remainder))
     return "stream ended inside an event";
-  // Nothing but a whole event tells the end of such a stream from a failure.
+  // A server that fails before its first event ends such a response in the same
+  // way as one that has nothing to send.
   if (Target.Framing == BodyFraming::UntilClose && !Target.HasFirstPart)
     return "stream ended before its first event";
   return {};
--- a/Libraries/LibRelay/EventFramer.cpp
+++ b/Libraries/LibRelay/EventFramer.cpp
@@ -8,9 +8,10 @@
 namespace {
 
 constexpr auto MaximumEventBytes = std::size_t{1} << 20U;
-/// A blank line is recognized by at most this many bytes, from the end of the
-/// line before it.
-constexpr auto BlankLineBytes = std::size_t{3};
+/// Maximum length of the line end before a blank line and the blank line
+/// itself:
+/// "\n\r\n".
+constexpr auto EventEndBytes = std::size_t{3};
 
 /// Returns the offset after the first blank line whose preceding line ends at
 /// or after \p From, or npos.
@@ -71,7 +72,7 @@
     end = findEnd(Pending, begin);
   }
   Pending.erase(0, begin);
-  SearchFrom = Pending.size() - std::min(Pending.size(), BlankLineBytes - 1);
+  SearchFrom = Pending.size() - std::min(Pending.size(), EventEndBytes - 1);
   return events;
 }
 
