--- a/Tests/LibRelay/TestServerNotices.cpp
+++ b/Tests/LibRelay/TestServerNotices.cpp
@@ -64,6 +64,18 @@
   Node.feed(ServersUpdated{{{Server, entry.Version, entry}}, entry.Version});
 }
 
+/// Checks that a server is not used after its entry was removed and listed
+/// again, but is used in its next run.
+auto assertUnusedUntilNextRun(RelayNode &Node, std::string const &Server)
+    -> void {
+  Node.feed(
+      ServersUpdated{{{Server, atRevision(5), std::nullopt}}, atRevision(5)});
+  relist(Node, Server, 6);
+  cr_assert_not(isUsed(Node, Server));
+  relist(Node, Server, 7, 2);
+  cr_assert(isUsed(Node, Server));
+}
+
 } // namespace
 
 Test(RelayLeaving, ServerThatSaysItLeavesGetsNoRequest) {
@@ -183,12 +195,7 @@
 Test(RelayLeaving, OutlivesRemovalAndEndsWithTheRun) {
   auto node = RelayNode();
   auto server = completeLookup(node, {true, std::nullopt});
-  node.feed(
-      ServersUpdated{{{server, atRevision(5), std::nullopt}}, atRevision(5)});
-  relist(node, server, 6);
-  cr_assert_not(isUsed(node, server));
-  relist(node, server, 7, 2);
-  cr_assert(isUsed(node, server));
+  assertUnusedUntilNextRun(node, server);
 }
 
 Test(RelayLeaving, MisdirectedResponseSaysNothingAboutTheServer) {
@@ -216,11 +223,10 @@
 
 Test(RelayPause, RequestThatWaitsForAConnectionGoesElsewhere) {
   auto node = RelayNode();
-  auto first = RequestNumber{0};
   auto waiting = std::vector<RequestNumber>{};
   for (auto n = 0; n < Requests; ++n)
     waiting.push_back(node.request(RouteKind::Booking));
-  first = waiting.front();
+  auto first = waiting.front();
   (void)node.connect(first);
   auto server = node.currentAttempt(first)->Server;
   refuseWithPause(node, first, 3s);
@@ -238,12 +244,7 @@
   auto server = pauseOneServer(node, 30s);
   auto sent = effect<SendPeerReport>(node.advance(200ms))->Report;
   cr_assert(sent.Unreachable.empty() && sent.Leaving.empty());
-  node.feed(
-      ServersUpdated{{{server, atRevision(5), std::nullopt}}, atRevision(5)});
-  relist(node, server, 6);
-  cr_assert_not(isUsed(node, server));
-  relist(node, server, 7, 2);
-  cr_assert(isUsed(node, server));
+  assertUnusedUntilNextRun(node, server);
 }
 
 Test(RelayPause, ShorterPauseDoesNotEndALongerOne) {
--- a/Tests/LibRelay/TestStoreEra.cpp
+++ b/Tests/LibRelay/TestStoreEra.cpp
@@ -76,6 +76,19 @@
   cr_assert_gt(countEffects<SendOrder>(Node.LastEffects), 0);
 }
 
+/// Feeds version 1 of the configuration, read in era 1, and the report of a
+/// peer that has version 5 from \p PeerEra in force.
+auto readOlderConfigurationThanPeer(RelayNode &Node, std::uint64_t PeerEra)
+    -> void {
+  Node.feed(StoreEraObserved{1});
+  Node.feed(ConfigurationReceived{makeConfiguration(1), {1, 1}});
+  auto message = report("i1", 1);
+  message.ConfigurationVersion = 5;
+  message.ConfigurationEra = PeerEra;
+  Node.feed(PeerReported{message});
+  Node.advance(50ms);
+}
+
 } // namespace
 
 Test(RelayEra, DrainingServerIsNotRevivedByACopy) {
@@ -172,12 +185,7 @@
 // while its peers have the newer one in force.
 Test(RelayEra, StartingInstanceDoesNotApplyAnOlderConfiguration) {
   auto node = RelayNode();
-  node.feed(StoreEraObserved{1});
-  node.feed(ConfigurationReceived{makeConfiguration(1), {1, 1}});
-  auto message = report("i1", 1);
-  message.ConfigurationVersion = 5;
-  node.feed(PeerReported{message});
-  node.advance(50ms);
+  readOlderConfigurationThanPeer(node, 0);
   cr_assert_not(node.CurrentState.isReady());
   (void)node.request(RouteKind::Lookup);
   cr_assert_eq(
@@ -190,13 +198,7 @@
 
 Test(RelayEra, NewerConfigurationOfAPeerIsNoReasonToWaitInOneEra) {
   auto node = RelayNode();
-  node.feed(StoreEraObserved{1});
-  node.feed(ConfigurationReceived{makeConfiguration(1), {1, 1}});
-  auto message = report("i1", 1);
-  message.ConfigurationVersion = 5;
-  message.ConfigurationEra = 1;
-  node.feed(PeerReported{message});
-  node.advance(50ms);
+  readOlderConfigurationThanPeer(node, 1);
   cr_assert(node.CurrentState.isReady());
 }
 
--- a/Tests/LibRelay/TestStreams.cpp
+++ b/Tests/LibRelay/TestStreams.cpp
@@ -31,6 +31,14 @@
   Node.feed(AttemptStreamStarted{Node.attemptId(Number), header(Framing)});
 }
 
+/// Starts a stream and lets event 7 arrive.
+auto startStream(RelayNode &Node, RouteKind Route) -> RequestNumber {
+  auto number = Node.request(Route, prompt(1, 1000, 500));
+  reachDecode(Node, number);
+  Node.feed(AttemptEventsReceived{Node.attemptId(number), {event(7)}});
+  return number;
+}
+
 } // namespace
 
 Test(RelayStreams, HeaderWaitsForTheFirstEvent) {
@@ -45,9 +53,7 @@
 
 Test(RelayStreams, InterruptedStreamIsResumedAfterTheLastEvent) {
   auto node = RelayNode();
-  auto number = node.request(RouteKind::Stream, prompt(1, 1000, 500));
-  reachDecode(node, number);
-  node.feed(AttemptEventsReceived{node.attemptId(number), {event(7)}});
+  auto number = startStream(node, RouteKind::Stream);
   node.feed(AttemptInterrupted{node.attemptId(number), "reset"});
   cr_assert_null(effect<AbortStream>(node.LastEffects));
   auto send = node.connect(number);
@@ -82,10 +88,8 @@
 
 Test(RelayStreams, StreamThatEndsInsideAnEventIsResumed) {
   auto node = RelayNode();
-  auto number = node.request(RouteKind::Stream, prompt(1, 1000, 500));
-  reachDecode(node, number);
+  auto number = startStream(node, RouteKind::Stream);
   auto first = node.currentAttempt(number)->Server;
-  node.feed(AttemptEventsReceived{node.attemptId(number), {event(7)}});
   node.feed(AttemptStreamEnded{node.attemptId(number), "id: 14\ndat"});
   cr_assert_null(effect<EndStream>(node.LastEffects));
   cr_assert_null(effect<ForwardBytes>(node.LastEffects));
@@ -97,9 +101,7 @@
 
 Test(RelayStreams, StreamThatEndsInsideAnEventIsAbortedIfItCannotBeResumed) {
   auto node = RelayNode();
-  auto number = node.request(RouteKind::PlainStream, prompt(1, 1000, 500));
-  reachDecode(node, number);
-  node.feed(AttemptEventsReceived{node.attemptId(number), {event(7)}});
+  auto number = startStream(node, RouteKind::PlainStream);
   node.feed(AttemptStreamEnded{node.attemptId(number), "id: 14\ndat"});
   cr_assert_null(effect<EndStream>(node.LastEffects));
   cr_assert_null(effect<ForwardBytes>(node.LastEffects));
@@ -123,9 +125,7 @@
 Test(RelayStreams, BytesBetweenEventsAtTheEndAreForwarded) {
   for (auto const *it : {"\n", "\r\n", ": done\n", ": do"}) {
     auto node = RelayNode();
-    auto number = node.request(RouteKind::Stream, prompt(1, 1000, 500));
-    reachDecode(node, number);
-    node.feed(AttemptEventsReceived{node.attemptId(number), {event(7)}});
+    auto number = startStream(node, RouteKind::Stream);
     node.feed(AttemptStreamEnded{node.attemptId(number), it});
     cr_assert_not_null(effect<EndStream>(node.LastEffects), "%s", it);
     cr_assert(effect<ForwardBytes>(node.LastEffects)->Bytes == it);
@@ -134,9 +134,7 @@
 
 Test(RelayStreams, NonResumableStreamIsAborted) {
   auto node = RelayNode();
-  auto number = node.request(RouteKind::PlainStream, prompt(1, 1000, 500));
-  reachDecode(node, number);
-  node.feed(AttemptEventsReceived{node.attemptId(number), {event(7)}});
+  auto number = startStream(node, RouteKind::PlainStream);
   node.feed(AttemptInterrupted{node.attemptId(number), "reset"});
   cr_assert_not_null(effect<AbortStream>(node.LastEffects));
   cr_assert_null(effect<ConnectAttempt>(node.LastEffects));
@@ -144,9 +142,7 @@
 
 Test(RelayStreams, StalledStreamIsResumedAtAnotherServer) {
   auto node = RelayNode();
-  auto number = node.request(RouteKind::Stream, prompt(1, 1000, 500));
-  reachDecode(node, number);
-  node.feed(AttemptEventsReceived{node.attemptId(number), {event(7)}});
+  auto number = startStream(node, RouteKind::Stream);
   auto first = node.currentAttempt(number)->Server;
   auto effects = node.advance(1200ms);
   cr_assert_not_null(effect<CancelAttempt>(effects));
