LibRelay: Count what is sent to servers, and name a failed prompt's segments

The logs of the crashing-prompt incident cannot show what the requests at a crash have in common, and arrivals above the retry budget only show after a reconstruction from several lines. attempt-failed now names the segments of the prompt and whether anything was sent; a counter tells first sends from repeated ones. No decision changes.

--- a/Libraries/LibGateway/RelayMetrics.cpp
+++ b/Libraries/LibGateway/RelayMetrics.cpp
@@ -49,6 +49,9 @@
     return {"dotterel_relay_stream_ends_total",
             "Streams that servers ended, by framing of the response",
             "framing"};
+  case relay::CounterMetric::Sends:
+    return {"dotterel_relay_sends_total", "Requests sent to servers, by kind",
+            "kind"};
   }
   return {"dotterel_relay_other_total", "Other events", "kind"};
 }
--- a/Libraries/LibRelay/AttemptReducer.cpp
+++ b/Libraries/LibRelay/AttemptReducer.cpp
@@ -21,6 +21,22 @@
 constexpr auto MinimumRetryTimeShare = 0.2;
 constexpr auto FirstErrorStatus = 500U;
 
+/// Returns the name of a kind of send as used in metrics.
+auto toString(bool IsPrefill, bool IsRepeat) -> std::string_view {
+  if (IsPrefill)
+    return IsRepeat ? "repeated-prefill" : "prefill";
+  return IsRepeat ? "repeat" : "first";
+}
+
+/// Returns the segments of a prompt as used in logs: hashes in the order of the
+/// prompt, separated by commas.
+auto describeSegments(std::span<PromptSegment const> Segments) -> std::string {
+  auto text = std::string{};
+  for (auto const &it : Segments)
+    text += fmt::format("{}{:016x}", text.empty() ? "" : ",", it.Hash);
+  return text.empty() ? "-" : text;
+}
+
 /// Returns why a stream that its server ended is not complete, or an empty view
 /// if it is.
 auto describeTruncation(Attempt const &Target, std::string_view Remainder)
@@ -63,6 +79,9 @@
                 RetryAfterFullService);
     return;
   }
+  auto isRepeat =
+      attempt.IsPrefill ? request->PrefillsSent > 0 : request->DecodesSent > 0;
+  ++(attempt.IsPrefill ? request->PrefillsSent : request->DecodesSent);
   attempt.IsSent = true;
   attempt.SentAt = now();
   attempt.LastPartAt = now();
@@ -86,6 +105,8 @@
   parameters.CacheSource = attempt.CacheSource;
   parameters.QueueRank = attempt.QueueRank;
   parameters.LastEventId = request->LastEventId;
+  emit(IncrementCounter{CounterMetric::Sends, request->MatchedRoute->Name,
+                        std::string(toString(attempt.IsPrefill, isRepeat))});
   emit(std::move(send));
 }
 
@@ -98,10 +119,11 @@
   auto const &attempt = *Request.CurrentAttempt;
   log(LogLevel::Warning, "attempt-failed",
       "id={} attempt={} server={} reason={} framing={} failure_share={:.2f} "
-      "known={}",
+      "known={} sent={} segments={}",
       quoteLogValue(Request.Content->Id), Id.Number, attempt.Server,
       quoteLogValue(Reason), attempt.Framing ? toString(*attempt.Framing) : "-",
-      server == nullptr ? 1 : server->FailureShare, server != nullptr);
+      server == nullptr ? 1 : server->FailureShare, server != nullptr,
+      attempt.IsSent, describeSegments(Request.Content->PromptSegments));
 }
 
 auto AttemptReducer::retry(RequestNumber Number, ResultCode Failure,
--- a/Libraries/LibRelay/Effect.h
+++ b/Libraries/LibRelay/Effect.h
@@ -142,6 +142,8 @@
   Refusals,
   /// Streams that servers ended, by framing.
   StreamEnds,
+  /// Requests that were sent to servers, by kind.
+  Sends,
 };
 
 struct IncrementCounter {
--- a/Libraries/LibRelay/State.h
+++ b/Libraries/LibRelay/State.h
@@ -96,6 +96,9 @@
   /// prefill.
   std::uint32_t ServersUsed = 0;
   std::uint32_t PrefillsMade = 0;
+  /// Times that the request was sent for prefill only, and otherwise.
+  std::uint32_t PrefillsSent = 0;
+  std::uint32_t DecodesSent = 0;
   bool MayHaveRun = false;
   bool HasHeader = false;
   std::uint64_t LastEventId = 0;
