Tests: Show the crash storm of a prompt segment and uncharged prefills

A fleet of reducers, engines that one segment crashes, callers that repeat, and lossy reports between instances, all in virtual time with fixed seeds.

--- /dev/null
+++ b/Tests/LibRelay/EngineFleet.cpp
@@ -0,0 +1,473 @@
+#include "LibRelay/EngineFleet.h"
+
+#include "LibRelay/RelayNode.h"
+
+#include <algorithm>
+#include <deque>
+#include <fmt/format.h>
+
+namespace dotterel::relay::test {
+
+namespace {
+
+constexpr auto TickInterval = Duration{50ms};
+constexpr auto NetworkDelay = Duration{1ms};
+constexpr auto ReportDelay = Duration{2ms};
+constexpr auto PrefillTime = Duration{20ms};
+/// Time from the arrival at an engine until it begins to decode.
+constexpr auto DecodeDelay = Duration{15ms};
+/// Time from the begin of decoding until the engine crashes.
+constexpr auto CrashDelay = Duration{50ms};
+constexpr auto StreamTime = Duration{300ms};
+/// The store removes the entry of a silent server after three heartbeats.
+constexpr auto EntryLifetime = Duration{3600ms};
+constexpr auto StoreDelay = Duration{20ms};
+
+} // namespace
+
+struct EngineFleet::Implementation {
+  /// An attempt at an engine.
+  struct Run {
+    unsigned Instance = 0;
+    std::uint64_t Incarnation = 0;
+    AttemptId Attempt;
+    std::uint64_t Request = 0;
+    bool IsPrefill = false;
+    bool CrashesEngine = false;
+  };
+
+  struct Engine {
+    ServerDescription Description;
+    bool IsUp = true;
+    std::uint64_t NextRun = 0;
+    std::map<std::uint64_t, Run> Runs;
+  };
+
+  struct Node {
+    State CurrentState;
+    bool IsUp = false;
+    std::uint64_t Incarnation = 0;
+    RequestNumber LastNumber = 0;
+    /// The callers' requests by number, and the numbers of those that ended.
+    std::map<RequestNumber, std::uint64_t> Callers;
+  };
+
+  explicit Implementation(EngineFleetOptions Options)
+      : Options(Options), Random(Options.Seed) {
+    for (auto n = 0U; n < Options.PrefillEngines + Options.DecodeEngines; ++n) {
+      auto stage = n < Options.PrefillEngines ? EngineStage::Prefill
+                                              : EngineStage::Decode;
+      auto engine = Engine{};
+      engine.Description =
+          describeServer(fmt::format("e{}", n), "model", stage);
+      Engines.push_back(std::move(engine));
+    }
+    Nodes.resize(Options.Instances);
+    for (auto n = 0U; n < Options.Instances; ++n)
+      startInstance(n);
+  }
+
+  auto startInstance(unsigned Instance) -> void {
+    auto &node = Nodes[Instance];
+    auto self = Identity{};
+    self.Instance = fmt::format("i{}", Instance);
+    self.Incarnation = ++Incarnations;
+    self.Domain = "a";
+    self.CallerAddress = "c-" + self.Instance;
+    self.PeerAddress = "p-" + self.Instance;
+    auto options = relay::Options{};
+    options.Retries = Options.Retries;
+    node.Incarnation = self.Incarnation;
+    node.IsUp = true;
+    node.CurrentState = makeState(self, options, Clock.now());
+    feed(Instance, StoreReachabilityObserved{true, ""});
+    feed(Instance, ConfigurationReceived{makeConfiguration(1), atRevision(1)});
+    feed(Instance, ConfigurationConfirmed{atRevision(Revision)});
+    auto listed = ServersListed{{}, atRevision(Revision)};
+    for (auto const &it : Engines) {
+      if (it.IsUp)
+        listed.Servers.push_back(it.Description);
+    }
+    feed(Instance, std::move(listed));
+    auto peers = PeersListed{};
+    for (auto n = 0U; n < Options.Instances; ++n)
+      peers.Peers.push_back({fmt::format("i{}", n), fmt::format("p-i{}", n)});
+    feed(Instance, std::move(peers));
+    tick(Instance, node.Incarnation);
+  }
+
+  auto tick(unsigned Instance, std::uint64_t Incarnation) -> void {
+    if (!isCurrent(Instance, Incarnation))
+      return;
+    feed(Instance, StoreReachabilityObserved{true, ""});
+    feed(Instance, Tick{});
+    Clock.schedule(TickInterval, [=, this] { tick(Instance, Incarnation); });
+  }
+
+  [[nodiscard]] auto isCurrent(unsigned Instance,
+                               std::uint64_t Incarnation) const -> bool {
+    return Nodes[Instance].IsUp && Nodes[Instance].Incarnation == Incarnation;
+  }
+
+  auto feed(unsigned Instance, EventBody Body) -> void {
+    auto effects = reduce(Nodes[Instance].CurrentState,
+                          Event{Clock.now(), std::move(Body)});
+    for (auto &it : effects)
+      std::visit([&](auto &Effect) { carryOut(Instance, Effect); }, it);
+  }
+
+  /// Feeds an event later if the instance has not restarted by then.
+  auto feedLater(Duration After, unsigned Instance, EventBody Body) -> void {
+    auto incarnation = Nodes[Instance].Incarnation;
+    Clock.schedule(After, [=, this] {
+      if (isCurrent(Instance, incarnation))
+        feed(Instance, Body);
+    });
+  }
+
+  template <typename T>
+  auto carryOut(unsigned /*Instance*/, T & /*Effect*/) -> void {}
+
+  auto carryOut(unsigned Instance, ConnectAttempt &Effect) -> void {
+    auto const *engine = findEngine(Effect.Address);
+    if (engine != nullptr && engine->IsUp)
+      feedLater(NetworkDelay, Instance, AttemptConnected{Effect.Attempt});
+    else
+      feedLater(NetworkDelay, Instance,
+                AttemptUnreachable{Effect.Attempt, "connection failed"});
+  }
+
+  auto carryOut(unsigned Instance, SendAttempt &Effect) -> void {
+    auto request = Nodes[Instance].Callers.at(Effect.Attempt.Request);
+    auto run = Run{Instance,
+                   Nodes[Instance].Incarnation,
+                   Effect.Attempt,
+                   request,
+                   Effect.Parameters.IsPrefill,
+                   Requests[request].CrashesEngines};
+    auto server = Effect.Parameters.ExpectedServer;
+    Clock.schedule(NetworkDelay, [=, this] { arrive(server, run); });
+  }
+
+  auto arrive(std::string const &Server, Run const &Arrived) -> void {
+    auto it = std::ranges::find(Engines, Server, [](Engine const &Target) {
+      return Target.Description.Id;
+    });
+    Arrivals.push_back(
+        {Clock.now(), Arrived.Request, Arrived.CrashesEngine, false});
+    if (it == Engines.end() || !it->IsUp)
+      return interrupt(Arrived, "no response");
+    auto number = ++it->NextRun;
+    it->Runs[number] = Arrived;
+    if (Arrived.IsPrefill) {
+      Arrivals.back().IsFirstPrefill = Prefilled.insert(Arrived.Request).second;
+      Clock.schedule(PrefillTime, [=, this] {
+        if (auto run = take(Server, number))
+          feedRun(*run, AttemptPrefilled{run->Attempt, "handle"});
+      });
+      return;
+    }
+    Clock.schedule(DecodeDelay, [=, this] { begin(Server, number); });
+  }
+
+  auto begin(std::string const &Server, std::uint64_t Number) -> void {
+    auto *engine = findById(Server);
+    if (engine == nullptr || !engine->Runs.contains(Number))
+      return;
+    auto run = engine->Runs.at(Number);
+    Requests[run.Request].HasBegun = true;
+    auto header = ServerResponse{};
+    header.Status = 200;
+    header.Framing = BodyFraming::Chunked;
+    feedRun(run, AttemptStreamStarted{run.Attempt, header});
+    if (run.CrashesEngine) {
+      Clock.schedule(CrashDelay, [=, this] {
+        auto *target = findById(Server);
+        if (target == nullptr || !target->Runs.contains(Number))
+          return;
+        Crashes.push_back(Clock.now());
+        crash(*target);
+      });
+      return;
+    }
+    feedRun(run, AttemptEventsReceived{run.Attempt,
+                                       {{1, true, "id: 1\ndata: x\n\n"}}});
+    Clock.schedule(StreamTime, [=, this] {
+      if (auto ended = take(Server, Number))
+        feedRun(*ended, AttemptStreamEnded{ended->Attempt, ""});
+    });
+  }
+
+  /// Removes a run from its engine, if it is still there.
+  auto take(std::string const &Server, std::uint64_t Number)
+      -> std::optional<Run> {
+    auto *engine = findById(Server);
+    if (engine == nullptr)
+      return std::nullopt;
+    auto node = engine->Runs.extract(Number);
+    return node.empty() ? std::nullopt : std::optional(node.mapped());
+  }
+
+  auto feedRun(Run const &Target, EventBody Body) -> void {
+    if (isCurrent(Target.Instance, Target.Incarnation))
+      feedLater(NetworkDelay, Target.Instance, std::move(Body));
+  }
+
+  auto interrupt(Run const &Target, std::string Reason) -> void {
+    feedRun(Target, AttemptInterrupted{Target.Attempt, std::move(Reason)});
+  }
+
+  auto crash(Engine &Target) -> void {
+    if (!Target.IsUp)
+      return;
+    Target.IsUp = false;
+    for (auto const &it : Target.Runs)
+      interrupt(it.second, "stream truncated");
+    Target.Runs.clear();
+    auto id = Target.Description.Id;
+    Clock.schedule(EntryLifetime, [=, this] { publish(id, std::nullopt); });
+    Clock.schedule(Options.RestartTime, [&Target, this] {
+      Target.Description.Id = fmt::format("r{}", ++Restarts);
+      Target.IsUp = true;
+      publish(Target.Description.Id, Target.Description);
+    });
+  }
+
+  /// Writes a server's entry in the store, which all instances watch.
+  auto publish(std::string const &Id, std::optional<ServerDescription> Entry)
+      -> void {
+    auto version = atRevision(++Revision);
+    if (Entry)
+      Entry->Version = version;
+    for (auto n = 0U; n < Nodes.size(); ++n) {
+      if (Nodes[n].IsUp)
+        feedLater(StoreDelay, n,
+                  ServersUpdated{{{Id, version, Entry}}, version});
+    }
+  }
+
+  auto carryOut(unsigned Instance, CancelAttempt &Effect) -> void {
+    for (auto &engine : Engines)
+      std::erase_if(engine.Runs, [&](auto const &it) {
+        return it.second.Instance == Instance &&
+               it.second.Incarnation == Nodes[Instance].Incarnation &&
+               it.second.Attempt == Effect.Attempt;
+      });
+  }
+
+  auto carryOut(unsigned Instance, SendPeerReport &Effect) -> void {
+    auto bytes = encodePeerReport(Effect.Report);
+    auto sender = Nodes[Instance].CurrentState.Self.PeerAddress;
+    for (auto n = 0U; n < Nodes.size(); ++n) {
+      auto const &address = Nodes[n].CurrentState.Self.PeerAddress;
+      auto isLost =
+          std::uniform_real_distribution<double>()(Random) < Options.ReportLoss;
+      if (!Nodes[n].IsUp || isLost ||
+          std::ranges::find(Effect.Addresses, address) ==
+              Effect.Addresses.end())
+        continue;
+      Clock.schedule(ReportDelay, [=, this] {
+        auto report = decodePeerReport(bytes);
+        report->PeerAddress = sender;
+        if (Nodes[n].IsUp)
+          feed(n, PeerReported{*report});
+      });
+    }
+  }
+
+  auto carryOut(unsigned Instance, EndStream &Effect) -> void {
+    end(Instance, Effect.Number, true, {});
+  }
+  auto carryOut(unsigned Instance, AbortStream &Effect) -> void {
+    end(Instance, Effect.Number, false, {});
+  }
+  auto carryOut(unsigned Instance, SendErrorResponse &Effect) -> void {
+    end(Instance, Effect.Number, false, Effect.RetryAfter.value_or(Duration{}));
+  }
+
+  auto end(unsigned Instance, RequestNumber Number, bool IsServed,
+           Duration RetryAfter) -> void {
+    auto node = Nodes[Instance].Callers.extract(Number);
+    if (node.empty())
+      return;
+    auto request = node.mapped();
+    Requests[request].IsServed = IsServed;
+    if (!IsServed)
+      retryLater(request, RetryAfter);
+  }
+
+  /// Lets the caller repeat a request that failed, once.
+  auto retryLater(std::uint64_t Request, Duration After) -> void {
+    if (Requests[Request].IsCallerRetry)
+      return;
+    // Callers honour a time up to a third of what they have left.
+    Clock.schedule(std::min<Duration>(After, 1s) + NetworkDelay,
+                   [=, this] { send(Prompts[Request], true); });
+  }
+
+  auto send(std::vector<PromptSegment> Segments, bool IsCallerRetry) -> void {
+    auto up = std::vector<unsigned>{};
+    for (auto n = 0U; n < Nodes.size(); ++n) {
+      if (Nodes[n].IsUp && Nodes[n].CurrentState.isReady())
+        up.push_back(n);
+    }
+    auto request = Requests.size();
+    auto isCrashing = std::ranges::any_of(Segments, [this](auto const &it) {
+      return it.Hash == CrashingSegment;
+    });
+    Requests.push_back({Clock.now(), isCrashing, false, false, IsCallerRetry});
+    Prompts.push_back(Segments);
+    if (up.empty())
+      return;
+    auto instance = up[std::uniform_int_distribution<std::size_t>(
+        0, up.size() - 1)(Random)];
+    auto content = relay::Request{};
+    content.Method = "POST";
+    content.Target = "/stream/x";
+    content.Host = "h";
+    content.Id = fmt::format("r{}", request);
+    content.TimeLimit = 4s;
+    content.Model = "m";
+    for (auto const &it : Segments)
+      content.PromptTokens += it.Tokens;
+    content.PromptSegments = std::move(Segments);
+    auto number = ++Nodes[instance].LastNumber;
+    Nodes[instance].Callers[number] = request;
+    feed(instance,
+         RequestArrived{number, std::make_shared<relay::Request const>(
+                                    std::move(content))});
+  }
+
+  auto findEngine(std::string const &Address) -> Engine * {
+    auto it = std::ranges::find(Engines, Address, [](Engine const &Target) {
+      return Target.Description.Address;
+    });
+    return it == Engines.end() ? nullptr : &*it;
+  }
+
+  auto findById(std::string const &Id) -> Engine * {
+    auto it = std::ranges::find(Engines, Id, [](Engine const &Target) {
+      return Target.Description.Id;
+    });
+    return it == Engines.end() || !it->IsUp ? nullptr : &*it;
+  }
+
+  EngineFleetOptions Options;
+  std::mt19937_64 Random;
+  VirtualScheduler Clock{Instant{} + 1h};
+  std::vector<Engine> Engines;
+  std::deque<Node> Nodes;
+  std::uint64_t Incarnations = 0;
+  std::uint64_t Revision = 2;
+  unsigned Restarts = 0;
+  std::uint64_t CrashingSegment = 0;
+  std::vector<FleetRequest> Requests;
+  std::vector<std::vector<PromptSegment>> Prompts;
+  std::vector<FleetArrival> Arrivals;
+  std::set<std::uint64_t> Prefilled;
+  std::vector<Instant> Crashes;
+};
+
+EngineFleet::EngineFleet(EngineFleetOptions Options)
+    : Impl(std::make_unique<Implementation>(Options)) {}
+
+EngineFleet::~EngineFleet() = default;
+
+auto EngineFleet::setCrashingSegment(std::uint64_t Hash) -> void {
+  Impl->CrashingSegment = Hash;
+}
+
+auto EngineFleet::send(std::vector<PromptSegment> Segments) -> void {
+  Impl->send(std::move(Segments), false);
+}
+
+auto EngineFleet::schedule(Duration After, std::function<void()> Action)
+    -> void {
+  Impl->Clock.schedule(After, std::move(Action));
+}
+
+auto EngineFleet::run(Duration Span) -> void {
+  Impl->Clock.runUntil(Impl->Clock.now() + Span);
+}
+
+auto EngineFleet::now() const -> Instant { return Impl->Clock.now(); }
+
+auto EngineFleet::restartInstances(Duration Downtime) -> void {
+  for (auto n = 0U; n < Impl->Nodes.size(); ++n) {
+    Impl->Nodes[n].IsUp = false;
+    Impl->Nodes[n].Callers.clear();
+    Impl->Clock.schedule(Downtime, [this, n] { Impl->startInstance(n); });
+  }
+  for (auto &it : Impl->Engines)
+    it.Runs.clear();
+}
+
+auto EngineFleet::requests() const -> std::vector<FleetRequest> const & {
+  return Impl->Requests;
+}
+
+auto EngineFleet::arrivals() const -> std::vector<FleetArrival> const & {
+  return Impl->Arrivals;
+}
+
+auto EngineFleet::crashes() const -> std::vector<Instant> const & {
+  return Impl->Crashes;
+}
+
+auto EngineFleet::state(unsigned Instance) const -> State const & {
+  return Impl->Nodes[Instance].CurrentState;
+}
+
+auto EngineFleet::arrivalsAboveBudget() const -> double {
+  auto const &limits = Impl->Options.Retries;
+  auto repeats = std::vector<Instant>{};
+  auto seen = std::set<std::uint64_t>{};
+  for (auto const &it : Impl->Arrivals) {
+    if (!it.IsFirstPrefill && !seen.insert(it.Request).second)
+      repeats.push_back(it.At);
+  }
+  auto requestsIn = [&](Instant From) {
+    return static_cast<double>(
+        std::ranges::count_if(Impl->Requests, [&](FleetRequest const &it) {
+          return it.SentAt >= From && it.SentAt < From + limits.Window;
+        }));
+  };
+  auto worst = 0.0;
+  for (auto first = repeats.begin(); first != repeats.end(); ++first) {
+    auto end = std::lower_bound(first, repeats.end(), *first + limits.Window);
+    // The users' rule takes the largest of three windows.
+    auto requests =
+        std::max({requestsIn(*first), requestsIn(*first - limits.Window / 2),
+                  requestsIn(*first - limits.Window)});
+    worst = std::max(worst, static_cast<double>(end - first) -
+                                limits.Ratio * requests - limits.Slack);
+  }
+  return worst;
+}
+
+auto EngineFleet::crashingArrivalsAfterFifthCrash(Duration Delay) const
+    -> unsigned {
+  constexpr auto Fifth = std::size_t{4};
+  if (Impl->Crashes.size() <= Fifth)
+    return 0;
+  auto from = Impl->Crashes[Fifth] + Delay;
+  return static_cast<unsigned>(
+      std::ranges::count_if(Impl->Arrivals, [&](FleetArrival const &it) {
+        return it.CrashesEngines && it.At > from;
+      }));
+}
+
+auto EngineFleet::soundShareBegun(Instant From, Instant To) const -> double {
+  auto sent = 0.0;
+  auto begun = 0.0;
+  for (auto const &it : Impl->Requests) {
+    if (it.CrashesEngines || it.IsCallerRetry || it.SentAt < From ||
+        it.SentAt >= To)
+      continue;
+    sent += 1;
+    begun += it.HasBegun ? 1 : 0;
+  }
+  return sent == 0 ? 1 : begun / sent;
+}
+
+} // namespace dotterel::relay::test
