LibRelay: Charge the retry budget for each send, not for each failure

Cause: the budget was charged when an attempt that had reached a server failed.

Now each send beyond the first of its request needs a retry from the budget, whatever happened before. The first prefill that a server accepts does not count, as in the users' rule; a refused one does.

--- a/Libraries/LibRelay/AttemptReducer.cpp
+++ b/Libraries/LibRelay/AttemptReducer.cpp
@@ -73,7 +73,7 @@
   // The server may have started to drain while the connection was established.
   if (server == nullptr || !server->isUsable(now())) {
     emit(CancelAttempt{Event.Attempt});
-    if (!retry(Event.Attempt.Request, ResultCode::NoBackendAvailable, false))
+    if (!retry(Event.Attempt.Request, ResultCode::NoBackendAvailable))
       RequestReducer(CurrentState, Output)
           .fail(Event.Attempt.Request, ResultCode::NoBackendAvailable,
                 RetryAfterFullService);
@@ -81,6 +81,8 @@
   }
   auto isRepeat =
       attempt.IsPrefill ? request->PrefillsSent > 0 : request->DecodesSent > 0;
+  if (request->countedSends() > 0)
+    --request->RetryCredit;
   ++(attempt.IsPrefill ? request->PrefillsSent : request->DecodesSent);
   attempt.IsSent = true;
   attempt.SentAt = now();
@@ -126,8 +128,7 @@
       attempt.IsSent, describeSegments(Request.Content->PromptSegments));
 }
 
-auto AttemptReducer::retry(RequestNumber Number, ResultCode Failure,
-                           bool HasReachedServer) -> bool {
+auto AttemptReducer::retry(RequestNumber Number, ResultCode Failure) -> bool {
   auto &request = *find(Number);
   auto timeLeft = request.Deadline - now();
   if (timeLeft <
@@ -135,12 +136,10 @@
     return false;
   if (request.ServersUsed >= request.MatchedRoute->MaximumServers)
     return false;
-  if (HasReachedServer &&
-      !CurrentState.RetryBudgets[request.Service].withdraw(
-          CurrentState.Options.Retries, CurrentState.Peers.fleetSize(), now()))
+  auto requests = RequestReducer(CurrentState, Output);
+  if (!requests.reserveRetry(request, false))
     return false;
   request.ExcludedServers.insert(request.CurrentAttempt->Server);
-  auto requests = RequestReducer(CurrentState, Output);
   requests.endAttempt(request);
   emit(IncrementCounter{request.HasHeader ? CounterMetric::Resumes
                                           : CounterMetric::Retries,
@@ -162,7 +161,7 @@
         .suspect(*server, CurrentState.Self.PeerAddress,
                  CurrentState.Self.Incarnation);
   }
-  if (!retry(Event.Attempt.Request, ResultCode::NoBackendAvailable, false))
+  if (!retry(Event.Attempt.Request, ResultCode::NoBackendAvailable))
     RequestReducer(CurrentState, Output)
         .fail(Event.Attempt.Request, ResultCode::NoBackendAvailable,
               RetryAfterFullService);
@@ -197,7 +196,7 @@
     // The response carries no handle, so no engine can fetch the KV cache;
     // another engine has to prefill the prompt.
     observeFailure(*request, Event.Attempt, "prefill failed");
-    if (!retry(number, ResultCode::NoBackendAvailable, true))
+    if (!retry(number, ResultCode::NoBackendAvailable))
       RequestReducer(CurrentState, Output)
           .fail(number, ResultCode::NoBackendAvailable, RetryAfterFullService);
     return;
@@ -229,7 +228,7 @@
     // The server reported that it did not execute this attempt.
     Request.MayHaveRun = Request.ServersUsed > 1;
   }
-  if (!retry(Number, ResultCode::NoBackendAvailable, true))
+  if (!retry(Number, ResultCode::NoBackendAvailable))
     RequestReducer(CurrentState, Output)
         .fail(Number, ResultCode::NoBackendAvailable, RetryAfterFullService);
 }
@@ -249,7 +248,7 @@
                               Request.MatchedRoute->TargetLatency);
   }
   if (isError && Request.isRetryable() &&
-      retry(Number, ResultCode::RetriesExhausted, true))
+      retry(Number, ResultCode::RetriesExhausted))
     return;
   if (Request.HasHeader)
     return RequestReducer(CurrentState, Output)
@@ -305,6 +304,13 @@
     return;
   observeNotice(*request, Event.Notice);
   observeFirstPart(*request);
+  if (!request->HasPrefilled) {
+    // This prefill does not count any more; it was withdrawn from the budget if
+    // it was not the first send.
+    if (request->countedSends() > 1)
+      ++request->RetryCredit;
+    request->HasPrefilled = true;
+  }
   auto prefill = *request->CurrentAttempt;
   auto requests = RequestReducer(CurrentState, Output);
   requests.endAttempt(*request);
@@ -395,7 +401,7 @@
                                         std::string_view Reason) -> void {
   observeFailure(Request, Id, Reason);
   auto mayRetry = Request.CurrentAttempt->IsPrefill || Request.isRetryable();
-  if (mayRetry && retry(Id.Request, ResultCode::RetriesExhausted, true))
+  if (mayRetry && retry(Id.Request, ResultCode::RetriesExhausted))
     return;
   RequestReducer(CurrentState, Output)
       .fail(Id.Request,
@@ -410,7 +416,7 @@
   if (request == nullptr)
     return;
   auto previous = *request->CurrentAttempt;
-  if (!retry(Attempt.Request, ResultCode::RetriesExhausted, true))
+  if (!retry(Attempt.Request, ResultCode::RetriesExhausted))
     return;
   emit(CancelAttempt{Attempt});
   if (auto *server = CurrentState.Servers.findByKey(previous.Key))
--- a/Libraries/LibRelay/AttemptReducer.h
+++ b/Libraries/LibRelay/AttemptReducer.h
@@ -36,8 +36,7 @@
   auto beginStream(RequestNumber Number, InFlightRequest &Request) -> void;
   /// Sends the request to another server if deadline, route and retry budget
   /// allow it. Returns false otherwise; the state is unchanged then.
-  auto retry(RequestNumber Number, ResultCode Failure, bool HasReachedServer)
-      -> bool;
+  auto retry(RequestNumber Number, ResultCode Failure) -> bool;
   auto handleRefusal(RequestNumber Number, InFlightRequest &Request,
                      ServerResponse const &Response) -> void;
   /// Retries or fails a request whose attempt ended without a complete
--- a/Libraries/LibRelay/RequestReducer.cpp
+++ b/Libraries/LibRelay/RequestReducer.cpp
@@ -124,6 +124,8 @@
       return fail(Number, refusal->Code, refusal->RetryAfter);
     }
   }
+  if (!reserveRetry(request, chosen->IsPrefill))
+    return fail(Number, Failure, RetryAfterNoServer);
   auto next = Attempt{};
   next.IsPrefill = chosen->IsPrefill;
   next.CacheSource = chosen->CacheSource;
@@ -140,13 +142,34 @@
   next.PrefillKey = Prefill.Key;
   next.PrefillAddress = Prefill.Address;
   next.PrefillHandle = Handle;
-  if (!chosen) {
+  if (!chosen || !reserveRetry(request, false)) {
     releasePrefill(next);
     return failUnplaced(Number, ResultCode::NoBackendAvailable);
   }
   startAttempt(Number, request, *chosen, std::move(next));
 }
 
+auto RequestReducer::reserveRetry(InFlightRequest &Request, bool IsPrefill)
+    -> bool {
+  // A second separate prefill is a retry in addition to the send that follows
+  // it.
+  auto needed = (Request.countedSends() > 0 ? 1U : 0U) +
+                (IsPrefill && Request.HasPrefilled ? 1U : 0U);
+  auto &budget = CurrentState.RetryBudgets[Request.Service];
+  while (Request.RetryCredit < needed) {
+    if (!budget.withdraw(CurrentState.Options.Retries,
+                         CurrentState.Peers.fleetSize(), now())) {
+      log(LogLevel::Info, "retry-budget-exhausted",
+          "id={} service={} prefills_sent={} decodes_sent={}",
+          quoteLogValue(Request.Content->Id), quoteLogValue(Request.Service),
+          Request.PrefillsSent, Request.DecodesSent);
+      return false;
+    }
+    ++Request.RetryCredit;
+  }
+  return true;
+}
+
 auto RequestReducer::startAttempt(RequestNumber Number,
                                   InFlightRequest &Request,
                                   Choice const &Chosen, Attempt Next) -> void {
--- a/Libraries/LibRelay/RequestReducer.h
+++ b/Libraries/LibRelay/RequestReducer.h
@@ -24,6 +24,11 @@
   auto placePrefilled(RequestNumber Number, Attempt const &Prefill,
                       std::string const &Handle) -> void;
 
+  /// Ensures that the retry budget covers the next attempt of \p Request, and
+  /// the decode attempt after it if it is a prefill. Returns false if the
+  /// budget is exhausted.
+  auto reserveRetry(InFlightRequest &Request, bool IsPrefill) -> bool;
+
   /// Ends the current attempt, if any: removes its load from the server and
   /// releases a prefilled prompt that was not used.
   auto endAttempt(InFlightRequest &Request) -> void;
--- a/Libraries/LibRelay/State.h
+++ b/Libraries/LibRelay/State.h
@@ -99,6 +99,10 @@
   /// Times that the request was sent for prefill only, and otherwise.
   std::uint32_t PrefillsSent = 0;
   std::uint32_t DecodesSent = 0;
+  /// A server has accepted a separate prefill.
+  bool HasPrefilled = false;
+  /// Retries that were withdrawn from the budget and have not been sent.
+  std::uint32_t RetryCredit = 0;
   bool MayHaveRun = false;
   bool HasHeader = false;
   std::uint64_t LastEventId = 0;
@@ -110,6 +114,12 @@
   /// together with the first event.
   std::optional<ServerResponse> StreamHeader;
 
+  /// Returns how often the request was sent, without the first separate prefill
+  /// that a server accepted. Each time beyond the first is a retry.
+  [[nodiscard]] auto countedSends() const -> std::uint32_t {
+    return PrefillsSent + DecodesSent - (HasPrefilled ? 1 : 0);
+  }
+
   /// Returns whether the request may be executed more than once.
   [[nodiscard]] auto isRetryable() const -> bool {
     return MatchedRoute->IsIdempotent ||
--- a/Tests/LibRelay/TestSends.cpp
+++ b/Tests/LibRelay/TestSends.cpp
@@ -43,4 +43,21 @@
   cr_assert(line->Pairs.find("sent=true") != std::string::npos);
 }
 
+Test(RelaySends, PrefillThatAServerRefusedIsChargedOnce) {
+  auto node = RelayNode();
+  node.CurrentState.Options.Retries = {0, 0, 10s};
+  auto number = node.request(RouteKind::Stream, prompt(1, 1000, 500));
+  (void)node.connect(number);
+  auto refusal = ServerResponse{};
+  refusal.Status = 503;
+  refusal.IsNotExecuted = true;
+  // A new budget holds one retry.
+  node.feed(AttemptResponded{node.attemptId(number), refusal});
+  cr_assert(node.connect(number)->Parameters.IsPrefill);
+  node.feed(AttemptPrefilled{node.attemptId(number), "handle"});
+  cr_assert(node.connect(number).has_value());
+  node.feed(AttemptInterrupted{node.attemptId(number), "reset"});
+  cr_assert_null(effect<ConnectAttempt>(node.LastEffects));
+}
+
 } // namespace dotterel::relay::test
