--- a/Tests/LibRelay/TestSends.cpp
+++ b/Tests/LibRelay/TestSends.cpp
@@ -46,7 +46,7 @@
 Test(RelaySends, PrefillThatAServerRefusedIsChargedOnce) {
   auto node = RelayNode();
   node.CurrentState.Options.Retries = {0, 0, 10s};
-  auto number = node.request(RouteKind::Stream, prompt(1, 1000, 500));
+  auto number = node.request(RouteKind::Stream, prompt(1, 20000, 5000));
   (void)node.connect(number);
   auto refusal = ServerResponse{};
   refusal.Status = 503;
