LibRelay: Keep a prefilled prompt if the engine that decodes is unreachable

The handle has not been taken if nothing was sent, so another engine can fetch it.

RelaySends::PrefilledPromptIsKeptIfTheEngineCannotBeReached fails without the change (the handle is released). The number of attempts is limited as before.

--- a/Libraries/LibRelay/AttemptReducer.cpp
+++ b/Libraries/LibRelay/AttemptReducer.cpp
@@ -102,8 +102,10 @@
                  *request->Content->TimeLimit - (now() - request->ArrivedAt));
   parameters.ExpectedServer = attempt.Server;
   parameters.IsPrefill = attempt.IsPrefill;
-  parameters.PrefillAddress = attempt.PrefillAddress;
-  parameters.PrefillHandle = attempt.PrefillHandle;
+  if (attempt.Prefilled) {
+    parameters.PrefillAddress = attempt.Prefilled->Address;
+    parameters.PrefillHandle = attempt.Prefilled->Handle;
+  }
   parameters.CacheSource = attempt.CacheSource;
   parameters.QueueRank = attempt.QueueRank;
   parameters.LastEventId = request->LastEventId;
@@ -140,12 +142,16 @@
   if (!requests.reserveRetry(request, false))
     return false;
   request.ExcludedServers.insert(request.CurrentAttempt->Server);
+  auto prefilled = requests.takeUnusedPrefill(request);
   requests.endAttempt(request);
   emit(IncrementCounter{request.HasHeader ? CounterMetric::Resumes
                                           : CounterMetric::Retries,
                         request.MatchedRoute->Name,
                         {}});
-  requests.place(Number, Failure);
+  if (prefilled)
+    requests.placePrefilled(Number, std::move(*prefilled));
+  else
+    requests.place(Number, Failure);
   return true;
 }
 
@@ -281,7 +287,7 @@
       "id={} attempt={} server={} prefill={} prefilled={} copied={} tokens={} "
       "tokens_ahead={} forecast_ms={} taken_ms={} slowness={:.2f}",
       quoteLogValue(Request.Content->Id), attempt.Number, attempt.Server,
-      attempt.IsPrefill, !attempt.PrefillHandle.empty(),
+      attempt.IsPrefill, attempt.Prefilled.has_value(),
       !attempt.CacheSource.empty(), attempt.PromptTokens, attempt.TokensAhead,
       toMilliseconds(attempt.Forecast), toMilliseconds(taken),
       server->Slowness);
@@ -290,7 +296,7 @@
     CurrentState.Prefixes.record(it.Hash, attempt.Key, now());
     CurrentState.UnreportedPrefixUses.push_back({it.Hash, attempt.Key});
   }
-  if (!attempt.PrefillHandle.empty() || Request.Content->PromptTokens == 0)
+  if (attempt.Prefilled || Request.Content->PromptTokens == 0)
     return;
   auto &model = CurrentState.SpeedModels[Request.Service];
   auto tokens = attempt.PromptTokens + attempt.TokensAhead;
@@ -311,10 +317,11 @@
       ++request->RetryCredit;
     request->HasPrefilled = true;
   }
-  auto prefill = *request->CurrentAttempt;
+  auto const &attempt = *request->CurrentAttempt;
+  auto prompt = PrefilledPrompt{attempt.Key, attempt.Address, Event.Handle};
   auto requests = RequestReducer(CurrentState, Output);
   requests.endAttempt(*request);
-  requests.placePrefilled(Event.Attempt.Request, prefill, Event.Handle);
+  requests.placePrefilled(Event.Attempt.Request, std::move(prompt));
 }
 
 auto AttemptReducer::on(AttemptStreamStarted const &Event) -> void {
--- a/Libraries/LibRelay/Placement.cpp
+++ b/Libraries/LibRelay/Placement.cpp
@@ -284,10 +284,9 @@
 
 auto Placement::chooseForPrefilled(RequestNumber Number,
                                    InFlightRequest const &Request,
-                                   std::string const &Source)
-    -> std::optional<Choice> {
+                                   ServerKey Source) -> std::optional<Choice> {
   auto const &traits = *Request.Config->findService(Request.Service)->Engine;
-  auto const *source = CurrentState.Servers.find(Source);
+  auto const *source = CurrentState.Servers.findByKey(Source);
   auto const &model = CurrentState.SpeedModels[Request.Service];
   auto total = Request.Content->PromptTokens;
   auto evaluate = [&](Server const &Engine) -> std::optional<Candidate> {
--- a/Libraries/LibRelay/Placement.h
+++ b/Libraries/LibRelay/Placement.h
@@ -46,7 +46,7 @@
   /// its prompt.
   [[nodiscard]] auto chooseForPrefilled(RequestNumber Number,
                                         InFlightRequest const &Request,
-                                        std::string const &Source)
+                                        ServerKey Source)
       -> std::optional<Choice>;
 
 private:
--- a/Libraries/LibRelay/RequestReducer.cpp
+++ b/Libraries/LibRelay/RequestReducer.cpp
@@ -5,6 +5,7 @@
 #include "LibRelay/AttemptReducer.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace dotterel::relay {
 
@@ -133,22 +134,29 @@
 }
 
 auto RequestReducer::placePrefilled(RequestNumber Number,
-                                    Attempt const &Prefill,
-                                    std::string const &Handle) -> void {
+                                    PrefilledPrompt Prompt) -> void {
   auto &request = *find(Number);
-  auto chosen = Placement(CurrentState)
-                    .chooseForPrefilled(Number, request, Prefill.Server);
-  auto next = Attempt{};
-  next.PrefillKey = Prefill.Key;
-  next.PrefillAddress = Prefill.Address;
-  next.PrefillHandle = Handle;
+  auto chosen = request.AttemptsMade < MaximumAttempts
+                    ? Placement(CurrentState)
+                          .chooseForPrefilled(Number, request, Prompt.Server)
+                    : std::nullopt;
   if (!chosen || !reserveRetry(request, false)) {
-    releasePrefill(next);
+    releasePrefill(Prompt);
     return failUnplaced(Number, ResultCode::NoBackendAvailable);
   }
+  auto next = Attempt{};
+  next.Prefilled = std::move(Prompt);
   startAttempt(Number, request, *chosen, std::move(next));
 }
 
+auto RequestReducer::takeUnusedPrefill(InFlightRequest &Request)
+    -> std::optional<PrefilledPrompt> {
+  auto &attempt = *Request.CurrentAttempt;
+  if (attempt.IsSent)
+    return std::nullopt;
+  return std::exchange(attempt.Prefilled, std::nullopt);
+}
+
 auto RequestReducer::reserveRetry(InFlightRequest &Request, bool IsPrefill)
     -> bool {
   // A second separate prefill is a retry in addition to the send that follows
@@ -232,14 +240,14 @@
   fail(Number, Code, retryAfter);
 }
 
-auto RequestReducer::releasePrefill(Attempt const &Target) -> void {
-  auto const *server = CurrentState.Servers.findByKey(Target.PrefillKey);
+auto RequestReducer::releasePrefill(PrefilledPrompt const &Prompt) -> void {
+  auto const *server = CurrentState.Servers.findByKey(Prompt.Server);
   if (server != nullptr && now() < server->PausedUntil) {
     log(LogLevel::Info, "handle-left-to-expire", "server={} handle={}",
-        server->Description.Id, quoteLogValue(Target.PrefillHandle));
+        server->Description.Id, quoteLogValue(Prompt.Handle));
     return;
   }
-  emit(ReleasePrefill{Target.PrefillAddress, Target.PrefillHandle});
+  emit(ReleasePrefill{Prompt.Address, Prompt.Handle});
 }
 
 auto RequestReducer::removeOutstandingTokens(Attempt &Target) -> void {
@@ -254,8 +262,8 @@
   if (!Request.CurrentAttempt)
     return;
   auto &attempt = *Request.CurrentAttempt;
-  if (!attempt.PrefillHandle.empty() && !attempt.IsSent)
-    releasePrefill(attempt);
+  if (attempt.Prefilled && !attempt.IsSent)
+    releasePrefill(*attempt.Prefilled);
   removeOutstandingTokens(attempt);
   if (auto *server = CurrentState.Servers.findByKey(attempt.Key))
     server->OwnLoad.subtract({1, 0});
--- a/Libraries/LibRelay/RequestReducer.h
+++ b/Libraries/LibRelay/RequestReducer.h
@@ -21,8 +21,12 @@
   auto place(RequestNumber Number, ResultCode Failure) -> void;
 
   /// Starts the attempt that decodes a prefilled prompt.
-  auto placePrefilled(RequestNumber Number, Attempt const &Prefill,
-                      std::string const &Handle) -> void;
+  auto placePrefilled(RequestNumber Number, PrefilledPrompt Prompt) -> void;
+
+  /// Takes the prefilled prompt from the current attempt if nothing has been
+  /// sent to the engine that should decode it.
+  [[nodiscard]] auto takeUnusedPrefill(InFlightRequest &Request)
+      -> std::optional<PrefilledPrompt>;
 
   /// Ensures that the retry budget covers the next attempt of \p Request, and
   /// the decode attempt after it if it is a prefill. Returns false if the
@@ -52,7 +56,7 @@
   /// Fails a request for which no server is usable.
   auto failUnplaced(RequestNumber Number, ResultCode Code) -> void;
   /// Releases a prefilled prompt unless its server asked for a pause.
-  auto releasePrefill(Attempt const &Target) -> void;
+  auto releasePrefill(PrefilledPrompt const &Prompt) -> void;
   auto startAttempt(RequestNumber Number, InFlightRequest &Request,
                     Choice const &Chosen, Attempt Next) -> void;
   auto checkTimeouts(RequestNumber Number, InFlightRequest &Request) -> void;
--- a/Libraries/LibRelay/State.h
+++ b/Libraries/LibRelay/State.h
@@ -51,6 +51,13 @@
   Duration SteeringLifetime = 3s;
 };
 
+/// A prompt whose KV cache a server keeps until another server fetches it.
+struct PrefilledPrompt {
+  ServerKey Server = 0;
+  std::string Address;
+  std::string Handle;
+};
+
 /// One attempt to serve a request at one backend server.
 struct Attempt {
   std::uint32_t Number = 0;
@@ -73,10 +80,8 @@
   std::uint64_t TokensAhead = 0;
   Duration Forecast{};
   std::optional<std::uint32_t> QueueRank;
-  /// Server that prefilled the prompt, and the handle there.
-  ServerKey PrefillKey = 0;
-  std::string PrefillAddress;
-  std::string PrefillHandle;
+  /// Set if the prompt was prefilled separately.
+  std::optional<PrefilledPrompt> Prefilled;
   std::string CacheSource;
 };
 
--- a/Tests/LibRelay/TestSends.cpp
+++ b/Tests/LibRelay/TestSends.cpp
@@ -60,4 +60,31 @@
   cr_assert_null(effect<ConnectAttempt>(node.LastEffects));
 }
 
+Test(RelaySends, PrefilledPromptIsKeptIfTheEngineCannotBeReached) {
+  auto node = RelayNode();
+  auto number = node.request(RouteKind::Stream, prompt(1, 20000, 5000));
+  (void)node.connect(number);
+  node.feed(AttemptPrefilled{node.attemptId(number), "handle"});
+  auto first = node.currentAttempt(number)->Server;
+  node.feed(AttemptUnreachable{node.attemptId(number), "connection failed"});
+  cr_assert_null(effect<ReleasePrefill>(node.LastEffects));
+  auto send = node.connect(number);
+  cr_assert(send.has_value());
+  cr_assert(send->Parameters.PrefillHandle == "handle");
+  cr_assert(node.currentAttempt(number)->Server != first);
+}
+
+Test(RelaySends, PrefilledPromptIsReleasedIfNoEngineCanBeReached) {
+  auto node = RelayNode();
+  auto number = node.request(RouteKind::Stream, prompt(1, 20000, 5000));
+  (void)node.connect(number);
+  node.feed(AttemptPrefilled{node.attemptId(number), "handle"});
+  while (node.currentAttempt(number) != nullptr)
+    node.feed(AttemptUnreachable{node.attemptId(number), "connection failed"});
+  cr_assert_eq(countEffects<ReleasePrefill>(node.LastEffects), 1);
+  cr_assert_eq(
+      describe(effect<SendErrorResponse>(node.LastEffects)->Code).HttpStatus,
+      503);
+}
+
 } // namespace dotterel::relay::test
