LibRelay: Quarantine segments of prompts that crash servers

Cause: a failure was recorded against the server only. Each instance sent such a prompt on, and again to another healthy engine. The class of fault: a failure that its input causes is attributed to the worker alone, so retries spread it.

Ruled out: overload (the first engine crashed with one request in that second and 64 slots) and faulty engines (engines under new ids crash within seconds of their start, and those that prefill never do until they decode).

Now instances exchange which prompts were in progress when a server crashed. A segment is quarantined once three servers crashed with at least two different prompts that contain it, and no prompt with it is completed. A crash that a quarantined segment explains counts against no other one; a completed prompt acquits its segments, also at the peers. Requests with the segment are refused at once with 503 (prompt-quarantined), those in progress without a first event are ended, and nothing with it is retried. Two instances that cannot connect, or an entry that was removed without notice, confirm a crash: a broken connection alone is no evidence. Watchers write the segments to the store, so that they outlive all instances.

Three crashes leave two of the five that the users allow for evidence that is lost; two prompts are the least that can tell a segment from its neighbours.

--- a/Libraries/LibCore/ResultCode.h
+++ b/Libraries/LibCore/ResultCode.h
@@ -34,6 +34,7 @@
   BackendUnreachable = 1206,
   KeyTableFull = 1207,
   QueueTooLong = 1208,
+  PromptQuarantined = 1209,
 
   AnswerLost = 2001,
   HomeUnreachable = 2002,
--- a/Libraries/LibGateway/RelayMetrics.cpp
+++ b/Libraries/LibGateway/RelayMetrics.cpp
@@ -144,6 +144,8 @@
   }
   set("servers_leaving", leaving);
   set("servers_paused", paused);
+  set("quarantined_segments",
+      static_cast<double>(CurrentState.Quarantine.size()));
   set("store_reachable", CurrentState.Store.IsReachable ? 1 : 0);
   set("ready", CurrentState.isReady() ? 1 : 0);
   return prometheus::TextSerializer{}.Serialize(Impl->Registry.Collect());
--- a/Libraries/LibGateway/StoreFollower.cpp
+++ b/Libraries/LibGateway/StoreFollower.cpp
@@ -4,9 +4,12 @@
 #include "LibCore/Log.h"
 #include "platform/Store.h"
 
+#include <algorithm>
+#include <array>
 #include <fmt/format.h>
 #include <optional>
 #include <random>
+#include <span>
 
 namespace dotterel {
 
@@ -370,6 +373,74 @@
     }
   }
 
+  /// Lists the segments in quarantine once in each era of the store. Later ones
+  /// are learned from the peers.
+  auto followQuarantine() -> Awaitable<void> {
+    auto connection = StoreConnection{};
+    auto backoff = Backoff{};
+    while (true) {
+      auto const era = Loop.state().Store.Era;
+      auto objects = std::vector<StoredObject>{};
+      if (!co_await list(connection, platform::QuarantineKind, objects)) {
+        co_await sleepFor(backoff.next(maximumBackoff()));
+        continue;
+      }
+      backoff.reset();
+      auto listed = relay::QuarantineListed{};
+      for (auto const &it : objects) {
+        if (auto segment = platform::readQuarantine(it))
+          listed.Segments.push_back(*segment);
+      }
+      Loop.feed(std::move(listed));
+      connection.Http.reset();
+      while (Loop.state().Store.Era <= era)
+        co_await sleepFor(EraCheckInterval);
+    }
+  }
+
+  /// Makes a call until the store has carried it out.
+  auto callUntilDone(HttpRequest Request, std::string Body,
+                     std::span<unsigned const> Done) -> Awaitable<void> {
+    Request.Body = Body;
+    auto connection = StoreConnection{};
+    auto backoff = Backoff{};
+    while (true) {
+      auto response = co_await call(connection, Request, CallTimeout);
+      auto status = response ? response->Status : 0;
+      if (std::ranges::find(Done, status) != Done.end())
+        co_return;
+      log(LogLevel::Warning, "quarantine-not-stored",
+          {{"method", Request.Method},
+           {"path", Request.Target},
+           {"status", status}});
+      co_await sleepFor(backoff.next(MaximumBackoffOfOthers));
+    }
+  }
+
+  auto storeQuarantine(relay::StoreQuarantine Effect) -> Awaitable<void> {
+    static constexpr auto Done =
+        std::to_array({StatusOk, StatusCreated, StatusConflict});
+    auto request = HttpRequest{"POST",
+                               platform::listPath(platform::QuarantineKind, ""),
+                               "application/json",
+                               {},
+                               ""};
+    co_await callUntilDone(std::move(request),
+                           platform::writeQuarantine(Effect.Segment), Done);
+  }
+
+  auto deleteQuarantine(relay::DeleteQuarantine Effect) -> Awaitable<void> {
+    static constexpr auto Done = std::to_array({StatusOk, StatusNotFound});
+    auto request = HttpRequest{
+        "DELETE",
+        platform::objectPath(platform::QuarantineKind,
+                             platform::quarantineName(Effect.Segment)),
+        "",
+        {},
+        ""};
+    co_await callUntilDone(std::move(request), "", Done);
+  }
+
   auto readLease() -> Awaitable<void> {
     auto path = platform::objectPath(platform::LeaseKind, platform::LeaseName);
     auto request = HttpRequest{"GET", std::move(path), "", {}, ""};
@@ -430,6 +501,17 @@
             [self = Impl] { return self->followConfiguration(); });
   spawnTask(Impl->Context, [self = Impl] { return self->followServers(); });
   spawnTask(Impl->Context, [self = Impl] { return self->followPeers(); });
+  spawnTask(Impl->Context, [self = Impl] { return self->followQuarantine(); });
+}
+
+auto StoreFollower::run(relay::StoreQuarantine const &Effect) -> void {
+  spawnTask(Impl->Context,
+            [self = Impl, Effect] { return self->storeQuarantine(Effect); });
+}
+
+auto StoreFollower::run(relay::DeleteQuarantine const &Effect) -> void {
+  spawnTask(Impl->Context,
+            [self = Impl, Effect] { return self->deleteQuarantine(Effect); });
 }
 
 auto StoreFollower::run(relay::ReadLease const & /*Effect*/) -> void {
--- a/Libraries/LibRelay/AttemptReducer.cpp
+++ b/Libraries/LibRelay/AttemptReducer.cpp
@@ -1,6 +1,7 @@
 #include "LibRelay/AttemptReducer.h"
 
 #include "LibRelay/FleetReducer.h"
+#include "LibRelay/QuarantineReducer.h"
 #include "LibRelay/RequestReducer.h"
 #include "LibRelay/ServerListReducer.h"
 
@@ -138,6 +139,8 @@
     return false;
   if (request.ServersUsed >= request.MatchedRoute->MaximumServers)
     return false;
+  if (CurrentState.Quarantine.findQuarantined(request.SharedSegments))
+    return false;
   auto requests = RequestReducer(CurrentState, Output);
   if (!requests.reserveRetry(request, false))
     return false;
@@ -389,6 +392,8 @@
   auto truncation = describeTruncation(attempt, Event.Remainder);
   if (!truncation.empty())
     return handleInterruption(Event.Attempt, *request, truncation);
+  if (attempt.HasFirstPart)
+    QuarantineReducer(CurrentState, Output).observeCompletion(*request);
   beginStream(number, *request);
   if (!Event.Remainder.empty())
     emit(ForwardBytes{number, Event.Remainder});
@@ -407,6 +412,7 @@
                                         InFlightRequest &Request,
                                         std::string_view Reason) -> void {
   observeFailure(Request, Id, Reason);
+  QuarantineReducer(CurrentState, Output).observeInterruption(Request);
   auto mayRetry = Request.CurrentAttempt->IsPrefill || Request.isRetryable();
   if (mayRetry && retry(Id.Request, ResultCode::RetriesExhausted))
     return;
--- a/Libraries/LibRelay/Effect.h
+++ b/Libraries/LibRelay/Effect.h
@@ -116,6 +116,16 @@
   std::string Holder;
 };
 
+/// Writes a segment in quarantine to the store, for instances that start later.
+struct StoreQuarantine {
+  SegmentKey Segment = 0;
+};
+
+/// Deletes a segment from the store that is no longer in quarantine.
+struct DeleteQuarantine {
+  SegmentKey Segment = 0;
+};
+
 /// Orders a server to change its stage. Not sent after ValidUntil.
 struct SendOrder {
   std::string Server;
@@ -168,8 +178,8 @@
                  ForwardResponse, BeginStream, ForwardBytes, EndStream,
                  AbortStream, SendErrorResponse, CloseIdleConnections,
                  SendSteeringResponse, SendPeerReport, ReadLease, WriteLease,
-                 SendOrder, WriteLog, IncrementCounter, ObserveDuration,
-                 StopProcess>;
+                 StoreQuarantine, DeleteQuarantine, SendOrder, WriteLog,
+                 IncrementCounter, ObserveDuration, StopProcess>;
 
 using Effects = std::vector<Effect>;
 
--- a/Libraries/LibRelay/Event.h
+++ b/Libraries/LibRelay/Event.h
@@ -194,6 +194,11 @@
   ServerNotice Notice{};
 };
 
+/// Segments of prompts that the store lists as quarantined.
+struct QuarantineListed {
+  std::vector<SegmentKey> Segments;
+};
+
 /// A caller asked which instances to connect to.
 struct SteeringRequested {
   RequestNumber Number = 0;
@@ -213,7 +218,7 @@
                  ConfigurationConfirmed, ServersListed, ServersUpdated,
                  StoreReachabilityObserved, StoreEraObserved, PeersListed,
                  PeerReported, LeaseRead, LeaseWritten, OrderResultReceived,
-                 SteeringRequested, LeaveRequested, Tick>;
+                 QuarantineListed, SteeringRequested, LeaveRequested, Tick>;
 
 /// An event and the time at which it was observed. Times never decrease.
 struct Event {
--- a/Libraries/LibRelay/FleetReducer.cpp
+++ b/Libraries/LibRelay/FleetReducer.cpp
@@ -109,6 +109,7 @@
                            std::uint64_t Incarnation) -> void {
   if (!Target.Suspicion.record(Incarnation, now()))
     return;
+  CurrentState.Quarantine.recordCrash(Target.Key, now());
   log(LogLevel::Info, "server-suspected", "server={} address={} by={}",
       Target.Description.Id, Target.Description.Address, PeerAddress);
 }
@@ -189,6 +190,7 @@
   report.ConfigurationVersion =
       CurrentState.Config ? CurrentState.Config->version() : 0;
   report.ConfigurationEra = CurrentState.ConfigurationEra;
+  report.Quarantine = CurrentState.Quarantine.news(report.IsFull, now());
   auto &uses = CurrentState.UnreportedPrefixUses;
   auto count = std::min(uses.size(), MaximumPrefixesPerReport);
   report.Prefixes.assign(uses.end() - static_cast<std::ptrdiff_t>(count),
--- a/Libraries/LibRelay/Peers.cpp
+++ b/Libraries/LibRelay/Peers.cpp
@@ -24,6 +24,34 @@
 constexpr auto SilentPeerReportInterval = Duration{2s};
 constexpr auto SilentPeerLifetime = Duration{60s};
 
+auto encodeQuarantine(QuarantineNews const &News) -> json {
+  auto suspects = json::array();
+  for (auto const &it : News.Suspects)
+    suspects.push_back({it.Server, it.Prompt, it.Segments});
+  auto completed = json::array();
+  for (auto const &it : News.Completed) {
+    completed.push_back(it.Segment);
+    completed.push_back(toMilliseconds(it.Age));
+  }
+  return json::array(
+      {std::move(suspects), std::move(completed), News.Quarantined});
+}
+
+auto decodeQuarantine(json const &Source) -> QuarantineNews {
+  auto news = QuarantineNews{};
+  for (auto const &it : Source.at(0))
+    news.Suspects.push_back({it.at(0).get<ServerKey>(),
+                             it.at(1).get<std::uint64_t>(),
+                             it.at(2).get<std::vector<SegmentKey>>()});
+  auto const &completed = Source.at(1);
+  for (auto n = std::size_t{0}; n + 1 < completed.size(); n += 2)
+    news.Completed.push_back(
+        {completed[n].get<SegmentKey>(),
+         std::chrono::milliseconds(completed[n + 1].get<std::uint32_t>())});
+  news.Quarantined = Source.at(2).get<std::vector<SegmentKey>>();
+  return news;
+}
+
 auto encodeLoads(PeerReport const &Report) -> json {
   auto loads = json::array();
   for (auto const &it : Report.Loads) {
@@ -33,12 +61,14 @@
   }
   // Instances of the first format ignore what follows the groups of three, and
   // reject reports with more fields.
-  loads.push_back(
-      {Report.Leaving, Report.ConfigurationVersion, Report.ConfigurationEra});
+  loads.push_back({Report.Leaving, Report.ConfigurationVersion,
+                   Report.ConfigurationEra,
+                   encodeQuarantine(Report.Quarantine)});
   return loads;
 }
 
-/// Reads the fields after the loads, which reports of the first format lack.
+/// Reads the fields after the loads. Reports of older formats lack some of
+/// them.
 auto decodeExtension(json const &Loads, PeerReport &Report) -> void {
   if (Loads.empty() || !Loads.back().is_array())
     return;
@@ -46,6 +76,9 @@
   Report.Leaving = fields.at(0).get<std::vector<ServerKey>>();
   Report.ConfigurationVersion = fields.at(1).get<std::uint64_t>();
   Report.ConfigurationEra = fields.at(2).get<std::uint64_t>();
+  constexpr auto QuarantineIndex = std::size_t{3};
+  if (fields.size() > QuarantineIndex)
+    Report.Quarantine = decodeQuarantine(fields[QuarantineIndex]);
 }
 
 auto encodePrefixes(PeerReport const &Report) -> json {
--- a/Libraries/LibRelay/Peers.h
+++ b/Libraries/LibRelay/Peers.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "LibRelay/DemandMeter.h"
+#include "LibRelay/PromptQuarantine.h"
 #include "LibRelay/ServerTable.h"
 #include "LibRelay/StoreWatch.h"
 
@@ -67,6 +68,7 @@
   /// it was read last.
   std::uint64_t ConfigurationVersion = 0;
   std::uint64_t ConfigurationEra = 0;
+  QuarantineNews Quarantine;
   /// Set by watchers of the store.
   std::optional<WatchReport> Watch;
 };
--- /dev/null
+++ b/Libraries/LibRelay/QuarantineReducer.cpp
@@ -0,0 +1,101 @@
+#include "LibRelay/QuarantineReducer.h"
+
+#include "LibRelay/RequestReducer.h"
+
+#include <algorithm>
+
+namespace dotterel::relay {
+
+auto QuarantineReducer::observeInterruption(InFlightRequest const &Request)
+    -> void {
+  auto const &attempt = *Request.CurrentAttempt;
+  if (attempt.IsSent && !Request.SharedSegments.empty())
+    CurrentState.Quarantine.recordOwnSuspect(
+        makeSuspect(*Request.Content, attempt.Key), now());
+}
+
+auto QuarantineReducer::observeCompletion(InFlightRequest const &Request)
+    -> void {
+  for (auto it :
+       CurrentState.Quarantine.recordCompletion(Request.SharedSegments, now()))
+    release(it, "prompt completed");
+}
+
+auto QuarantineReducer::on(PeerReported const &Event) -> void {
+  auto const &news = Event.Report.Quarantine;
+  auto &quarantine = CurrentState.Quarantine;
+  if (Event.Report.PeerAddress == CurrentState.Self.PeerAddress)
+    return;
+  for (auto const &it : news.Completed) {
+    if (quarantine.acquit(it, now()))
+      release(it.Segment, "prompt completed at a peer");
+  }
+  for (auto const &it : news.Suspects)
+    quarantine.recordSuspect(it, now());
+  for (auto it : news.Quarantined) {
+    if (quarantine.quarantine(it, now()))
+      apply(it, Event.Report.PeerAddress, 0, 0);
+  }
+}
+
+auto QuarantineReducer::on(QuarantineListed const &Event) -> void {
+  for (auto it : Event.Segments) {
+    if (CurrentState.Quarantine.quarantine(it, now()))
+      apply(it, "store", 0, 0);
+    CurrentState.Quarantine.markStored(it);
+  }
+}
+
+auto QuarantineReducer::on(StoreEraObserved const & /*Event*/) -> void {
+  // The copy that the store was restored from may lack them.
+  CurrentState.Quarantine.markAllUnstored();
+}
+
+auto QuarantineReducer::on(Tick const & /*Event*/) -> void {
+  auto &quarantine = CurrentState.Quarantine;
+  for (auto it : quarantine.expire(now()))
+    release(it, "time passed");
+  for (auto const &it : quarantine.evaluate(now()))
+    apply(it.Segment, "evidence", it.Crashes, it.Prompts);
+  // Watchers write on behalf of their peers.
+  if (!CurrentState.StoreWatch.IsWatcher)
+    return;
+  for (auto it : quarantine.takeUnstored())
+    emit(StoreQuarantine{it});
+}
+
+auto QuarantineReducer::apply(SegmentKey Segment, std::string_view Source,
+                              std::size_t Crashes, std::size_t Prompts)
+    -> void {
+  log(LogLevel::Warning, "segment-quarantined",
+      "segment={:016x} from={} crashes={} prompts={}", Segment,
+      quoteLogValue(Source), Crashes, Prompts);
+  CurrentState.NextReportAt = now();
+  auto affected = std::vector<RequestNumber>{};
+  for (auto const &it : CurrentState.Requests) {
+    auto const &request = it.second;
+    auto const &segments = request.SharedSegments;
+    auto isDecoded = request.CurrentAttempt &&
+                     !request.CurrentAttempt->IsPrefill &&
+                     request.CurrentAttempt->HasFirstPart;
+    if (!isDecoded && std::ranges::find(segments, Segment) != segments.end())
+      affected.push_back(it.first);
+  }
+  for (auto it : affected) {
+    auto code = find(it)->MayHaveRun ? ResultCode::AnswerLost
+                                     : ResultCode::PromptQuarantined;
+    RequestReducer(CurrentState, Output)
+        .fail(it, code, CurrentState.Quarantine.timeLeft(Segment, now()));
+  }
+}
+
+auto QuarantineReducer::release(SegmentKey Segment, std::string_view Reason)
+    -> void {
+  log(LogLevel::Warning, "segment-released", "segment={:016x} reason={}",
+      Segment, quoteLogValue(Reason));
+  CurrentState.NextReportAt = now();
+  if (CurrentState.StoreWatch.IsWatcher)
+    emit(DeleteQuarantine{Segment});
+}
+
+} // namespace dotterel::relay
--- a/Libraries/LibRelay/Reducer.cpp
+++ b/Libraries/LibRelay/Reducer.cpp
@@ -3,6 +3,7 @@
 #include "LibCore/Dispatcher.h"
 #include "LibRelay/AttemptReducer.h"
 #include "LibRelay/FleetReducer.h"
+#include "LibRelay/QuarantineReducer.h"
 #include "LibRelay/RequestReducer.h"
 #include "LibRelay/RoleReducer.h"
 #include "LibRelay/ServerListReducer.h"
@@ -14,6 +15,7 @@
   auto state = State{};
   state.Self = std::move(Self);
   state.Options = Options;
+  state.Quarantine = PromptQuarantine(Options.entryRemovalTime());
   state.StartedAt = Now;
   state.Now = Now;
   return state;
@@ -23,8 +25,8 @@
   auto effects = Effects{};
   CurrentState.Now = Event.At;
   std::visit(Dispatcher<State, Effects, FleetReducer, ServerListReducer,
-                        StoreWatchReducer, RoleReducer, AttemptReducer,
-                        RequestReducer>(CurrentState, effects),
+                        StoreWatchReducer, RoleReducer, QuarantineReducer,
+                        AttemptReducer, RequestReducer>(CurrentState, effects),
              Event.Body);
   return effects;
 }
--- a/Libraries/LibRelay/RequestReducer.cpp
+++ b/Libraries/LibRelay/RequestReducer.cpp
@@ -72,7 +72,12 @@
       CurrentState.Config->findRoute(content.Host, content.path());
   if (route == nullptr || route->Services.empty())
     return refuse(ResultCode::UnknownPath, std::nullopt);
+  auto segments = sharedSegments(content);
+  if (auto segment = CurrentState.Quarantine.findQuarantined(segments))
+    return refuse(ResultCode::PromptQuarantined,
+                  CurrentState.Quarantine.timeLeft(*segment, now()));
   auto &request = CurrentState.Requests[number];
+  request.SharedSegments = std::move(segments);
   request.Content = Event.Content;
   request.Config = CurrentState.Config;
   request.MatchedRoute = route;
--- a/Libraries/LibRelay/ServerListReducer.cpp
+++ b/Libraries/LibRelay/ServerListReducer.cpp
@@ -14,9 +14,6 @@
 /// entries lapse after three missed heartbeats, and the last one was sent up to
 /// one interval before the outage.
 constexpr auto OutageHeartbeats = 2;
-/// Heartbeats after which the store has removed the entry of a server that has
-/// left: three missed ones, and one interval until the removal is known.
-constexpr auto RemovalHeartbeats = 4;
 
 } // namespace
 
@@ -52,6 +49,10 @@
   auto const key = Description.key();
   auto isKnown = CurrentState.Servers.findByKey(key) != nullptr;
   auto const id = Description.Id;
+  auto const *previous = CurrentState.Servers.find(id);
+  if (previous != nullptr &&
+      previous->Description.StartedAt < Description.StartedAt)
+    CurrentState.Quarantine.recordCrash(previous->Key, now());
   if (!CurrentState.Servers.put(std::move(Description)))
     return;
   auto &server = *CurrentState.Servers.find(id);
@@ -60,8 +61,7 @@
   auto const *run = CurrentState.Servers.history().find(key);
   if (!isKnown && mayBeOutdated && run != nullptr && run->RemovedAt &&
       run->RemovedAt->era() < entry.Version.era())
-    server.HeldUntil = now() + RemovalHeartbeats *
-                                   CurrentState.Options.ServerHeartbeatInterval;
+    server.HeldUntil = now() + CurrentState.Options.entryRemovalTime();
   log(LogLevel::Info, "server-changed",
       "server={} service={} address={} draining={} leaving={} held_ms={} "
       "stage={} started_at={} era={} revision={}",
@@ -80,6 +80,8 @@
   auto const *server = CurrentState.Servers.find(Id);
   if (server == nullptr)
     return;
+  if (!server->isLeaving())
+    CurrentState.Quarantine.recordCrash(server->Key, now());
   auto &run = CurrentState.Servers.history().at(server->Key);
   run.RemovedAt = std::max(Version, server->Description.Version);
   run.WasDraining = server->isLeaving();
--- a/Libraries/LibRelay/State.h
+++ b/Libraries/LibRelay/State.h
@@ -5,6 +5,7 @@
 #include "LibRelay/DemandMeter.h"
 #include "LibRelay/Event.h"
 #include "LibRelay/PrefixIndex.h"
+#include "LibRelay/PromptQuarantine.h"
 #include "LibRelay/RetryBudget.h"
 #include "LibRelay/SpeedModel.h"
 #include "LibRelay/StoreWatch.h"
@@ -49,6 +50,13 @@
   double PrefillShare = 0.65;
   /// Longest time for which a caller may cache a steering response.
   Duration SteeringLifetime = 3s;
+
+  /// Returns the time within which the store removes the entry of a server that
+  /// sends no more heartbeats, and this is known.
+  [[nodiscard]] auto entryRemovalTime() const -> Duration {
+    constexpr auto MissedHeartbeats = 3;
+    return (MissedHeartbeats + 1) * ServerHeartbeatInterval;
+  }
 };
 
 /// A prompt whose KV cache a server keeps until another server fetches it.
@@ -93,6 +101,7 @@
   Route const *MatchedRoute = nullptr;
   std::string Service;
   std::vector<Prefix> Prefixes;
+  std::vector<SegmentKey> SharedSegments;
   Instant ArrivedAt;
   Instant Deadline;
   std::optional<Attempt> CurrentAttempt;
@@ -215,6 +224,7 @@
   Instant NextFullReportAt;
   std::vector<PeerPrefixUse> UnreportedPrefixUses;
   PrefixIndex Prefixes;
+  PromptQuarantine Quarantine;
   std::map<std::string, SpeedModel> SpeedModels;
   std::map<std::string, RetryBudget> RetryBudgets;
   std::unordered_map<RequestNumber, InFlightRequest> Requests;
--- a/Tests/LibRelay/EngineFleet.cpp
+++ b/Tests/LibRelay/EngineFleet.cpp
@@ -93,6 +93,8 @@
     for (auto n = 0U; n < Options.Instances; ++n)
       peers.Peers.push_back({fmt::format("i{}", n), fmt::format("p-i{}", n)});
     feed(Instance, std::move(peers));
+    feed(Instance,
+         QuarantineListed{{StoredSegments.begin(), StoredSegments.end()}});
     tick(Instance, node.Incarnation);
   }
 
@@ -246,6 +248,13 @@
     }
   }
 
+  auto carryOut(unsigned /*Instance*/, StoreQuarantine &Effect) -> void {
+    StoredSegments.insert(Effect.Segment);
+  }
+  auto carryOut(unsigned /*Instance*/, DeleteQuarantine &Effect) -> void {
+    StoredSegments.erase(Effect.Segment);
+  }
+
   auto carryOut(unsigned Instance, CancelAttempt &Effect) -> void {
     for (auto &engine : Engines)
       std::erase_if(engine.Runs, [&](auto const &it) {
@@ -361,6 +370,8 @@
   std::uint64_t Revision = 2;
   unsigned Restarts = 0;
   std::uint64_t CrashingSegment = 0;
+  /// The segments in quarantine that the store has.
+  std::set<SegmentKey> StoredSegments;
   std::vector<FleetRequest> Requests;
   std::vector<std::vector<PromptSegment>> Prompts;
   std::vector<FleetArrival> Arrivals;
--- a/Tests/LibRelay/TestCrashingPrompt.cpp
+++ b/Tests/LibRelay/TestCrashingPrompt.cpp
@@ -17,6 +17,7 @@
 constexpr auto RequestInterval = Duration{9ms};
 constexpr auto ContactTime = Duration{3s};
 constexpr auto CrashingSegment = std::uint64_t{0xbad};
+/// Number of seeds that each test runs, from the first one on.
 constexpr auto Seeds = std::uint64_t{4};
 constexpr auto DefaultLimits = RetryLimits{0.2, 126, 10s};
 
@@ -67,6 +68,14 @@
   std::uint64_t UniqueSegments = 0;
 };
 
+/// Returns the key that prompts with the segment \p Hash have in common.
+auto keysOf(std::uint64_t Hash) -> std::vector<SegmentKey> {
+  auto request = Request{};
+  request.Model = "m";
+  request.PromptSegments = {{Hash, 1}, {0, 1}};
+  return sharedSegments(request);
+}
+
 auto firstSeed() -> std::uint64_t {
   auto const *text = std::getenv("DOTTEREL_SEED"); // NOLINT: one thread
   return text == nullptr ? 1 : std::strtoull(text, nullptr, 10);
@@ -154,4 +163,29 @@
   });
 }
 
+Test(RelayCrashingPrompt, SegmentsOfOtherPromptsAreNotQuarantined) {
+  forEachSeed(DefaultLimits, [](EngineFleet &Fleet, std::uint64_t Seed) {
+    for (auto n = 0U; n < EngineFleetOptions{}.Instances; ++n) {
+      auto const &quarantine = Fleet.state(n).Quarantine;
+      cr_expect(quarantine.size() == 1 &&
+                    quarantine.findQuarantined(keysOf(CrashingSegment)),
+                "seed %lu: instance %u has %zu segments in quarantine", Seed, n,
+                quarantine.size());
+    }
+  });
+}
+
+// Load: all instances are killed at once while the prompts still come.
+Test(RelayCrashingPrompt, QuarantineOutlivesAllInstances) {
+  constexpr auto MaximumLaterArrivals = 3U;
+  forEachSeed(DefaultLimits, [](EngineFleet &Fleet, std::uint64_t Seed) {
+    Fleet.restartInstances(1s);
+    Fleet.run(10s);
+    auto later = Fleet.crashingArrivalsAfterFifthCrash(ContactTime);
+    cr_expect(later <= MaximumLaterArrivals,
+              "seed %lu: %u arrivals after the fifth of %zu crashes", Seed,
+              later, Fleet.crashes().size());
+  });
+}
+
 } // namespace dotterel::relay::test
--- /dev/null
+++ b/Tests/LibRelay/TestPromptQuarantine.cpp
@@ -0,0 +1,172 @@
+#include "LibRelay/PromptQuarantine.h"
+
+#include <criterion/criterion.h>
+
+namespace dotterel::relay::test {
+
+namespace {
+
+constexpr auto Application = SegmentKey{1};
+constexpr auto Subject = SegmentKey{2};
+constexpr auto Crashing = SegmentKey{3};
+
+/// Collects evidence; time advances by 100 ms with each crash.
+class Evidence {
+public:
+  /// A server crashes with one prompt in progress.
+  auto crash(ServerKey Server, std::uint64_t Prompt,
+             std::vector<SegmentKey> Segments) -> void {
+    interrupt(Server, Prompt, std::move(Segments));
+    Quarantine.recordCrash(Server, Now);
+    Now += 100ms;
+  }
+
+  auto interrupt(ServerKey Server, std::uint64_t Prompt,
+                 std::vector<SegmentKey> Segments) -> void {
+    Quarantine.recordOwnSuspect({Server, Prompt, std::move(Segments)}, Now);
+  }
+
+  auto complete(std::vector<SegmentKey> const &Segments)
+      -> std::vector<SegmentKey> {
+    return Quarantine.recordCompletion(Segments, Now);
+  }
+
+  /// Returns the segments that are put into quarantine now.
+  auto convicted() -> std::vector<SegmentKey> {
+    auto segments = std::vector<SegmentKey>{};
+    for (auto const &it : Quarantine.evaluate(Now))
+      segments.push_back(it.Segment);
+    return segments;
+  }
+
+  PromptQuarantine Quarantine{Duration{5s}};
+  Instant Now = Instant{} + 1h;
+};
+
+auto only(SegmentKey Segment) -> std::vector<SegmentKey> { return {Segment}; }
+
+} // namespace
+
+Test(PromptQuarantine, SegmentCommonToAllCrashesIsConvicted) {
+  auto evidence = Evidence();
+  evidence.crash(1, 11, {Application, Subject, Crashing});
+  evidence.crash(2, 12, {Application, Crashing});
+  cr_assert(evidence.convicted().empty());
+  evidence.complete({Application});
+  evidence.crash(3, 13, {Crashing, 9});
+  cr_assert(evidence.convicted() == only(Crashing));
+  cr_assert(evidence.Quarantine.findQuarantined(only(Crashing)).has_value());
+  cr_assert_not(evidence.Quarantine.findQuarantined(only(Subject)).has_value());
+}
+
+// The same prompt, sent again, does not tell which of its segments is to blame.
+Test(PromptQuarantine, RepeatsOfOnePromptConvictNothing) {
+  auto evidence = Evidence();
+  for (auto server = ServerKey{1}; server <= 4; ++server)
+    evidence.crash(server, 11, {Subject, Crashing});
+  cr_assert(evidence.convicted().empty());
+  evidence.crash(5, 12, {Crashing, 9});
+  cr_assert(evidence.convicted() == only(Crashing));
+}
+
+Test(PromptQuarantine, BrokenConnectionIsNoCrash) {
+  auto evidence = Evidence();
+  for (auto n = 1U; n <= 9; ++n)
+    evidence.interrupt(n, n, {Crashing});
+  cr_assert(evidence.convicted().empty());
+}
+
+Test(PromptQuarantine, ConnectionThatBrokeLongBeforeTheCrashDoesNotCount) {
+  auto evidence = Evidence();
+  for (auto n = 1U; n <= 3; ++n)
+    evidence.interrupt(n, n, {Crashing});
+  evidence.Now += 6s;
+  for (auto n = 1U; n <= 3; ++n)
+    evidence.Quarantine.recordCrash(n, evidence.Now);
+  cr_assert(evidence.convicted().empty());
+}
+
+// Load: a failure domain loses power, with many prompts of the same application
+// in progress.
+Test(PromptQuarantine, SegmentCompletedShortlyBeforeIsNotConvicted) {
+  auto evidence = Evidence();
+  evidence.complete({Application});
+  evidence.Now += 1s;
+  for (auto n = 1U; n <= 6; ++n)
+    evidence.crash(n, n, {Application, 100 + n});
+  cr_assert(evidence.convicted().empty());
+}
+
+Test(PromptQuarantine, ExplainedCrashCountsAgainstNoOtherSegment) {
+  auto evidence = Evidence();
+  evidence.crash(1, 11, {Crashing});
+  evidence.crash(2, 12, {Crashing});
+  evidence.crash(3, 13, {Crashing});
+  cr_assert(evidence.convicted() == only(Crashing));
+  // The other prompts that were in progress are reported late.
+  for (auto n = 1U; n <= 3; ++n)
+    evidence.interrupt(n, 20 + n, {Subject});
+  cr_assert(evidence.convicted().empty());
+}
+
+Test(PromptQuarantine, CompletedPromptReleasesItsSegments) {
+  auto evidence = Evidence();
+  for (auto n = 1U; n <= 3; ++n)
+    evidence.crash(n, n, {Subject});
+  cr_assert(evidence.convicted() == only(Subject));
+  cr_assert(evidence.complete({Subject}) == only(Subject));
+  cr_assert_eq(evidence.Quarantine.size(), 0);
+  // A peer that has not heard of it does not bring it back, but is told.
+  cr_assert_not(evidence.Quarantine.quarantine(Subject, evidence.Now));
+  auto news = evidence.Quarantine.news(false, evidence.Now);
+  cr_assert_eq(news.Completed.size(), 1);
+  cr_assert_eq(news.Completed[0].Segment, Subject);
+}
+
+// Otherwise instances would renew each other's knowledge of a segment that has
+// begun to crash servers.
+Test(PromptQuarantine, ReportedCompletionKeepsItsAge) {
+  auto evidence = Evidence();
+  evidence.complete({Subject});
+  evidence.Now += 3s;
+  evidence.Quarantine.recordSuspect({1, 11, {Subject}}, evidence.Now);
+  auto news = evidence.Quarantine.news(false, evidence.Now);
+  cr_assert(news.Completed.at(0).Age == 3s);
+  auto peer = PromptQuarantine(5s);
+  (void)peer.acquit(news.Completed[0], evidence.Now);
+  cr_assert_not(peer.quarantine(Subject, evidence.Now));
+  cr_assert(peer.quarantine(Subject, evidence.Now + 2s));
+}
+
+Test(PromptQuarantine, EndsAfterAnHour) {
+  auto evidence = Evidence();
+  cr_assert(evidence.Quarantine.quarantine(Crashing, evidence.Now));
+  cr_assert(evidence.Quarantine.timeLeft(Crashing, evidence.Now) == 1h);
+  cr_assert(evidence.Quarantine.expire(evidence.Now + 59min).empty());
+  cr_assert(evidence.Quarantine.expire(evidence.Now + 1h) == only(Crashing));
+  cr_assert_eq(evidence.Quarantine.size(), 0);
+}
+
+Test(PromptQuarantine, IsWrittenToTheStoreOnceInEachEra) {
+  auto evidence = Evidence();
+  (void)evidence.Quarantine.quarantine(Crashing, evidence.Now);
+  (void)evidence.Quarantine.quarantine(Subject, evidence.Now);
+  evidence.Quarantine.markStored(Subject);
+  cr_assert(evidence.Quarantine.takeUnstored() == only(Crashing));
+  cr_assert(evidence.Quarantine.takeUnstored().empty());
+  evidence.Quarantine.markAllUnstored();
+  cr_assert_eq(evidence.Quarantine.takeUnstored().size(), 2);
+}
+
+Test(PromptQuarantine, EvidenceIsBounded) {
+  auto evidence = Evidence();
+  for (auto n = 1U; n <= 5000; ++n) {
+    evidence.crash(n, n, {1000 + n});
+    evidence.complete({100000 + n});
+  }
+  cr_assert(evidence.convicted().empty());
+  auto news = evidence.Quarantine.news(true, evidence.Now);
+  cr_assert_leq(news.Suspects.size(), 12);
+}
+
+} // namespace dotterel::relay::test
