LibRelay: Write quarantined segments again in a new era seen by a peer

observeEra also runs for an era that a peer's report announces; only the event of this instance's own calls marked the segments as unwritten. A segment that the store lists although a prompt with it was just completed is deleted there. Reports carry nothing about quarantines while there is none. Tests of the reducer, of the store's objects through a running gateway, and mutations; docs.

--- a/Libraries/LibRelay/Peers.cpp
+++ b/Libraries/LibRelay/Peers.cpp
@@ -61,9 +61,11 @@
   }
   // Instances of the first format ignore what follows the groups of three, and
   // reject reports with more fields.
-  loads.push_back({Report.Leaving, Report.ConfigurationVersion,
-                   Report.ConfigurationEra,
-                   encodeQuarantine(Report.Quarantine)});
+  auto fields = json::array(
+      {Report.Leaving, Report.ConfigurationVersion, Report.ConfigurationEra});
+  if (!Report.Quarantine.isEmpty())
+    fields.push_back(encodeQuarantine(Report.Quarantine));
+  loads.push_back(std::move(fields));
   return loads;
 }
 
--- a/Libraries/LibRelay/PromptQuarantine.h
+++ b/Libraries/LibRelay/PromptQuarantine.h
@@ -51,6 +51,10 @@
   /// Suspected or quarantined segments of prompts that were completed.
   std::vector<CompletedSegment> Completed;
   std::vector<SegmentKey> Quarantined;
+
+  [[nodiscard]] auto isEmpty() const -> bool {
+    return Suspects.empty() && Completed.empty() && Quarantined.empty();
+  }
 };
 
 /// A segment that was put into quarantine, with the evidence.
--- a/Libraries/LibRelay/QuarantineReducer.cpp
+++ b/Libraries/LibRelay/QuarantineReducer.cpp
@@ -43,14 +43,12 @@
     if (CurrentState.Quarantine.quarantine(it, now()))
       apply(it, "store", 0, 0);
     CurrentState.Quarantine.markStored(it);
+    // A prompt with the segment was completed recently.
+    if (!CurrentState.Quarantine.findQuarantined({&it, 1}))
+      emit(DeleteQuarantine{it});
   }
 }
 
-auto QuarantineReducer::on(StoreEraObserved const & /*Event*/) -> void {
-  // The copy that the store was restored from may lack them.
-  CurrentState.Quarantine.markAllUnstored();
-}
-
 auto QuarantineReducer::on(Tick const & /*Event*/) -> void {
   auto &quarantine = CurrentState.Quarantine;
   for (auto it : quarantine.expire(now()))
--- a/Libraries/LibRelay/QuarantineReducer.h
+++ b/Libraries/LibRelay/QuarantineReducer.h
@@ -14,7 +14,6 @@
 
   auto on(PeerReported const &Event) -> void;
   auto on(QuarantineListed const &Event) -> void;
-  auto on(StoreEraObserved const &Event) -> void;
   auto on(Tick const &Event) -> void;
 
   /// Records that the connection of a request's current attempt broke.
--- a/Libraries/LibRelay/StoreWatchReducer.cpp
+++ b/Libraries/LibRelay/StoreWatchReducer.cpp
@@ -61,6 +61,8 @@
   auto isFirst = store.Era == 0 && store.LastResponseAt == Instant{} &&
                  CurrentState.Options.IsFirstStart;
   store.Era = Era;
+  // The copy may lack what was written since it was made.
+  CurrentState.Quarantine.markAllUnstored();
   if (!isFirst)
     RoleReducer(CurrentState, Output).suspendOrders();
 }
--- a/Meta/code-mutations.sh
+++ b/Meta/code-mutations.sh
@@ -74,6 +74,30 @@
     's/ \|\| now\(\) < lease.SuspendedUntil//'
   mutate 'fencing numbers are revisions' RoleReducer.cpp \
     's/auto fence = Event.Version.packed\(\)/auto fence = Event.Version.revision()/'
+  mutate 'a second prefill is not charged' RequestReducer.cpp \
+    's/\(IsPrefill && Request.HasPrefilled \? 1U : 0U\)/0U/'
+  mutate 'a prefill that was charged and does not count is not refunded' AttemptReducer.cpp \
+    's/\+\+request->RetryCredit;//'
+  mutate 'an unused prefill is released' RequestReducer.cpp \
+    's/if \(attempt.IsSent\)\n    return std::nullopt;/return std::nullopt;/'
+  mutate 'a broken connection counts as a crash' PromptQuarantine.cpp \
+    's/return Target.ConfirmedAt &&/return/'
+  mutate 'one prompt convicts its segments' PromptQuarantine.cpp \
+    's/MinimumPrompts = std::size_t\{2\}/MinimumPrompts = std::size_t{1}/'
+  mutate 'an explained crash counts against other segments' PromptQuarantine.cpp \
+    's/return findQuarantined\(it.Segments\).has_value\(\);/return false;/'
+  mutate 'a completed prompt acquits nothing' PromptQuarantine.cpp \
+    's/Now - it->second < ConfirmationTime/false/'
+  mutate 'a reported completion loses its age' PromptQuarantine.cpp \
+    's/Now - CompletedAt.at\(it.first\)\}/Duration{}}/'
+  mutate 'a peer does not learn of a quarantine' QuarantineReducer.cpp \
+    's/if \(quarantine.quarantine\(it, now\(\)\)\)\n      apply/if (false) apply/'
+  mutate 'prompts in progress are not ended' QuarantineReducer.cpp \
+    's/affected.push_back\(it.first\);/;/'
+  mutate 'a quarantined prompt is retried' AttemptReducer.cpp \
+    's/if \(CurrentState.Quarantine.findQuarantined\(request.SharedSegments\)\)/if (false)/'
+  mutate 'a quarantine is lost when the store is restored' StoreWatchReducer.cpp \
+    's/CurrentState.Quarantine.markAllUnstored\(\);//'
   [ $survivors -eq 0 ] || { echo "$survivors mutations survived"; exit 1; }
   exit 0
 fi
--- a/Tests/LibGateway/FakePlatform.cpp
+++ b/Tests/LibGateway/FakePlatform.cpp
@@ -82,6 +82,8 @@
   auto serveStore(HttpExchange &Exchange) -> Awaitable<void> {
     auto path = std::string(Exchange.path());
     auto watched = Exchange.query("watch");
+    if (path == "/-/objects/quarantine")
+      co_return co_await serveQuarantine(Exchange);
     if (Exchange.method() != "GET")
       ++Registrations;
     auto items = json::array();
@@ -107,6 +109,23 @@
     co_await respondFromStore(Exchange, 200, body.dump());
   }
 
+  auto serveQuarantine(HttpExchange &Exchange) -> Awaitable<void> {
+    auto items = json::array();
+    {
+      auto lock = std::lock_guard(Mutex);
+      if (Exchange.method() == "POST") {
+        auto object = json::parse(Exchange.body());
+        Quarantine.insert(object["metadata"]["name"].get<std::string>());
+      }
+      for (auto const &it : Quarantine)
+        items.push_back({{"metadata", {{"name", it}, {"revision", 3}}},
+                         {"spec", json::object()}});
+    }
+    auto body = json{
+        {"as_of", Revision.load()}, {"items", items}, {"more_pages", false}};
+    co_await respondFromStore(Exchange, 200, body.dump());
+  }
+
   auto respondFromStore(HttpExchange &Exchange, unsigned Status,
                         std::string Body) -> Awaitable<void> {
     co_await Exchange.respond({Status,
@@ -194,6 +213,7 @@
   std::atomic<unsigned> Served = 0;
   std::mutex Mutex;
   std::string LastFields;
+  std::set<std::string> Quarantine;
   HttpServer Store;
   HttpServer Server;
   std::thread Thread;
@@ -214,9 +234,23 @@
 auto FakePlatform::restoreStore() -> void {
   Impl->IsDraining = false;
   Impl->Revision = FirstRevision;
+  {
+    auto lock = std::lock_guard(Impl->Mutex);
+    Impl->Quarantine.clear();
+  }
   ++Impl->Era;
 }
 
+auto FakePlatform::addQuarantine(std::string const &Name) -> void {
+  auto lock = std::lock_guard(Impl->Mutex);
+  Impl->Quarantine.insert(Name);
+}
+
+auto FakePlatform::quarantine() const -> std::set<std::string> {
+  auto lock = std::lock_guard(Impl->Mutex);
+  return Impl->Quarantine;
+}
+
 auto FakePlatform::registrations() const -> unsigned {
   return Impl->Registrations;
 }
--- a/Tests/LibGateway/FakePlatform.h
+++ b/Tests/LibGateway/FakePlatform.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <memory>
+#include <set>
 #include <string>
 
 namespace dotterel::test {
@@ -42,6 +43,11 @@
   /// by one, and revisions are assigned again.
   auto restoreStore() -> void;
 
+  /// Adds an object of the kind that names segments in quarantine.
+  auto addQuarantine(std::string const &Name) -> void;
+  /// Returns the names of the objects of that kind.
+  [[nodiscard]] auto quarantine() const -> std::set<std::string>;
+
   [[nodiscard]] auto storeAddress() const -> std::string;
   /// Number of times that an instance has registered.
   [[nodiscard]] auto registrations() const -> unsigned;
--- /dev/null
+++ b/Tests/LibGateway/TestStoredQuarantine.cpp
@@ -0,0 +1,76 @@
+// Segments of prompts in quarantine are kept in the store for instances that
+// start later.
+#include "LibCore/Hash.h"
+#include "LibGateway/RunningGateway.h"
+#include "LibRelay/PromptQuarantine.h"
+#include "platform/Store.h"
+
+#include <thread>
+
+#include <criterion/criterion.h>
+
+namespace dotterel::test {
+
+namespace {
+
+/// Returns the name of the object for the segment \p Id of prompts for the
+/// model "m".
+auto objectName(std::string_view Id) -> std::string {
+  auto request = relay::Request{};
+  request.Model = "m";
+  request.PromptSegments = {{hashText(Id), 100}, {1, 1}};
+  return platform::quarantineName(relay::sharedSegments(request).at(0));
+}
+
+auto promptFields(std::string const &Id) -> std::vector<HttpField> {
+  return {{"Model", "m"},
+          {"Token-Counts", "300,10"},
+          {"Prompt-Prefix", Id + ":100,aa:100,bb:100"}};
+}
+
+template <typename Function> auto waitUntil(Function IsDone) -> bool {
+  for (auto n = 0; n < 100; ++n) {
+    if (IsDone())
+      return true;
+    std::this_thread::sleep_for(50ms);
+  }
+  return false;
+}
+
+auto hasQuarantine() -> bool {
+  auto metrics = get(MetricsPort, "/metrics");
+  return metrics.Response &&
+         metrics.Response->Body.find("{name=\"quarantined_segments\"} 1") !=
+             std::string::npos;
+}
+
+} // namespace
+
+Test(Gateway, StoredQuarantineAppliesAfterAStart) {
+  auto gateway = RunningGateway();
+  gateway.Platform.setMode(ServerMode::Stream);
+  auto const name = objectName("bad");
+  // The store is restored so that the instance lists the kind again.
+  gateway.Platform.restoreStore();
+  gateway.Platform.addQuarantine(name);
+  gateway.Platform.addQuarantine("unreadable");
+  cr_assert(waitUntil(hasQuarantine));
+  auto refused = gateway.request("stream", promptFields("bad"));
+  cr_assert_eq(status(refused), 503);
+  cr_assert_eq(gateway.Platform.served(), 0);
+  cr_assert_eq(status(gateway.request("stream", promptFields("good"))), 200);
+}
+
+Test(Gateway, QuarantineIsWrittenAgainAfterTheStoreWasRestored) {
+  auto gateway = RunningGateway();
+  gateway.Platform.setMode(ServerMode::Stream);
+  auto const name = objectName("bad");
+  gateway.Platform.restoreStore();
+  gateway.Platform.addQuarantine(name);
+  cr_assert(waitUntil(hasQuarantine));
+  gateway.Platform.restoreStore();
+  cr_assert(
+      waitUntil([&] { return gateway.Platform.quarantine().contains(name); }));
+}
+
+} // namespace dotterel::test
