LibRelay: Convict a segment only once the peers' news of a crash has arrived

A crash now counts two report intervals after it is known, and segments with equally strong evidence need five crashes: the users' bound counts from the fifth. The size, losses and restarts of the simulated fleet depend on the seed.

--- a/Libraries/LibRelay/PromptQuarantine.cpp
+++ b/Libraries/LibRelay/PromptQuarantine.cpp
@@ -13,6 +13,9 @@
 /// about which of its segments crashed the servers.
 constexpr auto MinimumCrashes = std::size_t{3};
 constexpr auto MinimumPrompts = std::size_t{2};
+/// The same if several segments have equally strong evidence. Usually only one
+/// of them is to blame, and further crashes tell which.
+constexpr auto MinimumTiedCrashes = std::size_t{5};
 constexpr auto QuarantineTime = Duration{1h};
 /// News is repeated in the reports for this long, because reports may be lost.
 constexpr auto NewsTime = Duration{1s};
@@ -171,14 +174,15 @@
       .second;
 }
 
-auto PromptQuarantine::countAsEvidence(Crash const &Target) const -> bool {
-  return Target.ConfirmedAt &&
+auto PromptQuarantine::isEvidence(Crash const &Target, Instant Known) const
+    -> bool {
+  return Target.ConfirmedAt && *Target.ConfirmedAt <= Known &&
          std::ranges::none_of(Target.Suspects, [this](auto const &it) {
            return findQuarantined(it.Segments).has_value();
          });
 }
 
-auto PromptQuarantine::strongestEvidence() const
+auto PromptQuarantine::strongestEvidence(Instant Known) const
     -> std::vector<QuarantineVerdict> {
   struct Evidence {
     std::size_t Crashes = 0;
@@ -186,7 +190,7 @@
   };
   auto evidence = std::map<SegmentKey, Evidence>{};
   for (auto const &crash : Crashes) {
-    if (!countAsEvidence(crash.second))
+    if (!isEvidence(crash.second, Known))
       continue;
     auto inProgress = std::set<SegmentKey>{};
     for (auto const &suspect : crash.second.Suspects) {
@@ -212,24 +216,30 @@
     if (strongest.empty() || strength(verdict) == strength(strongest.front()))
       strongest.push_back(verdict);
   }
+  if (strongest.size() > 1 && strongest.front().Crashes < MinimumTiedCrashes)
+    return {};
   return strongest;
 }
 
-auto PromptQuarantine::evaluate(Instant Now) -> std::vector<QuarantineVerdict> {
+auto PromptQuarantine::evaluate(Duration SettleTime, Instant Now)
+    -> std::vector<QuarantineVerdict> {
   auto verdicts = std::vector<QuarantineVerdict>{};
-  if (!std::exchange(HasNewEvidence, false))
+  if (!HasNewEvidence)
     return verdicts;
-  while (true) {
-    auto isProgress = false;
-    for (auto const &it : strongestEvidence()) {
+  auto const known = Now - SettleTime;
+  HasNewEvidence = std::ranges::any_of(Crashes, [&](auto const &it) {
+    return it.second.ConfirmedAt && *it.second.ConfirmedAt > known;
+  });
+  for (auto isProgress = true; isProgress;) {
+    isProgress = false;
+    for (auto const &it : strongestEvidence(known)) {
       if (!quarantine(it.Segment, Now))
         continue;
       verdicts.push_back(it);
       isProgress = true;
     }
-    if (!isProgress)
-      return verdicts;
   }
+  return verdicts;
 }
 
 auto PromptQuarantine::expire(Instant Now) -> std::vector<SegmentKey> {
--- a/Libraries/LibRelay/PromptQuarantine.h
+++ b/Libraries/LibRelay/PromptQuarantine.h
@@ -107,8 +107,11 @@
   auto quarantine(SegmentKey Segment, Instant Now) -> bool;
 
   /// Puts the segments into quarantine that the evidence convicts, and returns
-  /// them.
-  auto evaluate(Instant Now) -> std::vector<QuarantineVerdict>;
+  /// them. A crash counts \p SettleTime after it is known, when the peers' news
+  /// of it has arrived: this instance alone may only have seen prompts that
+  /// happened to be in progress.
+  auto evaluate(Duration SettleTime, Instant Now)
+      -> std::vector<QuarantineVerdict>;
 
   /// Forgets old evidence. Returns the segments whose quarantine has ended.
   auto expire(Instant Now) -> std::vector<SegmentKey>;
@@ -158,8 +161,14 @@
   };
 
   auto crashOf(ServerKey Server, Instant Now) -> Crash &;
-  auto countAsEvidence(Crash const &Target) const -> bool;
-  auto strongestEvidence() const -> std::vector<QuarantineVerdict>;
+  /// Returns whether the crash was known at \p Known and no segment in
+  /// quarantine explains it.
+  [[nodiscard]] auto isEvidence(Crash const &Target, Instant Known) const
+      -> bool;
+  /// Returns the segments with the strongest evidence from crashes that were
+  /// known at \p Known, if it is sufficient.
+  [[nodiscard]] auto strongestEvidence(Instant Known) const
+      -> std::vector<QuarantineVerdict>;
   [[nodiscard]] auto isSuspected(SegmentKey Segment) const -> bool;
   /// Returns whether a prompt with the segment was completed recently.
   [[nodiscard]] auto isAcquitted(SegmentKey Segment, Instant Now) const -> bool;
--- a/Libraries/LibRelay/QuarantineReducer.cpp
+++ b/Libraries/LibRelay/QuarantineReducer.cpp
@@ -6,6 +6,14 @@
 
 namespace dotterel::relay {
 
+namespace {
+
+/// Reports in which the peers' news of a crash arrives. One of them may be
+/// lost.
+constexpr auto ReportsToSettle = 2;
+
+} // namespace
+
 auto QuarantineReducer::observeInterruption(InFlightRequest const &Request)
     -> void {
   auto const &attempt = *Request.CurrentAttempt;
@@ -53,7 +61,8 @@
   auto &quarantine = CurrentState.Quarantine;
   for (auto it : quarantine.expire(now()))
     release(it, "time passed");
-  for (auto const &it : quarantine.evaluate(now()))
+  auto settleTime = ReportsToSettle * CurrentState.Peers.reportInterval();
+  for (auto const &it : quarantine.evaluate(settleTime, now()))
     apply(it.Segment, "evidence", it.Crashes, it.Prompts);
   // Watchers write on behalf of their peers.
   if (!CurrentState.StoreWatch.IsWatcher)
--- a/Tests/LibRelay/EngineFleet.cpp
+++ b/Tests/LibRelay/EngineFleet.cpp
@@ -121,7 +121,7 @@
   /// Feeds an event later if the instance has not restarted by then.
   auto feedLater(Duration After, unsigned Instance, EventBody Body) -> void {
     auto incarnation = Nodes[Instance].Incarnation;
-    Clock.schedule(After, [=, this] {
+    Clock.schedule(After, [=, this, Body = std::move(Body)] {
       if (isCurrent(Instance, incarnation))
         feed(Instance, Body);
     });
@@ -425,6 +425,8 @@
   return Impl->Crashes;
 }
 
+auto EngineFleet::size() const -> unsigned { return Impl->Options.Instances; }
+
 auto EngineFleet::state(unsigned Instance) const -> State const & {
   return Impl->Nodes[Instance].CurrentState;
 }
--- a/Tests/LibRelay/EngineFleet.h
+++ b/Tests/LibRelay/EngineFleet.h
@@ -77,6 +77,8 @@
   [[nodiscard]] auto arrivals() const -> std::vector<FleetArrival> const &;
   /// Times of the crashes that a prompt caused.
   [[nodiscard]] auto crashes() const -> std::vector<Instant> const &;
+  /// Returns the number of instances.
+  [[nodiscard]] auto size() const -> unsigned;
   [[nodiscard]] auto state(unsigned Instance) const -> State const &;
 
   /// Returns the arrivals beyond the first of their requests, not counting
--- a/Tests/LibRelay/TestCrashingPrompt.cpp
+++ b/Tests/LibRelay/TestCrashingPrompt.cpp
@@ -33,8 +33,9 @@
   /// Sends a crashing prompt every \p Interval on average.
   auto startCrashing(Duration Interval) -> void {
     Fleet.send(makePrompt(true));
-    Fleet.schedule(scaled(Interval, draw(500, 1500) / 1000.0),
-                   [=, this] { startCrashing(Interval); });
+    Fleet.schedule(
+        scaled(Interval, static_cast<double>(draw(500, 1500)) / 1000),
+        [=, this] { startCrashing(Interval); });
   }
 
 private:
@@ -81,20 +82,36 @@
   return text == nullptr ? 1 : std::strtoull(text, nullptr, 10);
 }
 
+/// Returns a fleet whose size, losses and restarts depend on the seed.
+auto drawOptions(std::uint64_t Seed, RetryLimits const &Limits)
+    -> EngineFleetOptions {
+  auto random = std::mt19937_64(Seed);
+  auto draw = [&](unsigned From, unsigned To) {
+    return std::uniform_int_distribution<unsigned>(From, To)(random);
+  };
+  auto options = EngineFleetOptions{};
+  options.Seed = Seed;
+  options.Retries = Limits;
+  options.Instances = draw(8, 24);
+  options.PrefillEngines = draw(8, 14);
+  options.DecodeEngines = draw(5, 10);
+  options.ReportLoss = draw(0, 20) / 100.0;
+  options.RestartTime = std::chrono::milliseconds(draw(1500, 4500));
+  return options;
+}
+
 /// Runs \p Check on fleets with different seeds, ten seconds after crashing
 /// prompts have begun to arrive at 2 to 8 a second.
 template <typename Function>
 auto forEachSeed(RetryLimits const &Limits, Function Check) -> void {
   for (auto n = std::uint64_t{0}; n < Seeds; ++n) {
-    auto options = EngineFleetOptions{};
-    options.Seed = firstSeed() + n;
-    options.Retries = Limits;
+    auto const options = drawOptions(firstSeed() + n, Limits);
     auto fleet = EngineFleet(options);
     fleet.setCrashingSegment(CrashingSegment);
     fleet.run(2s);
     auto traffic = PromptTraffic(fleet, options.Seed);
     fleet.run(5s);
-    traffic.startCrashing(std::chrono::milliseconds(125 << (n % 3)));
+    traffic.startCrashing(std::chrono::milliseconds(125 << (options.Seed % 3)));
     fleet.run(10s);
     Check(fleet, options.Seed);
   }
@@ -165,7 +182,7 @@
 
 Test(RelayCrashingPrompt, SegmentsOfOtherPromptsAreNotQuarantined) {
   forEachSeed(DefaultLimits, [](EngineFleet &Fleet, std::uint64_t Seed) {
-    for (auto n = 0U; n < EngineFleetOptions{}.Instances; ++n) {
+    for (auto n = 0U; n < Fleet.size(); ++n) {
       auto const &quarantine = Fleet.state(n).Quarantine;
       cr_expect(quarantine.size() == 1 &&
                     quarantine.findQuarantined(keysOf(CrashingSegment)),
--- a/Tests/LibRelay/TestPromptQuarantine.cpp
+++ b/Tests/LibRelay/TestPromptQuarantine.cpp
@@ -10,6 +10,8 @@
 constexpr auto Subject = SegmentKey{2};
 constexpr auto Crashing = SegmentKey{3};
 
+constexpr auto SettleTime = Duration{100ms};
+
 /// Collects evidence; time advances by 100 ms with each crash.
 class Evidence {
 public:
@@ -34,7 +36,7 @@
   /// Returns the segments that are put into quarantine now.
   auto convicted() -> std::vector<SegmentKey> {
     auto segments = std::vector<SegmentKey>{};
-    for (auto const &it : Quarantine.evaluate(Now))
+    for (auto const &it : Quarantine.evaluate(SettleTime, Now))
       segments.push_back(it.Segment);
     return segments;
   }
@@ -169,4 +171,29 @@
   cr_assert_leq(news.Suspects.size(), 12);
 }
 
+// Regression test: an instance had seen only its own prompts of a crash, and
+// the peers' news of the crashing one was late.
+Test(PromptQuarantine, CrashCountsOnceThePeersNewsHasArrived) {
+  auto evidence = Evidence();
+  for (auto n = 1U; n <= 3; ++n)
+    evidence.interrupt(n, 10 + n, {Subject});
+  for (auto n = 1U; n <= 3; ++n)
+    evidence.Quarantine.recordCrash(n, evidence.Now);
+  cr_assert(evidence.convicted().empty());
+  for (auto n = 1U; n <= 3; ++n)
+    evidence.interrupt(n, 20 + n, {Crashing});
+  evidence.crash(4, 24, {Crashing});
+  evidence.Now += SettleTime;
+  cr_assert(evidence.convicted() == only(Crashing));
+}
+
+Test(PromptQuarantine, EquallySuspectedSegmentsNeedMoreEvidence) {
+  auto evidence = Evidence();
+  for (auto n = 1U; n <= 4; ++n)
+    evidence.crash(n, n, {Subject, Crashing});
+  cr_assert(evidence.convicted().empty());
+  evidence.crash(5, 5, {Subject, Crashing});
+  cr_assert_eq(evidence.convicted().size(), 2);
+}
+
 } // namespace dotterel::relay::test
