LibRelay: Decide between suspected segments by crashes, on complete news

The least reported ones now come first, 20 in a report. The number of prompts no longer decides; equally many crashes need more evidence. Once a segment is in quarantine, a crash counts only after the time for which news is repeated.

--- a/Libraries/LibRelay/PromptQuarantine.cpp
+++ b/Libraries/LibRelay/PromptQuarantine.cpp
@@ -13,8 +13,8 @@
 /// about which of its segments crashed the servers.
 constexpr auto MinimumCrashes = std::size_t{3};
 constexpr auto MinimumPrompts = std::size_t{2};
-/// The same if several segments have equally strong evidence. Usually only one
-/// of them is to blame, and further crashes tell which.
+/// The same if several segments are common to equally many crashes. Usually
+/// only one of them is to blame, and further crashes tell which.
 constexpr auto MinimumTiedCrashes = std::size_t{5};
 constexpr auto QuarantineTime = Duration{1h};
 /// News is repeated in the reports for this long, because reports may be lost.
@@ -25,7 +25,7 @@
 constexpr auto MaximumCompletions = std::size_t{16384};
 constexpr auto MaximumQuarantined = std::size_t{1024};
 /// Limits on one report, so that its datagram is not fragmented.
-constexpr auto MaximumSuspectsPerReport = std::size_t{12};
+constexpr auto MaximumSuspectsPerReport = std::size_t{20};
 constexpr auto MaximumSegmentsPerReport = std::size_t{24};
 
 auto combine(std::uint64_t Hash, std::uint64_t Seed) -> std::uint64_t {
@@ -67,7 +67,7 @@
                 [&](SegmentKey it) { return isAcquitted(it, Now); });
   if (Suspect.Segments.empty())
     return;
-  OwnSuspects.emplace_back(Suspect, Now + NewsTime);
+  OwnSuspects.push_back({Suspect, Now + NewsTime});
   recordSuspect(std::move(Suspect), Now);
 }
 
@@ -208,12 +208,9 @@
                                      it.second.Prompts.size()};
     if (verdict.Crashes < MinimumCrashes || verdict.Prompts < MinimumPrompts)
       continue;
-    auto strength = [](QuarantineVerdict const &Target) {
-      return std::pair(Target.Crashes, Target.Prompts);
-    };
-    if (!strongest.empty() && strength(verdict) > strength(strongest.front()))
+    if (!strongest.empty() && verdict.Crashes > strongest.front().Crashes)
       strongest.clear();
-    if (strongest.empty() || strength(verdict) == strength(strongest.front()))
+    if (strongest.empty() || verdict.Crashes == strongest.front().Crashes)
       strongest.push_back(verdict);
   }
   if (strongest.size() > 1 && strongest.front().Crashes < MinimumTiedCrashes)
@@ -226,7 +223,10 @@
   auto verdicts = std::vector<QuarantineVerdict>{};
   if (!HasNewEvidence)
     return verdicts;
-  auto const known = Now - SettleTime;
+  // Crashes may be explained by a segment that is in quarantine already, so the
+  // peers' news of them has to be complete.
+  auto const known =
+      Now - (Quarantined.empty() ? SettleTime : std::max(SettleTime, NewsTime));
   HasNewEvidence = std::ranges::any_of(Crashes, [&](auto const &it) {
     return it.second.ConfirmedAt && *it.second.ConfirmedAt > known;
   });
@@ -250,7 +250,8 @@
     auto lifetime = it.second.ConfirmedAt ? QuarantineTime : ConfirmationTime;
     return Now - it.second.LastAt > lifetime;
   });
-  std::erase_if(OwnSuspects, [&](auto const &it) { return Now > it.second; });
+  std::erase_if(OwnSuspects,
+                [&](auto const &it) { return Now > it.ReportUntil; });
   std::erase_if(ReportedCompletions,
                 [&](auto const &it) { return Now > it.second; });
   auto ended = std::vector<SegmentKey>{};
@@ -279,9 +280,18 @@
 
 auto PromptQuarantine::news(bool IsFull, Instant Now) -> QuarantineNews {
   auto news = QuarantineNews{};
-  for (auto const &it : OwnSuspects) {
-    if (news.Suspects.size() < MaximumSuspectsPerReport)
-      news.Suspects.push_back(it.first);
+  for (auto &it : OwnSuspects)
+    std::erase_if(it.Content.Segments, [&](SegmentKey Segment) {
+      return isAcquitted(Segment, Now);
+    });
+  std::erase_if(OwnSuspects,
+                [](auto const &it) { return it.Content.Segments.empty(); });
+  // In a burst of crashes there are more than fit into one report.
+  std::ranges::stable_sort(OwnSuspects, {}, &OwnSuspect::Reports);
+  auto const count = std::min(OwnSuspects.size(), MaximumSuspectsPerReport);
+  for (auto &it : std::span(OwnSuspects).first(count)) {
+    ++it.Reports;
+    news.Suspects.push_back(it.Content);
   }
   for (auto const &it : ReportedCompletions) {
     if (isAcquitted(it.first, Now) &&
--- a/Libraries/LibRelay/PromptQuarantine.h
+++ b/Libraries/LibRelay/PromptQuarantine.h
@@ -107,9 +107,9 @@
   auto quarantine(SegmentKey Segment, Instant Now) -> bool;
 
   /// Puts the segments into quarantine that the evidence convicts, and returns
-  /// them. A crash counts \p SettleTime after it is known, when the peers' news
-  /// of it has arrived: this instance alone may only have seen prompts that
-  /// happened to be in progress.
+  /// them. A crash counts \p SettleTime after it is known, or later, when the
+  /// peers' news of it has arrived: this instance alone may only have seen
+  /// prompts that happened to be in progress.
   auto evaluate(Duration SettleTime, Instant Now)
       -> std::vector<QuarantineVerdict>;
 
@@ -154,6 +154,13 @@
     std::vector<Suspect> Suspects;
   };
 
+  /// A suspect to report to the peers.
+  struct OwnSuspect {
+    CrashSuspect Content;
+    Instant ReportUntil;
+    std::uint32_t Reports = 0;
+  };
+
   struct Entry {
     Instant Until;
     Instant ReportUntil;
@@ -183,7 +190,7 @@
   std::unordered_map<SegmentKey, Instant> CompletedAt;
   std::deque<std::pair<SegmentKey, Instant>> Completions;
   /// News for the peers, and until when it is reported.
-  std::vector<std::pair<CrashSuspect, Instant>> OwnSuspects;
+  std::vector<OwnSuspect> OwnSuspects;
   std::map<SegmentKey, Instant> ReportedCompletions;
   bool HasNewEvidence = false;
 };
--- a/Tests/LibRelay/EngineFleet.cpp
+++ b/Tests/LibRelay/EngineFleet.cpp
@@ -121,9 +121,9 @@
   /// Feeds an event later if the instance has not restarted by then.
   auto feedLater(Duration After, unsigned Instance, EventBody Body) -> void {
     auto incarnation = Nodes[Instance].Incarnation;
-    Clock.schedule(After, [=, this, Body = std::move(Body)] {
+    Clock.schedule(After, [=, this, body = std::move(Body)] {
       if (isCurrent(Instance, incarnation))
-        feed(Instance, Body);
+        feed(Instance, body);
     });
   }
 
--- a/Tests/LibRelay/TestPromptQuarantine.cpp
+++ b/Tests/LibRelay/TestPromptQuarantine.cpp
@@ -108,9 +108,22 @@
   // The other prompts that were in progress are reported late.
   for (auto n = 1U; n <= 3; ++n)
     evidence.interrupt(n, 20 + n, {Subject});
+  evidence.Now += 2s;
   cr_assert(evidence.convicted().empty());
 }
 
+// Regression test: the news of the crashing prompts was delayed, so the crashes
+// seemed to have another cause.
+Test(PromptQuarantine, SecondSegmentIsConvictedOnceTheNewsIsComplete) {
+  auto evidence = Evidence();
+  cr_assert(evidence.Quarantine.quarantine(Crashing, evidence.Now));
+  for (auto n = 1U; n <= 3; ++n)
+    evidence.crash(n, n, {Subject});
+  cr_assert(evidence.convicted().empty());
+  evidence.Now += 1s;
+  cr_assert(evidence.convicted() == only(Subject));
+}
+
 Test(PromptQuarantine, CompletedPromptReleasesItsSegments) {
   auto evidence = Evidence();
   for (auto n = 1U; n <= 3; ++n)
@@ -168,7 +181,7 @@
   }
   cr_assert(evidence.convicted().empty());
   auto news = evidence.Quarantine.news(true, evidence.Now);
-  cr_assert_leq(news.Suspects.size(), 12);
+  cr_assert_leq(news.Suspects.size(), 20);
 }
 
 // Regression test: an instance had seen only its own prompts of a crash, and
@@ -187,6 +200,19 @@
   cr_assert(evidence.convicted() == only(Crashing));
 }
 
+// Regression test: a sound segment was in more of the prompts at three crashes
+// than the crashing one.
+Test(PromptQuarantine, NumberOfPromptsDoesNotDecideBetweenSegments) {
+  auto evidence = Evidence();
+  evidence.crash(1, 11, {Subject, Crashing});
+  evidence.crash(2, 12, {Subject, Crashing});
+  evidence.interrupt(3, 12, {Crashing});
+  evidence.crash(3, 13, {Subject});
+  cr_assert(evidence.convicted().empty());
+  evidence.crash(4, 14, {Crashing});
+  cr_assert(evidence.convicted() == only(Crashing));
+}
+
 Test(PromptQuarantine, EquallySuspectedSegmentsNeedMoreEvidence) {
   auto evidence = Evidence();
   for (auto n = 1U; n <= 4; ++n)
