LibRelay: Let a segment of a single prompt cast doubt on other segments

The crashing segment was not convicted for want of a second prompt, and the subject was. The segments that are common to most crashes are now found first; the evidence that they need is checked after that.

--- a/Libraries/LibRelay/PromptQuarantine.cpp
+++ b/Libraries/LibRelay/PromptQuarantine.cpp
@@ -204,17 +204,20 @@
   }
   auto strongest = std::vector<QuarantineVerdict>{};
   for (auto const &it : evidence) {
-    auto verdict = QuarantineVerdict{it.first, it.second.Crashes,
-                                     it.second.Prompts.size()};
-    if (verdict.Crashes < MinimumCrashes || verdict.Prompts < MinimumPrompts)
-      continue;
+    auto const verdict = QuarantineVerdict{it.first, it.second.Crashes,
+                                           it.second.Prompts.size()};
     if (!strongest.empty() && verdict.Crashes > strongest.front().Crashes)
       strongest.clear();
     if (strongest.empty() || verdict.Crashes == strongest.front().Crashes)
       strongest.push_back(verdict);
   }
-  if (strongest.size() > 1 && strongest.front().Crashes < MinimumTiedCrashes)
-    return {};
+  // A segment that is not convicted for want of other prompts still casts doubt
+  // on the others.
+  auto const required =
+      strongest.size() > 1 ? MinimumTiedCrashes : MinimumCrashes;
+  std::erase_if(strongest, [&](QuarantineVerdict const &it) {
+    return it.Crashes < required || it.Prompts < MinimumPrompts;
+  });
   return strongest;
 }
 
--- a/Tests/LibRelay/TestPromptQuarantine.cpp
+++ b/Tests/LibRelay/TestPromptQuarantine.cpp
@@ -213,6 +213,19 @@
   cr_assert(evidence.convicted() == only(Crashing));
 }
 
+// Regression test: a caller repeated the crashing prompt, so one prompt was in
+// progress at all crashes, and several sound ones with the same subject.
+Test(PromptQuarantine, SegmentOfOnePromptCastsDoubtOnOthers) {
+  auto evidence = Evidence();
+  for (auto n = 1U; n <= 3; ++n) {
+    evidence.interrupt(n, 20 + n, {Subject});
+    evidence.crash(n, 11, {Subject, Crashing});
+  }
+  cr_assert(evidence.convicted().empty());
+  evidence.crash(4, 12, {Crashing});
+  cr_assert(evidence.convicted() == only(Crashing));
+}
+
 Test(PromptQuarantine, EquallySuspectedSegmentsNeedMoreEvidence) {
   auto evidence = Evidence();
   for (auto n = 1U; n <= 4; ++n)
