LibRelay: Send full reports to peers that are not alive

Peers that are not alive are sent a report every two seconds, and full reports are sent every second; once both had missed each other's first reports, those that they were sent were always partial, and ignored for want of a full one. Operators would see an instance that lacks a peer's loads, notices and suspects for as long as the phases of the two intervals agree.

A report with a recipient that is not alive is now full.

--- a/Libraries/LibRelay/FleetReducer.cpp
+++ b/Libraries/LibRelay/FleetReducer.cpp
@@ -163,7 +163,9 @@
 auto FleetReducer::sendReport() -> void {
   auto report = PeerReport{};
   auto isInitial = CurrentState.ReportsSent < InitialFullReports;
-  report.IsFull = isInitial || now() >= CurrentState.NextFullReportAt;
+  auto recipients = CurrentState.Peers.recipients(now());
+  report.IsFull = isInitial || recipients.HasSilent ||
+                  now() >= CurrentState.NextFullReportAt;
   if (report.IsFull) {
     CurrentState.NextFullReportAt = now() + FullReportInterval;
     report.Instance = CurrentState.Self.Instance;
@@ -209,7 +211,7 @@
     watch.Configuration = storeWatch.Configuration;
     storeWatch.Changes.describe(watch);
   }
-  emit(SendPeerReport{CurrentState.Peers.recipients(now()), std::move(report)});
+  emit(SendPeerReport{std::move(recipients.Addresses), std::move(report)});
 }
 
 auto FleetReducer::stopWhenDrained() -> void {
--- a/Libraries/LibRelay/Peers.cpp
+++ b/Libraries/LibRelay/Peers.cpp
@@ -298,18 +298,18 @@
   return sum;
 }
 
-auto PeerTable::recipients(Instant Now) -> std::vector<std::string> {
-  auto addresses = std::vector<std::string>{};
+auto PeerTable::recipients(Instant Now) -> PeerRecipients {
+  auto recipients = PeerRecipients{};
   for (auto &it : Peers) {
     auto &peer = it.second;
-    auto isDue =
-        isAlive(peer, Now) || Now - peer.LastSentAt > SilentPeerReportInterval;
-    if (!isDue)
+    auto const isSilent = !isAlive(peer, Now);
+    if (isSilent && Now - peer.LastSentAt <= SilentPeerReportInterval)
       continue;
     peer.LastSentAt = Now;
-    addresses.push_back(peer.PeerAddress);
+    recipients.Addresses.push_back(peer.PeerAddress);
+    recipients.HasSilent = recipients.HasSilent || isSilent;
   }
-  return addresses;
+  return recipients;
 }
 
 auto PeerTable::isAlive(Peer const &Target, Instant Now) const -> bool {
--- a/Libraries/LibRelay/Peers.h
+++ b/Libraries/LibRelay/Peers.h
@@ -93,6 +93,14 @@
   Instant LastSentAt;
 };
 
+/// The peers that a report is sent to.
+struct PeerRecipients {
+  std::vector<std::string> Addresses;
+  /// Some of them are not alive. They may lack the full report without which
+  /// they ignore partial ones.
+  bool HasSilent = false;
+};
+
 /// The other instances by peer address. Thread safety: none.
 class PeerTable {
 public:
@@ -115,9 +123,9 @@
   [[nodiscard]] auto demandOf(std::string_view Service, Instant Now) const
       -> EngineDemand;
 
-  /// Returns the addresses to send the next report to. Peers that are not alive
-  /// are sent reports less often.
-  [[nodiscard]] auto recipients(Instant Now) -> std::vector<std::string>;
+  /// Returns the peers to send the next report to. Those that are not alive are
+  /// sent reports less often.
+  [[nodiscard]] auto recipients(Instant Now) -> PeerRecipients;
 
   [[nodiscard]] auto isAlive(Peer const &Target, Instant Now) const -> bool;
 
--- a/Tests/LibRelay/TestFleet.cpp
+++ b/Tests/LibRelay/TestFleet.cpp
@@ -68,6 +68,22 @@
   cr_assert(sent->Report.Unreachable == std::vector{key});
 }
 
+// Regression test: two instances that had lost each other's first reports sent
+// each other partial ones, which both ignored.
+Test(RelayFleet, ReportToASilentPeerIsFull) {
+  auto node = RelayNode();
+  node.feed(PeersListed{{{"i1", "p-i1"}}});
+  auto reports = std::vector<PeerReport>{};
+  for (auto const &it : node.advance(20s)) {
+    auto const *sent = std::get_if<SendPeerReport>(&it);
+    if (sent != nullptr && !sent->Addresses.empty())
+      reports.push_back(sent->Report);
+  }
+  cr_assert_geq(reports.size(), 5);
+  for (auto const &it : reports)
+    cr_assert(it.IsFull, "report %lu is partial", it.SequenceNumber);
+}
+
 Test(RelayFleet, RequestKeepsTheConfigurationOfItsArrival) {
   auto node = RelayNode();
   auto number = node.request(RouteKind::Booking);
