LibRelay: Forget crashes without prompts first

Read in the diff: when a crash was recorded while 64 others were remembered, the oldest record was erased after the new one had been inserted. With more than 64 servers lost at the same moment all records are equally old, so the new one was erased while it was in use. The table now makes room first, and gives up crashes without any prompt in progress before others.

PromptQuarantine::ManyCrashesAtOnceKeepTheNewestEvidence fails without it.

--- a/Libraries/LibRelay/PromptQuarantine.cpp
+++ b/Libraries/LibRelay/PromptQuarantine.cpp
@@ -51,13 +51,15 @@
 }
 
 auto PromptQuarantine::crashOf(ServerKey Server, Instant Now) -> Crash & {
+  if (Crashes.size() >= MaximumCrashes && !Crashes.contains(Server)) {
+    // Crashes without any prompt in progress are forgotten first.
+    auto least = std::ranges::min_element(Crashes, {}, [](auto const &it) {
+      return std::pair(!it.second.Suspects.empty(), it.second.LastAt);
+    });
+    Crashes.erase(least);
+  }
   auto &crash = Crashes[Server];
   crash.LastAt = Now;
-  if (Crashes.size() > MaximumCrashes) {
-    auto oldest = std::ranges::min_element(
-        Crashes, {}, [](auto const &it) { return it.second.LastAt; });
-    Crashes.erase(oldest);
-  }
   return crash;
 }
 
--- a/Tests/LibRelay/TestPromptQuarantine.cpp
+++ b/Tests/LibRelay/TestPromptQuarantine.cpp
@@ -235,4 +235,20 @@
   cr_assert_eq(evidence.convicted().size(), 2);
 }
 
+// Regression test: when more servers were lost at the same moment than are
+// remembered, the newest record was erased while it was in use.
+Test(PromptQuarantine, ManyCrashesAtOnceKeepTheNewestEvidence) {
+  constexpr auto FirstOther = 1000U;
+  constexpr auto Others = 200U;
+  auto evidence = Evidence();
+  for (auto n = FirstOther; n < FirstOther + Others; ++n)
+    evidence.Quarantine.recordCrash(n, evidence.Now);
+  for (auto n = 1U; n <= 3; ++n) {
+    evidence.interrupt(n, n, {Crashing});
+    evidence.Quarantine.recordCrash(n, evidence.Now);
+  }
+  evidence.Now += SettleTime;
+  cr_assert(evidence.convicted() == only(Crashing));
+}
+
 } // namespace dotterel::relay::test
