--- a/Meta/code-mutations.sh
+++ b/Meta/code-mutations.sh
@@ -80,18 +80,18 @@
     's/\+\+request->RetryCredit;//'
   mutate 'an unused prefill is released' RequestReducer.cpp \
     's/if \(attempt.IsSent\)\n    return std::nullopt;/return std::nullopt;/'
-  mutate 'a broken connection counts as a crash' PromptQuarantine.cpp \
-    's/return Target.ConfirmedAt &&/return/'
-  mutate 'one prompt convicts its segments' PromptQuarantine.cpp \
+  mutate 'a broken connection counts as a crash' CrashEvidence.cpp \
+    's/if \(!confirmedAt \|\| \*confirmedAt > Known\)/if (false)/'
+  mutate 'one prompt is enough evidence' PromptQuarantine.cpp \
     's/MinimumPrompts = std::size_t\{2\}/MinimumPrompts = std::size_t{1}/'
   mutate 'an explained crash counts against other segments' PromptQuarantine.cpp \
-    's/return findQuarantined\(it.Segments\).has_value\(\);/return false;/'
-  mutate 'a completed prompt acquits nothing' PromptQuarantine.cpp \
+    's/return Quarantined.contains\(it\); \}\);/return false; });/'
+  mutate 'a completed prompt shows nothing' PromptQuarantine.cpp \
     's/Now - it->second < ConfirmationTime/false/'
   mutate 'a reported completion loses its age' PromptQuarantine.cpp \
     's/Now - CompletedAt.at\(it.first\)\}/Duration{}}/'
   mutate 'a peer does not learn of a quarantine' QuarantineReducer.cpp \
-    's/if \(quarantine.quarantine\(it, now\(\)\)\)\n      apply/if (false) apply/'
+    's/if \(quarantine.quarantine\(it, now\(\)\)\)/if (false)/'
   mutate 'prompts in progress are not ended' QuarantineReducer.cpp \
     's/affected.push_back\(it.first\);/;/'
   mutate 'a quarantined prompt is retried' AttemptReducer.cpp \
