LibRelay, Platform: Show the request limits that servers name

Callers saw nothing; the users' record says that engines got 49 requests in 4 s where the limit that they named allows 38. The field was forwarded and looked at by nobody, so logs could not say what was named, when and to whom.

--- a/Libraries/LibGateway/RelayMetrics.cpp
+++ b/Libraries/LibGateway/RelayMetrics.cpp
@@ -52,6 +52,10 @@
   case relay::CounterMetric::Sends:
     return {"dotterel_relay_sends_total", "Requests sent to servers, by kind",
             "kind"};
+  case relay::CounterMetric::LimitedSends:
+    return {"dotterel_relay_limited_sends_total",
+            "Requests sent to servers that name a limit, by service",
+            "service"};
   }
   return {"dotterel_relay_other_total", "Other events", "kind"};
 }
@@ -144,6 +148,7 @@
   }
   set("servers_leaving", leaving);
   set("servers_paused", paused);
+  set("servers_limited", static_cast<double>(CurrentState.Limits.size()));
   set("quarantined_segments",
       static_cast<double>(CurrentState.Quarantine.size()));
   set("store_reachable", CurrentState.Store.IsReachable ? 1 : 0);
--- a/Libraries/LibRelay/AttemptReducer.cpp
+++ b/Libraries/LibRelay/AttemptReducer.cpp
@@ -1,6 +1,7 @@
 #include "LibRelay/AttemptReducer.h"
 
 #include "LibRelay/FleetReducer.h"
+#include "LibRelay/LimitReducer.h"
 #include "LibRelay/QuarantineReducer.h"
 #include "LibRelay/RequestReducer.h"
 #include "LibRelay/ServerListReducer.h"
@@ -21,6 +22,8 @@
 /// with less time is unlikely to succeed.
 constexpr auto MinimumRetryTimeShare = 0.2;
 constexpr auto FirstErrorStatus = 500U;
+/// Status of the response to a prefill that a server accepted.
+constexpr auto PrefilledStatus = 200U;
 
 /// Returns the name of a kind of send as used in metrics.
 auto sendKind(bool IsPrefill, bool IsRepeat) -> std::string_view {
@@ -112,6 +115,8 @@
   parameters.LastEventId = request->LastEventId;
   emit(IncrementCounter{CounterMetric::Sends, request->MatchedRoute->Name,
                         std::string(sendKind(attempt.IsPrefill, isRepeat))});
+  if (CurrentState.Limits.find(attempt.Key))
+    emit(IncrementCounter{CounterMetric::LimitedSends, {}, request->Service});
   emit(std::move(send));
 }
 
@@ -185,9 +190,14 @@
 }
 
 auto AttemptReducer::observeNotice(InFlightRequest const &Request,
-                                   ServerNotice const &Notice) -> void {
-  if (auto *server = serverOf(Request))
-    ServerListReducer(CurrentState, Output).observeNotice(*server, Notice);
+                                   unsigned Status, ServerNotice const &Notice)
+    -> void {
+  auto *server = serverOf(Request);
+  if (server == nullptr)
+    return;
+  ServerListReducer(CurrentState, Output).observeNotice(*server, Notice);
+  LimitReducer(CurrentState, Output)
+      .observeResponse(*server, Status, Notice, Request.CurrentAttempt->SentAt);
 }
 
 auto AttemptReducer::on(AttemptResponded const &Event) -> void {
@@ -198,7 +208,7 @@
   auto const &response = Event.Response;
   // Another server's response says nothing about the expected one.
   if (!response.IsMisdirected)
-    observeNotice(*request, response.Notice);
+    observeNotice(*request, response.Status, response.Notice);
   if (response.IsNotExecuted || response.IsMisdirected)
     return handleRefusal(number, *request, response);
   if (request->CurrentAttempt->IsPrefill) {
@@ -311,7 +321,7 @@
   auto *request = findCurrent(Event.Attempt);
   if (request == nullptr)
     return;
-  observeNotice(*request, Event.Notice);
+  observeNotice(*request, PrefilledStatus, Event.Notice);
   observeFirstPart(*request);
   if (!request->HasPrefilled) {
     // The first accepted prefill does not count as a send. A retry was
@@ -331,7 +341,7 @@
   auto *request = findCurrent(Event.Attempt);
   if (request == nullptr)
     return;
-  observeNotice(*request, Event.Header.Notice);
+  observeNotice(*request, Event.Header.Status, Event.Header.Notice);
   request->CurrentAttempt->Framing = Event.Header.Framing;
   // The header is forwarded with the first event; until then another server may
   // still serve the request.
--- a/Libraries/LibRelay/AttemptReducer.h
+++ b/Libraries/LibRelay/AttemptReducer.h
@@ -31,8 +31,8 @@
   auto observeFailure(InFlightRequest const &Request, AttemptId const &Id,
                       std::string_view Reason) -> void;
   auto observeFirstPart(InFlightRequest &Request) -> void;
-  auto observeNotice(InFlightRequest const &Request, ServerNotice const &Notice)
-      -> void;
+  auto observeNotice(InFlightRequest const &Request, unsigned Status,
+                     ServerNotice const &Notice) -> void;
   auto beginStream(RequestNumber Number, InFlightRequest &Request) -> void;
   /// Sends the request to another server if deadline, route and retry budget
   /// allow it. Returns false otherwise; the state is unchanged then.
--- a/Libraries/LibRelay/Effect.h
+++ b/Libraries/LibRelay/Effect.h
@@ -154,6 +154,8 @@
   StreamEnds,
   /// Requests that were sent to servers, by kind.
   Sends,
+  /// Requests that were sent to servers that name a limit, by service.
+  LimitedSends,
 };
 
 struct IncrementCounter {
--- a/Libraries/LibRelay/Event.h
+++ b/Libraries/LibRelay/Event.h
@@ -50,6 +50,11 @@
   bool IsLeaving = false;
   /// The server wants nothing more from this instance for this long.
   std::optional<Duration> Pause;
+  /// Requests per second that the server takes from all instances together, for
+  /// as long as its responses say so.
+  std::optional<double> RequestLimit;
+  /// The response names a limit, which may be unreadable.
+  bool NamesLimit = false;
 };
 
 /// The connection of an attempt is kept idle for further requests until
--- a/Libraries/LibRelay/State.h
+++ b/Libraries/LibRelay/State.h
@@ -6,6 +6,7 @@
 #include "LibRelay/Event.h"
 #include "LibRelay/PrefixIndex.h"
 #include "LibRelay/PromptQuarantine.h"
+#include "LibRelay/RequestLimits.h"
 #include "LibRelay/RetryBudget.h"
 #include "LibRelay/SpeedModel.h"
 #include "LibRelay/StoreWatch.h"
@@ -225,6 +226,7 @@
   std::vector<PeerPrefixUse> UnreportedPrefixUses;
   PrefixIndex Prefixes;
   PromptQuarantine Quarantine{relay::Options{}.entryRemovalTime()};
+  RequestLimits Limits;
   std::map<std::string, SpeedModel> SpeedModels;
   std::map<std::string, RetryBudget> RetryBudgets;
   std::unordered_map<RequestNumber, InFlightRequest> Requests;
--- a/Tests/Fuzz/FuzzRelayHeaders.cpp
+++ b/Tests/Fuzz/FuzzRelayHeaders.cpp
@@ -34,5 +34,8 @@
   auto notice = platform::readNotice(fields, 503);
   if (notice.Pause && (*notice.Pause < Duration{} || *notice.Pause > 24h))
     std::abort();
+  // Written so that a value that is not a number fails.
+  if (notice.RequestLimit && !(*notice.RequestLimit >= 0))
+    std::abort();
   return 0;
 }
--- a/Tests/Platform/TestHeaders.cpp
+++ b/Tests/Platform/TestHeaders.cpp
@@ -172,6 +172,21 @@
     cr_assert_not(readPause(value).has_value(), "%s", value);
 }
 
+Test(PlatformHeaders, LimitIsADecimalNumberOfRequests) {
+  auto read = [](std::vector<HttpField> const &Fields) {
+    return readNotice(Fields, 200);
+  };
+  cr_assert(read({{"server-limit", "5.5"}}).RequestLimit == 5.5);
+  cr_assert(read({{"Server-Limit", "0"}}).RequestLimit == 0.0);
+  cr_assert(read({{"Server-Limit", "7"}, {"Server-Limit", "5"}}).RequestLimit ==
+            5.0);
+  cr_assert_not(read({{"Other", "5"}}).NamesLimit);
+  for (auto const *value : {"", "-1", "many", "5/s", " 5", "inf", "nan"}) {
+    auto notice = read({{"Server-Limit", value}});
+    cr_assert(notice.NamesLimit && !notice.RequestLimit, "%s", value);
+  }
+}
+
 Test(PlatformHeaders, ReadsHandlesAndReports) {
   cr_assert(readPrefillHandle(
                 R"({"kv_handle":"3fa0","tokens":1460,"version":1})") == "3fa0");
