--- a/Tests/LibRelay/EngineFleet.cpp
+++ b/Tests/LibRelay/EngineFleet.cpp
@@ -22,6 +22,7 @@
 /// Time from the begin of decoding until the engine crashes.
 constexpr auto CrashDelay = Duration{50ms};
 constexpr auto StreamTime = Duration{300ms};
+constexpr auto LookupTime = Duration{60ms};
 /// The store removes the entry of a silent server after three heartbeats.
 constexpr auto EntryLifetime = Duration{3600ms};
 constexpr auto StoreDelay = Duration{20ms};
@@ -44,6 +45,14 @@
     bool IsUp = true;
     std::uint64_t NextRun = 0;
     std::map<std::uint64_t, Run> Runs;
+    std::optional<double> RequestLimit;
+
+    [[nodiscard]] auto notice() const -> ServerNotice {
+      auto notice = ServerNotice{};
+      notice.RequestLimit = RequestLimit;
+      notice.NamesLimit = RequestLimit.has_value();
+      return notice;
+    }
   };
 
   struct Node {
@@ -65,6 +74,11 @@
           describeServer(fmt::format("e{}", n), "model", stage);
       Engines.push_back(std::move(engine));
     }
+    for (auto n = 0U; n < Options.PlainServers; ++n) {
+      auto server = Engine{};
+      server.Description = describeServer(fmt::format("p{}", n), "plain");
+      Engines.push_back(std::move(server));
+    }
     Nodes.resize(Options.Instances);
     for (auto n = 0U; n < Options.Instances; ++n)
       startInstance(n);
@@ -149,7 +163,7 @@
                    Effect.Attempt,
                    request,
                    Effect.Parameters.IsPrefill,
-                   Requests[request].CrashesEngines};
+                   Record.Requests[request].CrashesEngines};
     auto server = Effect.Parameters.ExpectedServer;
     Clock.schedule(NetworkDelay, [=, this] { arrive(server, run); });
   }
@@ -158,39 +172,56 @@
     auto it = std::ranges::find(Engines, Server, [](Engine const &Target) {
       return Target.Description.Id;
     });
-    Arrivals.push_back(
-        {Clock.now(), Arrived.Request, Arrived.CrashesEngine, false});
+    Record.Arrivals.push_back(
+        {Clock.now(), Arrived.Request, Arrived.CrashesEngine, false, Server});
     if (it == Engines.end() || !it->IsUp)
       return interrupt(Arrived, "no response");
     auto number = ++it->NextRun;
     it->Runs[number] = Arrived;
     if (Arrived.IsPrefill) {
-      Arrivals.back().IsFirstPrefill = Prefilled.insert(Arrived.Request).second;
+      Record.Arrivals.back().IsFirstPrefill =
+          Prefilled.insert(Arrived.Request).second;
       Clock.schedule(PrefillTime, [=, this] {
         if (auto run = take(Server, number))
-          feedRun(*run, AttemptPrefilled{run->Attempt, "handle"});
+          feedRun(*run, AttemptPrefilled{run->Attempt, "handle",
+                                         findById(Server)->notice()});
       });
       return;
     }
+    if (it->Description.Stage == EngineStage::Any)
+      return Clock.schedule(LookupTime, [=, this] { respond(Server, number); });
     Clock.schedule(DecodeDelay, [=, this] { begin(Server, number); });
   }
 
+  /// Completes a lookup at a server of the plain service.
+  auto respond(std::string const &Server, std::uint64_t Number) -> void {
+    auto run = take(Server, Number);
+    if (!run)
+      return;
+    Record.Requests[run->Request].HasBegun = true;
+    auto response = ServerResponse{};
+    response.Status = 200;
+    response.Notice = findById(Server)->notice();
+    feedRun(*run, AttemptResponded{run->Attempt, response});
+  }
+
   auto begin(std::string const &Server, std::uint64_t Number) -> void {
     auto *engine = findById(Server);
     if (engine == nullptr || !engine->Runs.contains(Number))
       return;
     auto run = engine->Runs.at(Number);
-    Requests[run.Request].HasBegun = true;
+    Record.Requests[run.Request].HasBegun = true;
     auto header = ServerResponse{};
     header.Status = 200;
     header.Framing = BodyFraming::Chunked;
+    header.Notice = engine->notice();
     feedRun(run, AttemptStreamStarted{run.Attempt, header});
     if (run.CrashesEngine) {
       Clock.schedule(CrashDelay, [=, this] {
         auto *target = findById(Server);
         if (target == nullptr || !target->Runs.contains(Number))
           return;
-        Crashes.push_back(Clock.now());
+        Record.Crashes.push_back(Clock.now());
         crash(*target);
       });
       return;
@@ -268,25 +299,26 @@
   }
 
   auto carryOut(unsigned Instance, SendPeerReport &Effect) -> void {
-    auto bytes = encodePeerReport(Effect.Report);
-    auto sender = Nodes[Instance].CurrentState.Self.PeerAddress;
+    auto report = *decodePeerReport(encodePeerReport(Effect.Report));
+    report.PeerAddress = Nodes[Instance].CurrentState.Self.PeerAddress;
+    auto recipients = std::set<std::string_view>(Effect.Addresses.begin(),
+                                                 Effect.Addresses.end());
     for (auto n = 0U; n < Nodes.size(); ++n) {
-      auto const &address = Nodes[n].CurrentState.Self.PeerAddress;
       auto isLost =
           std::uniform_real_distribution<double>()(Random) < Options.ReportLoss;
       if (!Nodes[n].IsUp || isLost ||
-          std::ranges::find(Effect.Addresses, address) ==
-              Effect.Addresses.end())
+          !recipients.contains(Nodes[n].CurrentState.Self.PeerAddress))
         continue;
       Clock.schedule(ReportDelay, [=, this] {
-        auto report = decodePeerReport(bytes);
-        report->PeerAddress = sender;
         if (Nodes[n].IsUp)
-          feed(n, PeerReported{*report});
+          feed(n, PeerReported{report});
       });
     }
   }
 
+  auto carryOut(unsigned Instance, ForwardResponse &Effect) -> void {
+    end(Instance, Effect.Number, true, {});
+  }
   auto carryOut(unsigned Instance, EndStream &Effect) -> void {
     end(Instance, Effect.Number, true, {});
   }
@@ -309,7 +341,7 @@
 
   /// Lets the caller repeat a request that failed, once.
   auto retryLater(std::uint64_t Request, Duration After) -> void {
-    if (Requests[Request].IsCallerRetry)
+    if (Record.Requests[Request].IsCallerRetry)
       return;
     // Callers honour a time up to a third of what they have left.
     Clock.schedule(std::min<Duration>(After, 1s) + NetworkDelay,
@@ -322,19 +354,23 @@
       if (Nodes[n].IsUp && Nodes[n].CurrentState.isReady())
         up.push_back(n);
     }
-    auto request = Requests.size();
+    auto request = Record.Requests.size();
     auto isCrashing = std::ranges::any_of(Segments, [this](auto const &it) {
       return it.Hash == CrashingSegment;
     });
-    Requests.push_back({Clock.now(), isCrashing, false, IsCallerRetry});
+    Record.Requests.push_back({Clock.now(), isCrashing, false, IsCallerRetry});
     Prompts.push_back(Segments);
     if (up.empty())
       return;
-    auto instance = up[std::uniform_int_distribution<std::size_t>(
-        0, up.size() - 1)(Random)];
+    auto isUneven =
+        Options.UnevenShare > 0 &&
+        std::uniform_real_distribution<double>()(Random) < Options.UnevenShare;
+    auto last = isUneven ? std::min<std::size_t>(up.size(), 2) : up.size();
+    auto instance =
+        up[std::uniform_int_distribution<std::size_t>(0, last - 1)(Random)];
     auto content = relay::Request{};
     content.Method = "POST";
-    content.Target = "/stream/x";
+    content.Target = Segments.empty() ? "/look/x" : "/stream/x";
     content.Host = "h";
     content.Id = fmt::format("r{}", request);
     content.TimeLimit = 4s;
@@ -374,11 +410,9 @@
   std::uint64_t CrashingSegment = 0;
   /// The segments in quarantine that the store has.
   std::set<SegmentKey> StoredSegments;
-  std::vector<FleetRequest> Requests;
+  FleetRecord Record;
   std::vector<std::vector<PromptSegment>> Prompts;
-  std::vector<FleetArrival> Arrivals;
   std::set<std::uint64_t> Prefilled;
-  std::vector<Instant> Crashes;
 };
 
 EngineFleet::EngineFleet(EngineFleetOptions Options)
@@ -415,8 +449,11 @@
     it.Runs.clear();
 }
 
-auto EngineFleet::crashes() const -> std::vector<Instant> const & {
-  return Impl->Crashes;
+auto EngineFleet::record() const -> FleetRecord const & { return Impl->Record; }
+
+auto EngineFleet::setLimit(std::string const &Server,
+                           std::optional<double> PerSecond) -> void {
+  Impl->findById(Server)->RequestLimit = PerSecond;
 }
 
 auto EngineFleet::size() const -> unsigned { return Impl->Options.Instances; }
@@ -425,56 +462,4 @@
   return Impl->Nodes[Instance].CurrentState;
 }
 
-auto EngineFleet::arrivalsAboveBudget() const -> double {
-  auto const &limits = Impl->Options.Retries;
-  auto repeats = std::vector<Instant>{};
-  auto seen = std::set<std::uint64_t>{};
-  for (auto const &it : Impl->Arrivals) {
-    if (!it.IsFirstPrefill && !seen.insert(it.Request).second)
-      repeats.push_back(it.At);
-  }
-  auto requestsIn = [&](Instant From) {
-    return static_cast<double>(
-        std::ranges::count_if(Impl->Requests, [&](FleetRequest const &it) {
-          return it.SentAt >= From && it.SentAt < From + limits.Window;
-        }));
-  };
-  auto worst = 0.0;
-  for (auto first = repeats.begin(); first != repeats.end(); ++first) {
-    auto end = std::lower_bound(first, repeats.end(), *first + limits.Window);
-    // The users' rule takes the largest of three windows.
-    auto requests =
-        std::max({requestsIn(*first), requestsIn(*first - limits.Window / 2),
-                  requestsIn(*first - limits.Window)});
-    worst = std::max(worst, static_cast<double>(end - first) -
-                                limits.Ratio * requests - limits.Slack);
-  }
-  return worst;
-}
-
-auto EngineFleet::crashingArrivalsAfterFifthCrash(Duration Delay) const
-    -> unsigned {
-  constexpr auto Fifth = std::size_t{4};
-  if (Impl->Crashes.size() <= Fifth)
-    return 0;
-  auto from = Impl->Crashes[Fifth] + Delay;
-  return static_cast<unsigned>(
-      std::ranges::count_if(Impl->Arrivals, [&](FleetArrival const &it) {
-        return it.CrashesEngines && it.At > from;
-      }));
-}
-
-auto EngineFleet::soundShareBegun(Instant From, Instant To) const -> double {
-  auto sent = 0.0;
-  auto begun = 0.0;
-  for (auto const &it : Impl->Requests) {
-    if (it.CrashesEngines || it.IsCallerRetry || it.SentAt < From ||
-        it.SentAt >= To)
-      continue;
-    sent += 1;
-    begun += it.HasBegun ? 1 : 0;
-  }
-  return sent == 0 ? 1 : begun / sent;
-}
-
 } // namespace dotterel::relay::test
--- /dev/null
+++ b/Tests/LibRelay/FleetRecord.cpp
@@ -0,0 +1,78 @@
+#include "LibRelay/FleetRecord.h"
+
+#include <algorithm>
+#include <set>
+
+namespace dotterel::relay::test {
+
+auto FleetRecord::arrivalsAboveBudget(RetryLimits const &Limits) const
+    -> double {
+  auto repeats = std::vector<Instant>{};
+  auto seen = std::set<std::uint64_t>{};
+  for (auto const &it : Arrivals) {
+    if (!it.IsFirstPrefill && !seen.insert(it.Request).second)
+      repeats.push_back(it.At);
+  }
+  auto requestsIn = [&](Instant From) {
+    return static_cast<double>(
+        std::ranges::count_if(Requests, [&](FleetRequest const &it) {
+          return it.SentAt >= From && it.SentAt < From + Limits.Window;
+        }));
+  };
+  auto worst = 0.0;
+  for (auto first = repeats.begin(); first != repeats.end(); ++first) {
+    auto end = std::lower_bound(first, repeats.end(), *first + Limits.Window);
+    // The users' rule takes the largest of three windows.
+    auto requests =
+        std::max({requestsIn(*first), requestsIn(*first - Limits.Window / 2),
+                  requestsIn(*first - Limits.Window)});
+    worst = std::max(worst, static_cast<double>(end - first) -
+                                Limits.Ratio * requests - Limits.Slack);
+  }
+  return worst;
+}
+
+auto FleetRecord::crashingArrivalsAfterFifthCrash(Duration Delay) const
+    -> unsigned {
+  constexpr auto Fifth = std::size_t{4};
+  if (Crashes.size() <= Fifth)
+    return 0;
+  auto from = Crashes[Fifth] + Delay;
+  return static_cast<unsigned>(
+      std::ranges::count_if(Arrivals, [&](FleetArrival const &it) {
+        return it.CrashesEngines && it.At > from;
+      }));
+}
+
+auto FleetRecord::soundShareBegun(Instant From, Instant To) const -> double {
+  auto sent = 0.0;
+  auto begun = 0.0;
+  for (auto const &it : Requests) {
+    if (it.CrashesEngines || it.IsCallerRetry || it.SentAt < From ||
+        it.SentAt >= To)
+      continue;
+    sent += 1;
+    begun += it.HasBegun ? 1 : 0;
+  }
+  return sent == 0 ? 1 : begun / sent;
+}
+
+auto FleetRecord::arrivalsAt(std::string_view Server, Instant From,
+                             Instant To) const -> unsigned {
+  return static_cast<unsigned>(
+      std::ranges::count_if(Arrivals, [&](FleetArrival const &it) {
+        return it.Server == Server && it.At >= From && it.At < To;
+      }));
+}
+
+auto FleetRecord::mostArrivalsAt(std::string_view Server, Instant From,
+                                 Duration Window) const -> unsigned {
+  auto most = 0U;
+  for (auto const &it : Arrivals) {
+    if (it.Server == Server && it.At >= From)
+      most = std::max(most, arrivalsAt(Server, it.At, it.At + Window));
+  }
+  return most;
+}
+
+} // namespace dotterel::relay::test
--- /dev/null
+++ b/Tests/LibRelay/FleetRecord.h
@@ -0,0 +1,63 @@
+/// \file
+/// What callers and servers of a simulated fleet saw.
+#pragma once
+
+#include "LibCore/Time.h"
+#include "LibRelay/RetryBudget.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dotterel::relay::test {
+
+/// A request as a caller saw it.
+struct FleetRequest {
+  Instant SentAt;
+  bool CrashesEngines = false;
+  /// A server began to run it; an engine begins with decoding.
+  bool HasBegun = false;
+  /// Repeats an earlier request of the caller.
+  bool IsCallerRetry = false;
+};
+
+/// A request that reached a server.
+struct FleetArrival {
+  Instant At;
+  std::uint64_t Request = 0;
+  bool CrashesEngines = false;
+  /// It is the first prefill of its request that an engine accepted.
+  bool IsFirstPrefill = false;
+  std::string Server;
+};
+
+/// Collects the events of a simulation in the order of their times, and
+/// compares them with the users' rules. Thread safety: none.
+struct FleetRecord {
+  std::vector<FleetRequest> Requests;
+  std::vector<FleetArrival> Arrivals;
+  /// Times of the crashes that a prompt caused.
+  std::vector<Instant> Crashes;
+
+  /// Returns the arrivals beyond the first of their requests, not counting
+  /// first prefills, that exceed \p Limits in the worst window.
+  [[nodiscard]] auto arrivalsAboveBudget(RetryLimits const &Limits) const
+      -> double;
+  /// Returns the number of crashing requests that reached servers later than
+  /// \p Delay after the fifth crash.
+  [[nodiscard]] auto crashingArrivalsAfterFifthCrash(Duration Delay) const
+      -> unsigned;
+  /// Returns the share of the first attempts of callers between \p From and
+  /// \p To that servers began to run, without those that crash engines.
+  [[nodiscard]] auto soundShareBegun(Instant From, Instant To) const -> double;
+  /// Returns the number of requests that reached \p Server between \p From and
+  /// \p To.
+  [[nodiscard]] auto arrivalsAt(std::string_view Server, Instant From,
+                                Instant To) const -> unsigned;
+  /// Returns the largest number of requests that reached \p Server within
+  /// \p Window, counted from \p From on.
+  [[nodiscard]] auto mostArrivalsAt(std::string_view Server, Instant From,
+                                    Duration Window) const -> unsigned;
+};
+
+} // namespace dotterel::relay::test
--- a/Tests/LibRelay/TestCrashingPrompt.cpp
+++ b/Tests/LibRelay/TestCrashingPrompt.cpp
@@ -1,9 +1,8 @@
 // One segment of some prompts crashes each engine that decodes it. Requests
 // with it come to any instance; sound ones share their other segments.
-#include "LibRelay/EngineFleet.h"
+#include "LibRelay/FleetTraffic.h"
 #include "LibRelay/RelayNode.h"
 
-#include <cstdlib>
 #include <random>
 
 #include <criterion/criterion.h>
@@ -12,63 +11,10 @@
 
 namespace {
 
-constexpr auto RequestInterval = Duration{9ms};
-/// Shortest time of all deployments within which instances must act on what one
-/// of them knows.
-constexpr auto ContactTime = Duration{3s};
-constexpr auto CrashingSegment = std::uint64_t{0xbad};
-/// Number of seeds that each test runs, from the first one on.
-constexpr auto Seeds = std::uint64_t{4};
+/// Time between two sound prompts.
+constexpr auto PromptInterval = Duration{9ms};
 constexpr auto DefaultLimits = RetryLimits{0.2, 126, 10s};
 
-/// Sends sound prompts throughout and, from a given time on, prompts with the
-/// crashing segment.
-class PromptTraffic {
-public:
-  PromptTraffic(EngineFleet &Fleet, std::uint64_t Seed)
-      : Fleet(Fleet), Random(Seed) {
-    sendSound();
-  }
-
-  /// Sends a crashing prompt every \p Interval on average.
-  auto startCrashing(Duration Interval) -> void {
-    Fleet.send(makePrompt(true));
-    Fleet.schedule(
-        scaled(Interval, static_cast<double>(draw(500, 1500)) / 1000),
-        [=, this] { startCrashing(Interval); });
-  }
-
-private:
-  auto draw(std::uint64_t From, std::uint64_t To) -> std::uint64_t {
-    return std::uniform_int_distribution<std::uint64_t>(From, To)(Random);
-  }
-
-  auto makePrompt(bool IsCrashing) -> std::vector<PromptSegment> {
-    constexpr auto Applications = 3;
-    constexpr auto Subjects = 60;
-    auto application = draw(1, Applications);
-    auto segments = std::vector<PromptSegment>{
-        {application, 2000},
-        {Subjects * application + draw(0, Subjects - 1), 800}};
-    if (IsCrashing) {
-      auto position = static_cast<std::ptrdiff_t>(draw(1, 2));
-      segments.insert(segments.begin() + position, {CrashingSegment, 400});
-    }
-    constexpr auto FirstUnique = std::uint64_t{1} << 32U;
-    segments.push_back({FirstUnique + ++UniqueSegments, 300});
-    return segments;
-  }
-
-  auto sendSound() -> void {
-    Fleet.send(makePrompt(false));
-    Fleet.schedule(RequestInterval, [this] { sendSound(); });
-  }
-
-  EngineFleet &Fleet; // NOLINT: outlives the traffic
-  std::mt19937_64 Random;
-  std::uint64_t UniqueSegments = 0;
-};
-
 /// Returns the key of the segment \p Hash, as a list.
 auto keysOf(std::uint64_t Hash) -> std::vector<SegmentKey> {
   auto request = Request{};
@@ -77,11 +23,6 @@
   return sharedSegments(request);
 }
 
-auto firstSeed() -> std::uint64_t {
-  auto const *text = std::getenv("DOTTEREL_SEED"); // NOLINT: one thread
-  return text == nullptr ? 1 : std::strtoull(text, nullptr, 10);
-}
-
 /// Returns a fleet whose size, losses and restarts depend on the seed.
 auto drawOptions(std::uint64_t Seed, RetryLimits const &Limits)
     -> EngineFleetOptions {
@@ -109,7 +50,7 @@
     auto fleet = EngineFleet(options);
     fleet.setCrashingSegment(CrashingSegment);
     fleet.run(2s);
-    auto traffic = PromptTraffic(fleet, options.Seed);
+    auto traffic = PromptTraffic(fleet, options.Seed, PromptInterval);
     fleet.run(5s);
     traffic.startCrashing(std::chrono::milliseconds(125 << (options.Seed % 3)));
     fleet.run(10s);
@@ -148,8 +89,8 @@
 // that permits few retries.
 Test(RelayCrashingPrompt, RepeatsStayWithinTheRetryBudget) {
   auto const limits = RetryLimits{0.05, 50, 10s};
-  forEachSeed(limits, [](EngineFleet &Fleet, std::uint64_t Seed) {
-    auto excess = Fleet.arrivalsAboveBudget();
+  forEachSeed(limits, [&limits](EngineFleet &Fleet, std::uint64_t Seed) {
+    auto excess = Fleet.record().arrivalsAboveBudget(limits);
     cr_expect(excess <= 0, "seed %lu: %.0f arrivals above the budget", Seed,
               excess);
   });
@@ -161,12 +102,12 @@
   constexpr auto MaximumLaterArrivals = 3U;
   forEachSeed(DefaultLimits, [](EngineFleet &Fleet, std::uint64_t Seed) {
     Fleet.run(10s);
-    cr_expect(Fleet.crashes().size() > 1, "seed %lu: the load causes no crash",
-              Seed);
-    auto later = Fleet.crashingArrivalsAfterFifthCrash(ContactTime);
+    cr_expect(Fleet.record().Crashes.size() > 1,
+              "seed %lu: the load causes no crash", Seed);
+    auto later = Fleet.record().crashingArrivalsAfterFifthCrash(ContactTime);
     cr_expect(later <= MaximumLaterArrivals,
               "seed %lu: %u arrivals after the fifth of %zu crashes", Seed,
-              later, Fleet.crashes().size());
+              later, Fleet.record().Crashes.size());
   });
 }
 
@@ -174,7 +115,7 @@
   forEachSeed(DefaultLimits, [](EngineFleet &Fleet, std::uint64_t Seed) {
     auto from = Fleet.now();
     Fleet.run(10s);
-    auto share = Fleet.soundShareBegun(from, Fleet.now() - 1s);
+    auto share = Fleet.record().soundShareBegun(from, Fleet.now() - 1s);
     cr_expect(share > 0.5, "seed %lu: %.2f of the sound prompts begun", Seed,
               share);
   });
@@ -198,10 +139,10 @@
   forEachSeed(DefaultLimits, [](EngineFleet &Fleet, std::uint64_t Seed) {
     Fleet.restartInstances(1s);
     Fleet.run(10s);
-    auto later = Fleet.crashingArrivalsAfterFifthCrash(ContactTime);
+    auto later = Fleet.record().crashingArrivalsAfterFifthCrash(ContactTime);
     cr_expect(later <= MaximumLaterArrivals,
               "seed %lu: %u arrivals after the fifth of %zu crashes", Seed,
-              later, Fleet.crashes().size());
+              later, Fleet.record().Crashes.size());
   });
 }
 
