LibRelay: Keep the request limits that servers name, over all instances

No instance alone exceeded it, so a limit kept by each instance would not have helped, and a share for each one would be below a request in 30 s with 195 instances, and unused where callers are uneven.

For each server that names a limit, one live instance, found by rendezvous hashing, issues permits from a token bucket that holds what the server takes in one second; the others ask it by datagram before each request. Without a permit the request goes to another server, or is refused at once with the time until the next permit. Instances report the limits that they observed; a limit ends with a response to a later request that names none.

Ruled out: shares by instance (above); permits in the store (its calls are limited, and it may be away).

Found while testing: a wait that was rounded to nothing let a request ask without end (WaitForAPermitIsNeverZero).

--- a/Libraries/LibGateway/PeerSocket.cpp
+++ b/Libraries/LibGateway/PeerSocket.cpp
@@ -37,18 +37,40 @@
       // The ICMP error for an earlier datagram to a closed port surfaces here.
       if (ec)
         continue;
-      auto message = relay::decodePeerReport({buf.data(), n});
-      if (message) {
-        message->PeerAddress =
-            fmt::format("{}:{}", sender.address().to_string(), sender.port());
-        Loop.feed(relay::PeerReported{std::move(*message)});
-      } else {
+      auto address =
+          fmt::format("{}:{}", sender.address().to_string(), sender.port());
+      if (!accept({buf.data(), n}, std::move(address)))
         log(LogLevel::Warning, "peer-report-unreadable",
             {{"from", sender.address().to_string()}, {"bytes", n}});
-      }
     }
   }
 
+  /// Feeds a datagram from \p Address to the reducer. Returns false if it
+  /// cannot be read.
+  auto accept(std::string_view Bytes, std::string Address) -> bool {
+    if (auto report = relay::decodePeerReport(Bytes)) {
+      report->PeerAddress = std::move(Address);
+      Loop.feed(relay::PeerReported{std::move(*report)});
+      return true;
+    }
+    auto message = relay::decodePermitMessage(Bytes);
+    if (!message)
+      return false;
+    if (auto const *request = std::get_if<relay::PermitRequest>(&*message))
+      Loop.feed(relay::PermitRequested{std::move(Address), *request});
+    else
+      Loop.feed(
+          relay::PermitAnswered{std::get<relay::PermitResponse>(*message)});
+    return true;
+  }
+
+  auto send(std::string_view Bytes, std::string_view Address) -> void {
+    auto ec = boost::system::error_code{};
+    // A datagram that cannot be sent now is like one that is lost: a later
+    // report supersedes it, and a permit is asked for again.
+    Socket.send_to(asio::buffer(Bytes), toUdp(Address), 0, ec);
+  }
+
   udp::socket Socket;
   udp::endpoint Local;
   RelayLoop &Loop; // NOLINT
@@ -70,11 +92,16 @@
 
 auto PeerSocket::run(relay::SendPeerReport const &Effect) -> void {
   auto bytes = relay::encodePeerReport(Effect.Report);
-  for (auto const &it : Effect.Addresses) {
-    auto ec = boost::system::error_code{};
-    // A report that cannot be sent now is superseded by the next one.
-    Impl->Socket.send_to(asio::buffer(bytes), toUdp(it), 0, ec);
-  }
+  for (auto const &it : Effect.Addresses)
+    Impl->send(bytes, it);
+}
+
+auto PeerSocket::run(relay::SendPermitRequest const &Effect) -> void {
+  Impl->send(relay::encodePermitMessage(Effect.Request), Effect.Address);
+}
+
+auto PeerSocket::run(relay::SendPermitResponse const &Effect) -> void {
+  Impl->send(relay::encodePermitMessage(Effect.Response), Effect.Address);
 }
 
 } // namespace dotterel
--- a/Libraries/LibGateway/PeerSocket.h
+++ b/Libraries/LibGateway/PeerSocket.h
@@ -10,7 +10,7 @@
 
 namespace dotterel {
 
-/// Sends reports to peers and feeds received reports to the reducer. Thread
+/// Sends datagrams to peers and feeds received ones to the reducer. Thread
 /// safety: none; used on one executor.
 class PeerSocket {
 public:
@@ -24,6 +24,8 @@
   auto start() -> void;
 
   auto run(relay::SendPeerReport const &Effect) -> void;
+  auto run(relay::SendPermitRequest const &Effect) -> void;
+  auto run(relay::SendPermitResponse const &Effect) -> void;
 
 private:
   struct Implementation;
--- a/Libraries/LibGateway/RelayMetrics.cpp
+++ b/Libraries/LibGateway/RelayMetrics.cpp
@@ -56,6 +56,9 @@
     return {"dotterel_relay_limited_sends_total",
             "Requests sent to servers that name a limit, by service",
             "service"};
+  case relay::CounterMetric::Permits:
+    return {"dotterel_relay_permits_total",
+            "Permits for servers that name a limit, by outcome", "outcome"};
   }
   return {"dotterel_relay_other_total", "Other events", "kind"};
 }
--- a/Libraries/LibRelay/Effect.h
+++ b/Libraries/LibRelay/Effect.h
@@ -106,6 +106,16 @@
   PeerReport Report;
 };
 
+struct SendPermitRequest {
+  std::string Address;
+  PermitRequest Request;
+};
+
+struct SendPermitResponse {
+  std::string Address;
+  PermitResponse Response;
+};
+
 /// Reads the lease from the store.
 struct ReadLease {};
 
@@ -156,6 +166,8 @@
   Sends,
   /// Requests that were sent to servers that name a limit, by service.
   LimitedSends,
+  /// Permits for servers that name a limit, by outcome.
+  Permits,
 };
 
 struct IncrementCounter {
@@ -179,9 +191,10 @@
     std::variant<ConnectAttempt, SendAttempt, CancelAttempt, ReleasePrefill,
                  ForwardResponse, BeginStream, ForwardBytes, EndStream,
                  AbortStream, SendErrorResponse, CloseIdleConnections,
-                 SendSteeringResponse, SendPeerReport, ReadLease, WriteLease,
-                 StoreQuarantine, DeleteQuarantine, SendOrder, WriteLog,
-                 IncrementCounter, ObserveDuration, StopProcess>;
+                 SendSteeringResponse, SendPeerReport, SendPermitRequest,
+                 SendPermitResponse, ReadLease, WriteLease, StoreQuarantine,
+                 DeleteQuarantine, SendOrder, WriteLog, IncrementCounter,
+                 ObserveDuration, StopProcess>;
 
 using Effects = std::vector<Effect>;
 
--- a/Libraries/LibRelay/Event.h
+++ b/Libraries/LibRelay/Event.h
@@ -4,9 +4,11 @@
 #pragma once
 
 #include "LibNet/BodyFraming.h"
+#include "LibRelay/AttemptId.h"
 #include "LibRelay/Configuration.h"
 #include "LibRelay/EventFramer.h"
 #include "LibRelay/Peers.h"
+#include "LibRelay/PermitMessage.h"
 #include "LibRelay/Request.h"
 #include "LibRelay/ServerTable.h"
 #include "LibRelay/StoreWatch.h"
@@ -17,13 +19,6 @@
 
 namespace dotterel::relay {
 
-/// Identifies one attempt to serve a request at one server.
-struct AttemptId {
-  RequestNumber Request = 0;
-  std::uint32_t Number = 0;
-  auto operator<=>(AttemptId const &) const = default;
-};
-
 struct RequestArrived {
   RequestNumber Number = 0;
   RequestPointer Content;
@@ -164,6 +159,16 @@
   PeerReport Report;
 };
 
+/// A peer asked for a permit.
+struct PermitRequested {
+  std::string PeerAddress;
+  PermitRequest Request;
+};
+
+struct PermitAnswered {
+  PermitResponse Response;
+};
+
 /// Result of reading the lease. An empty holder means that the lease object
 /// does not exist; the version then has revision 0.
 struct LeaseRead {
@@ -222,8 +227,9 @@
                  AttemptStreamEnded, AttemptInterrupted, ConfigurationReceived,
                  ConfigurationConfirmed, ServersListed, ServersUpdated,
                  StoreReachabilityObserved, StoreEraObserved, PeersListed,
-                 PeerReported, LeaseRead, LeaseWritten, OrderResultReceived,
-                 QuarantineListed, SteeringRequested, LeaveRequested, Tick>;
+                 PeerReported, PermitRequested, PermitAnswered, LeaseRead,
+                 LeaseWritten, OrderResultReceived, QuarantineListed,
+                 SteeringRequested, LeaveRequested, Tick>;
 
 /// An event and the time at which it was observed. Times never decrease.
 struct Event {
--- a/Libraries/LibRelay/FleetReducer.cpp
+++ b/Libraries/LibRelay/FleetReducer.cpp
@@ -1,5 +1,6 @@
 #include "LibRelay/FleetReducer.h"
 
+#include "LibRelay/LimitReducer.h"
 #include "LibRelay/RequestReducer.h"
 #include "LibRelay/ServerListReducer.h"
 
@@ -15,13 +16,6 @@
 constexpr auto PrefixLifetime = Duration{25s};
 /// Addresses in one steering response.
 constexpr auto MaximumSteeringAddresses = std::size_t{64};
-/// Time within which an instance that has just started receives reports from
-/// its peers. An earlier steering response would direct all callers to few
-/// instances.
-constexpr auto PeerDiscoveryPeriod = Duration{1300ms};
-/// An instance that cannot list its peers responds with its own address after
-/// this time.
-constexpr auto PeerListTimeout = Duration{4s};
 /// An instance keeps running for at least this long after the request to stop,
 /// for callers that have not learned of it yet.
 constexpr auto MinimumLeaveDuration = Duration{2500ms};
@@ -100,6 +94,8 @@
     if (auto *server = CurrentState.Servers.findByKey(key))
       suspect(*server, report.PeerAddress, report.Incarnation);
   }
+  for (auto const &it : report.Limits)
+    LimitReducer(CurrentState, Output).adopt(it, report.PeerAddress);
   for (auto key : report.Leaving)
     ServerListReducer(CurrentState, Output)
         .recordLeaving(key, report.PeerAddress);
@@ -115,13 +111,10 @@
 }
 
 auto FleetReducer::on(SteeringRequested const &Event) -> void {
-  auto knowsPeers =
-      CurrentState.PeersListedAt
-          ? now() - *CurrentState.PeersListedAt > PeerDiscoveryPeriod
-          : now() - CurrentState.StartedAt > PeerListTimeout;
   auto response = SendSteeringResponse{
       Event.Number, {}, CurrentState.Options.SteeringLifetime};
-  if (!knowsPeers || !CurrentState.Config)
+  // An earlier response would direct all callers to few instances.
+  if (!CurrentState.knowsPeers() || !CurrentState.Config)
     return emit(std::move(response));
   struct Candidate {
     double Score;
@@ -193,6 +186,7 @@
       CurrentState.Config ? CurrentState.Config->version() : 0;
   report.ConfigurationEra = CurrentState.ConfigurationEra;
   report.Quarantine = CurrentState.Quarantine.makeReport(report.IsFull, now());
+  report.Limits = CurrentState.Limits.recent(now());
   auto &uses = CurrentState.UnreportedPrefixUses;
   auto count = std::min(uses.size(), MaximumPrefixesPerReport);
   report.Prefixes.assign(uses.end() - static_cast<std::ptrdiff_t>(count),
@@ -263,6 +257,7 @@
     CurrentState.NextReportAt = now() + interval;
     CurrentState.Peers.expire(now(), CurrentState.Servers);
     CurrentState.Prefixes.expire(now() - PrefixLifetime);
+    CurrentState.Limits.expire(now(), CurrentState.Servers);
     sendReport();
   }
   stopWhenDrained();
--- a/Libraries/LibRelay/LimitReducer.h
+++ b/Libraries/LibRelay/LimitReducer.h
@@ -1,20 +1,64 @@
 /// \file
-/// Limits on the requests per second that servers name.
+/// Limits on the requests per second that servers name. For each server, one
+/// instance issues the permits to send a request to it; the others ask that one
+/// before each request, so that all together keep the limit however callers are
+/// distributed.
 #pragma once
 
 #include "LibRelay/SubReducer.h"
 
+#include <optional>
+#include <string_view>
+
 namespace dotterel::relay {
 
-/// Learns the limits from responses.
+/// Whether a request may be sent to a server now.
+enum class PermitStatus : std::uint8_t {
+  Granted,
+  Denied,
+  /// Another instance was asked.
+  Pending,
+};
+
+/// Learns the limits from responses and keeps them.
 class LimitReducer : public SubReducer {
 public:
   using SubReducer::SubReducer;
 
+  auto on(PermitRequested const &Event) -> void;
+  auto on(PermitAnswered const &Event) -> void;
+
   /// Applies the limit that a response of \p Target with \p Status names, or
   /// that it names none. The request was sent at \p SentAt.
   auto observeResponse(Server const &Target, unsigned Status,
                        ServerNotice const &Notice, Instant SentAt) -> void;
+
+  /// Applies a limit that another instance observed.
+  auto adopt(LimitReport const &Report, std::string_view Source) -> void;
+
+  /// Returns whether \p Attempt may be sent to \p Target. If it may not, no
+  /// request is placed there before the time for the next permit. If the answer
+  /// is pending, PermitAnswered or timeOut follows.
+  auto acquire(Server const &Target, AttemptId Attempt) -> PermitStatus;
+
+  /// Places the request elsewhere if its attempt has waited too long for a
+  /// permit. Precondition: the request's attempt waits for one.
+  auto timeOut(RequestNumber Number) -> void;
+
+private:
+  auto logChange(ServerKey Key, LimitChange Change, std::string_view Source)
+      -> void;
+  /// Returns the peer address of the instance that issues the permits for a
+  /// server, or std::nullopt if none is known yet.
+  [[nodiscard]] auto findIssuer(ServerKey Key) const
+      -> std::optional<std::string>;
+  /// Takes a permit as the issuer. Returns std::nullopt if it is granted, or
+  /// the time after which to ask again.
+  [[nodiscard]] auto issue(ServerKey Key) -> std::optional<Duration>;
+  auto countPermit(std::string_view Outcome) -> void;
+  /// Denies a permit to a request that waits for one.
+  auto deny(RequestNumber Number, ServerKey Key, Duration Wait,
+            std::string_view Outcome) -> void;
 };
 
 } // namespace dotterel::relay
--- a/Libraries/LibRelay/Peers.cpp
+++ b/Libraries/LibRelay/Peers.cpp
@@ -52,6 +52,31 @@
   return report;
 }
 
+auto encodeLimits(std::vector<LimitReport> const &Limits) -> json {
+  auto fields = json::array();
+  for (auto const &it : Limits) {
+    fields.push_back(it.Server);
+    fields.push_back(it.PerSecond ? json(*it.PerSecond) : json(nullptr));
+    fields.push_back(toMilliseconds(it.Age));
+  }
+  return fields;
+}
+
+auto decodeLimits(json const &Source) -> std::vector<LimitReport> {
+  auto limits = std::vector<LimitReport>{};
+  for (auto n = std::size_t{0}; n + 2 < Source.size(); n += 3) {
+    auto limit = LimitReport{};
+    limit.Server = Source[n].get<ServerKey>();
+    if (!Source[n + 1].is_null())
+      limit.PerSecond = Source[n + 1].get<double>();
+    limit.Age = std::chrono::milliseconds(Source[n + 2].get<std::uint32_t>());
+    // Written so that a value that is not a number is dropped.
+    if (!limit.PerSecond || *limit.PerSecond >= 0)
+      limits.push_back(limit);
+  }
+  return limits;
+}
+
 auto encodeLoads(PeerReport const &Report) -> json {
   auto loads = json::array();
   for (auto const &it : Report.Loads) {
@@ -63,8 +88,10 @@
   // reject reports with more fields.
   auto fields = json::array(
       {Report.Leaving, Report.ConfigurationVersion, Report.ConfigurationEra});
-  if (!Report.Quarantine.isEmpty())
+  if (!Report.Quarantine.isEmpty() || !Report.Limits.empty())
     fields.push_back(encodeQuarantine(Report.Quarantine));
+  if (!Report.Limits.empty())
+    fields.push_back(encodeLimits(Report.Limits));
   loads.push_back(std::move(fields));
   return loads;
 }
@@ -81,6 +108,9 @@
   constexpr auto QuarantineIndex = std::size_t{3};
   if (fields.size() > QuarantineIndex)
     Report.Quarantine = decodeQuarantine(fields[QuarantineIndex]);
+  constexpr auto LimitsIndex = std::size_t{4};
+  if (fields.size() > LimitsIndex)
+    Report.Limits = decodeLimits(fields[LimitsIndex]);
 }
 
 auto encodePrefixes(PeerReport const &Report) -> json {
@@ -254,6 +284,8 @@
     if (auto *server = Servers.findByKey(it.Server))
       server->PeerLoad.add(it.Load);
   }
+  if (!isAlive(peer, Now) || peer.LastReport->Incarnation != Report.Incarnation)
+    peer.HeardSince = Now;
   peer.LastHeardAt = Now;
   peer.LastReport = std::move(Report);
   return true;
--- a/Libraries/LibRelay/Peers.h
+++ b/Libraries/LibRelay/Peers.h
@@ -6,6 +6,7 @@
 
 #include "LibRelay/DemandMeter.h"
 #include "LibRelay/PromptQuarantine.h"
+#include "LibRelay/RequestLimits.h"
 #include "LibRelay/ServerTable.h"
 #include "LibRelay/StoreWatch.h"
 
@@ -69,6 +70,8 @@
   std::uint64_t ConfigurationVersion = 0;
   std::uint64_t ConfigurationEra = 0;
   QuarantineReport Quarantine;
+  /// Limits that the instance observed recently.
+  std::vector<LimitReport> Limits;
   /// Set by watchers of the store.
   std::optional<WatchReport> Watch;
 };
@@ -90,6 +93,8 @@
   std::string PeerAddress;
   std::optional<PeerReport> LastReport;
   Instant LastHeardAt;
+  /// Time of the first report of this incarnation after the peer was silent.
+  Instant HeardSince;
   Instant LastSentAt;
 };
 
--- a/Libraries/LibRelay/Placement.cpp
+++ b/Libraries/LibRelay/Placement.cpp
@@ -93,7 +93,8 @@
   auto usable = std::vector<Server *>{};
   auto untried = std::vector<Server *>{};
   for (auto *it : CurrentState.Servers.serversOf(Request.Service)) {
-    if (!it->isUsable(CurrentState.Now))
+    if (!it->isUsable(CurrentState.Now) ||
+        CurrentState.Now < CurrentState.Limits.blockedUntil(it->Key))
       continue;
     usable.push_back(it);
     if (!Request.ExcludedServers.contains(it->Description.Id))
--- a/Libraries/LibRelay/Reducer.cpp
+++ b/Libraries/LibRelay/Reducer.cpp
@@ -3,6 +3,7 @@
 #include "LibCore/Dispatcher.h"
 #include "LibRelay/AttemptReducer.h"
 #include "LibRelay/FleetReducer.h"
+#include "LibRelay/LimitReducer.h"
 #include "LibRelay/QuarantineReducer.h"
 #include "LibRelay/RequestReducer.h"
 #include "LibRelay/RoleReducer.h"
@@ -26,7 +27,8 @@
   CurrentState.Now = Event.At;
   std::visit(Dispatcher<State, Effects, FleetReducer, ServerListReducer,
                         StoreWatchReducer, RoleReducer, QuarantineReducer,
-                        AttemptReducer, RequestReducer>(CurrentState, effects),
+                        LimitReducer, AttemptReducer, RequestReducer>(
+                 CurrentState, effects),
              Event.Body);
   return effects;
 }
--- a/Libraries/LibRelay/RequestReducer.cpp
+++ b/Libraries/LibRelay/RequestReducer.cpp
@@ -3,6 +3,7 @@
 #include "LibCore/Hash.h"
 #include "LibRelay/Admission.h"
 #include "LibRelay/AttemptReducer.h"
+#include "LibRelay/LimitReducer.h"
 
 #include <algorithm>
 #include <utility>
@@ -20,6 +21,9 @@
 /// Limit on all attempts; the route's limit on servers does not count
 /// unreachable servers.
 constexpr auto MaximumAttempts = 6U;
+/// Limit on the servers at which a request asks for a permit in vain; each
+/// takes some milliseconds.
+constexpr auto MaximumPermitsDenied = 6U;
 /// Limits on the time to the first part, as factors of target latency and
 /// forecast. Beyond the larger one the attempt is abandoned if the request is
 /// retryable.
@@ -47,6 +51,12 @@
   return MatchedRoute.Services.back().Service;
 }
 
+/// Returns a number from 0 to 1 that depends on \p Text only.
+auto unitHash(std::string_view Text) -> double {
+  constexpr auto Steps = 1000;
+  return static_cast<double>(hashText(Text) % Steps) / Steps;
+}
+
 auto milliseconds(Duration Value) -> double { return toSeconds(Value) * 1000; }
 
 } // namespace
@@ -110,48 +120,73 @@
 
 auto RequestReducer::place(RequestNumber Number, ResultCode Failure) -> void {
   auto &request = *find(Number);
-  auto isFirst = request.AttemptsMade == 0;
-  if (request.AttemptsMade >= MaximumAttempts)
-    return fail(Number, Failure, RetryAfterNoServer);
-  auto chosen = Placement(CurrentState).choose(Number, request);
-  if (!chosen)
-    return failUnplaced(Number,
-                        isFirst ? ResultCode::NoBackendAvailable : Failure);
-  if (isFirst) {
-    if (auto refusal = checkAdmission(request, *chosen, now())) {
-      log(LogLevel::Info, "request-not-admitted",
-          "id={} code={} best_server={} wait_ms={} forecast_ms={} "
-          "tokens_ahead={} target_ms={} priority={} retry_after_ms={}",
-          quoteLogValue(request.Content->Id), describe(refusal->Code).Name,
-          chosen->Target->Description.Id, toMilliseconds(chosen->Wait),
-          toMilliseconds(chosen->Forecast), chosen->TokensAhead,
-          toMilliseconds(request.MatchedRoute->TargetLatency),
-          request.MatchedRoute->Priority, toMilliseconds(refusal->RetryAfter));
-      return fail(Number, refusal->Code, refusal->RetryAfter);
+  auto isFirst = request.attemptsStarted() == 0;
+  while (mayAttempt(request)) {
+    auto chosen = Placement(CurrentState).choose(Number, request);
+    if (!chosen)
+      return failUnplaced(Number,
+                          isFirst ? ResultCode::NoBackendAvailable : Failure);
+    if (isFirst) {
+      if (auto refusal = checkAdmission(request, *chosen, now())) {
+        logRefusal(request, *chosen, *refusal);
+        return fail(Number, refusal->Code, refusal->RetryAfter);
+      }
     }
+    if (!reserveRetry(request, chosen->IsPrefill))
+      return fail(Number, Failure, RetryAfterNoServer);
+    auto next = Attempt{};
+    next.IsPrefill = chosen->IsPrefill;
+    next.CacheSource = chosen->CacheSource;
+    if (startAttempt(Number, request, *chosen, std::move(next)))
+      return;
   }
-  if (!reserveRetry(request, chosen->IsPrefill))
-    return fail(Number, Failure, RetryAfterNoServer);
-  auto next = Attempt{};
-  next.IsPrefill = chosen->IsPrefill;
-  next.CacheSource = chosen->CacheSource;
-  startAttempt(Number, request, *chosen, std::move(next));
+  fail(Number, Failure, RetryAfterNoServer);
+}
+
+auto RequestReducer::logRefusal(InFlightRequest const &Request,
+                                Choice const &Chosen, Refusal const &Reason)
+    -> void {
+  log(LogLevel::Info, "request-not-admitted",
+      "id={} code={} best_server={} wait_ms={} forecast_ms={} "
+      "tokens_ahead={} target_ms={} priority={} retry_after_ms={}",
+      quoteLogValue(Request.Content->Id), describe(Reason.Code).Name,
+      Chosen.Target->Description.Id, toMilliseconds(Chosen.Wait),
+      toMilliseconds(Chosen.Forecast), Chosen.TokensAhead,
+      toMilliseconds(Request.MatchedRoute->TargetLatency),
+      Request.MatchedRoute->Priority, toMilliseconds(Reason.RetryAfter));
+}
+
+auto RequestReducer::mayAttempt(InFlightRequest const &Request) const -> bool {
+  return Request.attemptsStarted() < MaximumAttempts &&
+         Request.PermitsDenied < MaximumPermitsDenied;
 }
 
 auto RequestReducer::placePrefilled(RequestNumber Number,
                                     PrefilledPrompt Prompt) -> void {
   auto &request = *find(Number);
-  auto chosen = request.AttemptsMade < MaximumAttempts
-                    ? Placement(CurrentState)
-                          .chooseForPrefilled(Number, request, Prompt.Server)
-                    : std::nullopt;
-  if (!chosen || !reserveRetry(request, false)) {
-    releasePrefill(Prompt);
-    return failUnplaced(Number, ResultCode::NoBackendAvailable);
+  while (mayAttempt(request)) {
+    auto chosen = Placement(CurrentState)
+                      .chooseForPrefilled(Number, request, Prompt.Server);
+    if (!chosen || !reserveRetry(request, false))
+      break;
+    auto next = Attempt{};
+    next.Prefilled = Prompt;
+    if (startAttempt(Number, request, *chosen, std::move(next)))
+      return;
   }
-  auto next = Attempt{};
-  next.Prefilled = std::move(Prompt);
-  startAttempt(Number, request, *chosen, std::move(next));
+  releasePrefill(Prompt);
+  failUnplaced(Number, ResultCode::NoBackendAvailable);
+}
+
+auto RequestReducer::placeElsewhere(RequestNumber Number) -> void {
+  auto &request = *find(Number);
+  ++request.PermitsDenied;
+  auto prefilled = takeUnusedPrefill(request);
+  endAttempt(request);
+  if (prefilled)
+    placePrefilled(Number, std::move(*prefilled));
+  else
+    place(Number, ResultCode::NoBackendAvailable);
 }
 
 auto RequestReducer::takeUnusedPrefill(InFlightRequest &Request)
@@ -185,11 +220,18 @@
 
 auto RequestReducer::startAttempt(RequestNumber Number,
                                   InFlightRequest &Request,
-                                  Choice const &Chosen, Attempt Next) -> void {
+                                  Choice const &Chosen, Attempt Next) -> bool {
   auto &server = *Chosen.Target;
+  auto permit = LimitReducer(CurrentState, Output)
+                    .acquire(server, {Number, Request.AttemptsMade + 1});
+  if (permit == PermitStatus::Denied) {
+    ++Request.AttemptsMade;
+    ++Request.PermitsDenied;
+    return false;
+  }
   Next.Number = ++Request.AttemptsMade;
-  if (Next.IsPrefill)
-    ++Request.PrefillsMade;
+  if (permit == PermitStatus::Pending)
+    Next.PermitRequestedAt = now();
   Next.Server = server.Description.Id;
   Next.Key = server.Key;
   Next.Address = server.Description.Address;
@@ -199,7 +241,6 @@
   Next.QueueRank = Chosen.QueueRank;
   Next.HasOutstandingTokens = true;
   server.OwnLoad.add({1, Next.PromptTokens});
-  server.takeIdleConnection(now());
   log(LogLevel::Info, "request-placed",
       "id={} attempt={} server={} prefill={} copy_from={} configuration={} "
       "load_requests={} tokens_ahead={} tokens={} forecast_ms={:.0f}",
@@ -207,16 +248,28 @@
       Next.IsPrefill, Next.CacheSource.empty() ? "-" : Next.CacheSource,
       Request.Config->version(), server.load().Requests, Next.TokensAhead,
       Next.PromptTokens, milliseconds(Next.Forecast));
+  Request.CurrentAttempt = std::move(Next);
+  if (permit == PermitStatus::Granted)
+    connectAttempt(Number);
+  return true;
+}
+
+auto RequestReducer::connectAttempt(RequestNumber Number) -> void {
+  auto &request = *find(Number);
+  auto &attempt = *request.CurrentAttempt;
+  attempt.PermitRequestedAt.reset();
+  if (attempt.IsPrefill)
+    ++request.PrefillsMade;
+  if (auto *server = CurrentState.Servers.findByKey(attempt.Key))
+    server->takeIdleConnection(now());
   emit(IncrementCounter{
-      CounterMetric::Attempts, Request.MatchedRoute->Name, {}});
-  auto const *service = Request.Config->findService(Request.Service);
+      CounterMetric::Attempts, request.MatchedRoute->Name, {}});
+  auto const *service = request.Config->findService(request.Service);
   auto share = service == nullptr ? 0
                                   : service->ConnectionLimit /
                                         (2 * CurrentState.Peers.fleetSize());
-  auto id = AttemptId{Number, Next.Number};
-  auto address = Next.Address;
-  Request.CurrentAttempt = std::move(Next);
-  emit(ConnectAttempt{id, std::move(address), std::max(2U, share)});
+  emit(ConnectAttempt{
+      {Number, attempt.Number}, attempt.Address, std::max(2U, share)});
 }
 
 auto RequestReducer::failUnplaced(RequestNumber Number, ResultCode Code)
@@ -224,6 +277,7 @@
   auto const &request = *find(Number);
   auto leaving = 0;
   auto paused = 0;
+  auto limited = 0;
   auto earliest = Instant::max();
   auto servers = CurrentState.Servers.serversOf(request.Service);
   for (auto const *it : servers) {
@@ -232,22 +286,31 @@
     } else if (now() < it->PausedUntil) {
       ++paused;
       earliest = std::min(earliest, it->PausedUntil);
+    } else if (auto until = CurrentState.Limits.blockedUntil(it->Key);
+               now() < until) {
+      ++limited;
+      earliest = std::min(earliest, until);
     }
   }
-  // If servers asked for a pause, there is no room before the first one ends.
-  auto retryAfter = paused == 0
-                        ? RetryAfterNoServer
-                        : std::max(RetryAfterNoServer, earliest - now());
+  // There is no room before the first server takes requests again.
+  auto retryAfter = RetryAfterNoServer;
+  if (paused + limited > 0)
+    retryAfter = std::max(retryAfter, earliest - now());
+  // Callers that come back together would find a single permit.
+  if (limited > 0)
+    retryAfter += scaled(RetryAfterNoServer, unitHash(request.Content->Id));
   log(LogLevel::Info, "request-not-placed",
-      "id={} service={} servers={} leaving={} paused={} retry_after_ms={}",
+      "id={} service={} servers={} leaving={} paused={} limited={} "
+      "retry_after_ms={}",
       quoteLogValue(request.Content->Id), quoteLogValue(request.Service),
-      servers.size(), leaving, paused, toMilliseconds(retryAfter));
+      servers.size(), leaving, paused, limited, toMilliseconds(retryAfter));
   fail(Number, Code, retryAfter);
 }
 
 auto RequestReducer::releasePrefill(PrefilledPrompt const &Prompt) -> void {
   auto const *server = CurrentState.Servers.findByKey(Prompt.Server);
-  if (server != nullptr && now() < server->PausedUntil) {
+  if (server != nullptr && (now() < server->PausedUntil ||
+                            CurrentState.Limits.find(Prompt.Server))) {
     log(LogLevel::Info, "handle-left-to-expire", "server={} handle={}",
         server->Description.Id, quoteLogValue(Prompt.Handle));
     return;
@@ -348,6 +411,8 @@
     return fail(Number, ResultCode::DeadlineInfeasible, Duration{});
   auto const *attempt =
       Request.CurrentAttempt ? &*Request.CurrentAttempt : nullptr;
+  if (attempt != nullptr && attempt->PermitRequestedAt)
+    return LimitReducer(CurrentState, Output).timeOut(Number);
   if (attempt == nullptr || !attempt->IsSent)
     return;
   auto id = AttemptId{Number, attempt->Number};
--- a/Libraries/LibRelay/RequestReducer.h
+++ b/Libraries/LibRelay/RequestReducer.h
@@ -2,6 +2,7 @@
 /// The life cycle of a request from its arrival to its final response.
 #pragma once
 
+#include "LibRelay/Admission.h"
 #include "LibRelay/Placement.h"
 #include "LibRelay/SubReducer.h"
 
@@ -23,6 +24,12 @@
   /// Starts the attempt that decodes a prefilled prompt.
   auto placePrefilled(RequestNumber Number, PrefilledPrompt Prompt) -> void;
 
+  /// Places a request again whose attempt got no permit for its server.
+  auto placeElsewhere(RequestNumber Number) -> void;
+
+  /// Connects the current attempt, which needs no permit or has got one.
+  auto connectAttempt(RequestNumber Number) -> void;
+
   /// Takes the prefilled prompt from the current attempt if nothing has been
   /// sent to the engine that should decode it.
   [[nodiscard]] auto takeUnusedPrefill(InFlightRequest &Request)
@@ -57,8 +64,13 @@
   auto failUnplaced(RequestNumber Number, ResultCode Code) -> void;
   /// Releases a prefilled prompt unless its server asked for a pause.
   auto releasePrefill(PrefilledPrompt const &Prompt) -> void;
+  /// Returns whether the limits on attempts allow another one.
+  [[nodiscard]] auto mayAttempt(InFlightRequest const &Request) const -> bool;
+  auto logRefusal(InFlightRequest const &Request, Choice const &Chosen,
+                  Refusal const &Reason) -> void;
+  /// Returns false if the server must get no request now.
   auto startAttempt(RequestNumber Number, InFlightRequest &Request,
-                    Choice const &Chosen, Attempt Next) -> void;
+                    Choice const &Chosen, Attempt Next) -> bool;
   auto checkTimeouts(RequestNumber Number, InFlightRequest &Request) -> void;
   [[nodiscard]] auto responseTimeout(InFlightRequest const &Request) const
       -> Duration;
--- a/Libraries/LibRelay/State.h
+++ b/Libraries/LibRelay/State.h
@@ -89,6 +89,8 @@
   std::uint64_t TokensAhead = 0;
   Duration Forecast{};
   std::optional<std::uint32_t> QueueRank;
+  /// Set while the attempt waits for another instance's permit.
+  std::optional<Instant> PermitRequestedAt;
   /// Set if the prompt was prefilled separately.
   std::optional<PrefilledPrompt> Prefilled;
   std::string CacheSource;
@@ -107,6 +109,8 @@
   Instant Deadline;
   std::optional<Attempt> CurrentAttempt;
   std::uint32_t AttemptsMade = 0;
+  /// Attempts among them that got no permit.
+  std::uint32_t PermitsDenied = 0;
   /// Servers that received the request, not counting the first separate
   /// prefill.
   std::uint32_t ServersUsed = 0;
@@ -129,6 +133,11 @@
   /// together with the first event.
   std::optional<ServerResponse> StreamHeader;
 
+  /// Returns the number of attempts to connect to a server.
+  [[nodiscard]] auto attemptsStarted() const -> std::uint32_t {
+    return AttemptsMade - PermitsDenied;
+  }
+
   /// Returns how often the request was sent, without the first separate prefill
   /// that a server accepted. Each time beyond the first is a retry.
   [[nodiscard]] auto countedSends() const -> std::uint32_t {
@@ -198,6 +207,12 @@
   std::map<std::string, Instant> WantedSince;
 };
 
+/// Time within which an instance that has just started receives reports from
+/// its peers. What it decides for the fleet before would be wrong.
+inline constexpr auto PeerDiscoveryPeriod = Duration{1300ms};
+/// An instance that cannot list its peers acts without them after this time.
+inline constexpr auto PeerListTimeout = Duration{4s};
+
 struct State {
   Identity Self;
   relay::Options Options;
@@ -238,6 +253,11 @@
   [[nodiscard]] auto isFreshWatcher(Peer const &Target) const -> bool {
     return Peers.isFresh(Target, Now, Options.MaximumWatcherAge);
   }
+  /// Returns whether the instance has had the time to hear from its peers.
+  [[nodiscard]] auto knowsPeers() const -> bool {
+    return PeersListedAt ? Now - *PeersListedAt > PeerDiscoveryPeriod
+                         : Now - StartedAt > PeerListTimeout;
+  }
   [[nodiscard]] auto isReady() const -> bool {
     return Config && HasServers && !LeavingSince && !IsBehindPeers;
   }
--- a/Tests/LibRelay/EngineFleet.cpp
+++ b/Tests/LibRelay/EngineFleet.cpp
@@ -316,6 +316,30 @@
     }
   }
 
+  auto carryOut(unsigned Instance, SendPermitRequest &Effect) -> void {
+    deliver(Effect.Address,
+            PermitRequested{Nodes[Instance].CurrentState.Self.PeerAddress,
+                            std::get<PermitRequest>(*decodePermitMessage(
+                                encodePermitMessage(Effect.Request)))});
+  }
+  auto carryOut(unsigned /*Instance*/, SendPermitResponse &Effect) -> void {
+    deliver(Effect.Address,
+            PermitAnswered{std::get<PermitResponse>(
+                *decodePermitMessage(encodePermitMessage(Effect.Response)))});
+  }
+
+  /// Delivers a datagram to the instance at \p Address, or loses it.
+  auto deliver(std::string const &Address, EventBody Body) -> void {
+    auto it = std::ranges::find(Nodes, Address, [](Node const &Target) {
+      return Target.CurrentState.Self.PeerAddress;
+    });
+    auto isLost =
+        std::uniform_real_distribution<double>()(Random) < Options.ReportLoss;
+    if (it != Nodes.end() && it->IsUp && !isLost)
+      feedLater(ReportDelay, static_cast<unsigned>(it - Nodes.begin()),
+                std::move(Body));
+  }
+
   auto carryOut(unsigned Instance, ForwardResponse &Effect) -> void {
     end(Instance, Effect.Number, true, {});
   }
--- a/Tests/LibRelay/TestRequestLimits.cpp
+++ b/Tests/LibRelay/TestRequestLimits.cpp
@@ -1,6 +1,8 @@
 // What an instance knows of the limits that servers name.
 #include "LibRelay/RelayNode.h"
 
+#include <algorithm>
+
 #include <criterion/criterion.h>
 
 namespace dotterel::relay::test {
@@ -47,6 +49,41 @@
   cr_assert(limits.find(Key) == 5.0);
 }
 
+Test(RelayRequestLimits, PermitsStayBelowTheLimit) {
+  for (auto limit : {0.0, 0.3, 1.0, 5.5, 7.3, 100.0}) {
+    auto bucket = PermitBucket{};
+    auto taken = std::vector<Instant>{};
+    auto now = Start;
+    for (; now < Start + 20s; now += 7ms) {
+      auto wait = bucket.take(limit, now);
+      if (!wait)
+        taken.push_back(now);
+      else
+        cr_assert(*wait > Duration{});
+    }
+    for (auto const &it : taken) {
+      auto n = std::ranges::count_if(
+          taken, [&](Instant at) { return at >= it && at < it + 4s; });
+      cr_assert(static_cast<double>(n) <= 1.5 * limit * 4 + 5);
+    }
+    cr_assert(static_cast<double>(taken.size()) >= 0.9 * limit * 20);
+    cr_assert_geq(taken.size(), 5, "limit %f", limit);
+  }
+}
+
+// Regression test: the wait was rounded to nothing, and a request asked again
+// without end.
+Test(RelayRequestLimits, WaitForAPermitIsNeverZero) {
+  auto bucket = PermitBucket{};
+  auto now = Start;
+  (void)bucket.take(3, now);
+  for (auto n = 0; n < 100000; ++n) {
+    auto wait = bucket.take(3, now);
+    cr_assert(!wait || *wait > Duration{});
+    now += wait ? *wait - Duration{1} : Duration{};
+  }
+}
+
 Test(RelayRequestLimits, AreLoggedWhenAServerNamesThem) {
   auto node = RelayNode();
   auto server = completeLookup(node, 5.5);
