--- a/Tests/LibGateway/FakePlatform.cpp
+++ b/Tests/LibGateway/FakePlatform.cpp
@@ -166,6 +166,12 @@
            "text/plain",
            {{"Attempt-Id", id}, {"Server-Seal", "s"}, {"Server-Leaving", "1"}},
            "left"});
+    case ServerMode::Limit:
+      co_return co_await Exchange.respond(
+          {200,
+           "text/plain",
+           {{"Attempt-Id", id}, {"Server-Seal", "s"}, {"Server-Limit", "2"}},
+           "limited"});
     case ServerMode::Pause:
       co_return co_await Exchange.respond(
           {503, "", {{"Not-Executed", "1"}, {"Retry-After", "3600"}}, ""});
--- a/Tests/LibGateway/FakePlatform.h
+++ b/Tests/LibGateway/FakePlatform.h
@@ -25,6 +25,8 @@
   Leave,
   /// Refuses, and asks for a pause of an hour.
   Pause,
+  /// Responds normally and names a limit of two requests a second.
+  Limit,
 };
 
 /// Runs the store and the server on a thread of their own until destroyed.
--- a/Tests/LibGateway/TestGateway.cpp
+++ b/Tests/LibGateway/TestGateway.cpp
@@ -1,5 +1,9 @@
 #include "LibGateway/RunningGateway.h"
 
+#include "LibRelay/PermitMessage.h"
+
+#include <array>
+#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
@@ -139,6 +143,54 @@
   cr_assert_eq(gateway.Platform.served(), 1);
 }
 
+Test(Gateway, ServerThatNamesALimitGetsNoMoreThanThat) {
+  auto gateway = RunningGateway();
+  gateway.Platform.setMode(ServerMode::Limit);
+  // The instance learns that it has no peers.
+  std::this_thread::sleep_for(2s);
+  cr_assert_eq(status(gateway.request("once")), 200);
+  auto before = gateway.Platform.served();
+  auto refused = HttpResult{};
+  auto const start = std::chrono::steady_clock::now();
+  while (std::chrono::steady_clock::now() - start < 4s) {
+    auto result = gateway.request("once");
+    if (status(result) != 200)
+      refused = result;
+  }
+  auto served = gateway.Platform.served() - before;
+  constexpr auto Allowed = 1.5 * 2 * 4 + 5;
+  cr_assert(served >= 6 && served <= Allowed, "%u", served);
+  cr_assert_eq(status(refused), 503);
+  gateway.Platform.setMode(ServerMode::Echo);
+  std::this_thread::sleep_for(1s);
+  for (auto n = 0; n < 20; ++n)
+    cr_assert_eq(status(gateway.request("once")), 200);
+}
+
+Test(Gateway, AnswersAPeerThatAsksForAPermit) {
+  auto gateway = RunningGateway();
+  std::this_thread::sleep_for(2s);
+  auto context = asio::io_context{1};
+  auto socket =
+      asio::ip::udp::socket(context, {asio::ip::make_address("127.0.0.1"), 0});
+  auto ask = [&](std::uint32_t Number) {
+    auto bytes = relay::encodePermitMessage(
+        relay::PermitRequest{77, {5, Number}, 9, 100, 1ms});
+    socket.send_to(asio::buffer(bytes),
+                   {asio::ip::make_address("127.0.0.1"), PeerPort});
+    auto buf = std::array<char, 200>{};
+    auto n = socket.receive(asio::buffer(buf));
+    return std::get<relay::PermitResponse>(
+        *relay::decodePermitMessage({buf.data(), n}));
+  };
+  auto first = ask(1);
+  cr_assert(first.Server == 77 && first.Attempt.Number == 1 &&
+            first.Incarnation == 9);
+  cr_assert_not(first.IsGranted);
+  std::this_thread::sleep_for(first.Wait + 1ms);
+  cr_assert(ask(2).IsGranted);
+}
+
 Test(Gateway, UnknownPathsAndHostsAreNotFound) {
   auto gateway = RunningGateway();
   cr_assert_eq(status(gateway.request("other")), 404);
