LibRelay: Let the parts of a partitioned fleet share a limit

Without contact, each part of a fleet chose an issuer of its own, which issued permits for the whole limit: servers got up to twice what they named.

An issuer now uses the share of the limit that is the share of the known instances that it is in contact with. An instance that was suspended issues no permits until it knows its peers again, and a permit that arrives after its time-out is not used.

--- a/Libraries/LibRelay/LimitReducer.cpp
+++ b/Libraries/LibRelay/LimitReducer.cpp
@@ -14,6 +14,9 @@
 /// A peer issues permits once it has been heard of for this long. Longer than
 /// the time that it needs to know its own peers.
 constexpr auto IssuerWarmUp = Duration{2s};
+/// Time after a suspension of this process in which it issues no permits: what
+/// it knows of its peers is old.
+constexpr auto ResumptionPeriod = PeerDiscoveryPeriod;
 /// Issuers answer within a few milliseconds, on a busy machine within tens.
 constexpr auto PermitTimeout = Duration{150ms};
 /// Time after which to ask again if no instance issues permits: instances learn
@@ -64,23 +67,38 @@
     issuer = Address;
     highest = score;
   };
-  if (CurrentState.knowsPeers() && !CurrentState.LeavingSince)
+  auto isResuming = now() - CurrentState.ResumedAt < ResumptionPeriod;
+  if (CurrentState.knowsPeers() && !CurrentState.LeavingSince && !isResuming)
     consider(CurrentState.Self.PeerAddress);
   for (auto const &[address, peer] : CurrentState.Peers.all()) {
-    if (CurrentState.Peers.isAlive(peer, now()) &&
-        !peer.LastReport->IsLeaving && now() - peer.HeardSince >= IssuerWarmUp)
+    if (isKnownWell(peer) && !peer.LastReport->IsLeaving)
       consider(address);
   }
   return issuer;
 }
 
+auto LimitReducer::isKnownWell(Peer const &Target) const -> bool {
+  return CurrentState.Peers.isAlive(Target, now()) &&
+         now() - Target.HeardSince >= IssuerWarmUp;
+}
+
+auto LimitReducer::fleetShare() const -> double {
+  auto heard = 1U;
+  auto known = 1U;
+  for (auto const &it : CurrentState.Peers.all()) {
+    heard += it.second.LastReport ? 1 : 0;
+    known += isKnownWell(it.second) ? 1 : 0;
+  }
+  return static_cast<double>(known) / heard;
+}
+
 auto LimitReducer::issue(ServerKey Key) -> std::optional<Duration> {
   if (findIssuer(Key) != CurrentState.Self.PeerAddress)
     return NoIssuerBackoff;
   // The limit may have ended since the other instance observed it.
   if (!CurrentState.Limits.find(Key))
     return std::nullopt;
-  return CurrentState.Limits.takePermit(Key, now());
+  return CurrentState.Limits.takePermit(Key, fleetShare(), now());
 }
 
 auto LimitReducer::countPermit(std::string_view Outcome) -> void {
@@ -120,13 +138,16 @@
 auto LimitReducer::on(PermitAnswered const &Event) -> void {
   auto const &response = Event.Response;
   auto *request = find(response.Attempt.Request);
-  // Answers that come after the time-out, or to an earlier incarnation, are
-  // dropped.
+  // Answers to an earlier incarnation, or to an attempt that no longer waits,
+  // are dropped.
   if (response.Incarnation != CurrentState.Self.Incarnation ||
       request == nullptr || !request->CurrentAttempt ||
       request->CurrentAttempt->Number != response.Attempt.Number ||
       !request->CurrentAttempt->PermitRequestedAt)
     return;
+  // A permit is for now: one that was delayed may meet those of a later time.
+  if (now() - *request->CurrentAttempt->PermitRequestedAt >= PermitTimeout)
+    return timeOut(response.Attempt.Request);
   if (!response.IsGranted)
     return deny(response.Attempt.Request, response.Server,
                 std::min(response.Wait, MaximumPermitWait), "denied");
--- a/Libraries/LibRelay/LimitReducer.h
+++ b/Libraries/LibRelay/LimitReducer.h
@@ -52,6 +52,11 @@
   /// server, or std::nullopt if none is known yet.
   [[nodiscard]] auto findIssuer(ServerKey Key) const
       -> std::optional<std::string>;
+  /// Returns whether a peer has sent reports for long enough to issue permits.
+  [[nodiscard]] auto isKnownWell(Peer const &Target) const -> bool;
+  /// Returns the share of the known instances that this one is in contact with.
+  /// The parts of a partitioned fleet each use their share of a limit.
+  [[nodiscard]] auto fleetShare() const -> double;
   /// Takes a permit as the issuer. Returns std::nullopt if it is granted, or
   /// the time after which to ask again.
   [[nodiscard]] auto issue(ServerKey Key) -> std::optional<Duration>;
--- a/Libraries/LibRelay/Reducer.cpp
+++ b/Libraries/LibRelay/Reducer.cpp
@@ -12,6 +12,14 @@
 
 namespace dotterel::relay {
 
+namespace {
+
+/// Ticks arrive many times more often than this, unless the process was
+/// suspended.
+constexpr auto SuspensionGap = Duration{600ms};
+
+} // namespace
+
 auto makeState(Identity Self, Options Options, Instant Now) -> State {
   auto state = State{};
   state.Self = std::move(Self);
@@ -24,6 +32,8 @@
 
 auto reduce(State &CurrentState, Event const &Event) -> Effects {
   auto effects = Effects{};
+  if (Event.At - CurrentState.Now > SuspensionGap)
+    CurrentState.ResumedAt = Event.At;
   CurrentState.Now = Event.At;
   std::visit(Dispatcher<State, Effects, FleetReducer, ServerListReducer,
                         StoreWatchReducer, RoleReducer, QuarantineReducer,
--- a/Libraries/LibRelay/RequestLimits.cpp
+++ b/Libraries/LibRelay/RequestLimits.cpp
@@ -80,10 +80,10 @@
   return reports;
 }
 
-auto RequestLimits::takePermit(ServerKey Key, Instant Now)
+auto RequestLimits::takePermit(ServerKey Key, double Share, Instant Now)
     -> std::optional<Duration> {
   auto &entry = Entries.at(Key);
-  return entry.Permits.take(*entry.PerSecond, Now);
+  return entry.Permits.take(Share * *entry.PerSecond, Now);
 }
 
 auto RequestLimits::block(ServerKey Key, Instant Until) -> void {
--- a/Libraries/LibRelay/RequestLimits.h
+++ b/Libraries/LibRelay/RequestLimits.h
@@ -56,10 +56,11 @@
   /// Returns what this instance observed itself within the last second.
   [[nodiscard]] auto recent(Instant Now) const -> std::vector<LimitReport>;
 
-  /// Takes a permit for a request to the server. Returns std::nullopt if there
-  /// was one, or the time until there will be. Precondition: the server names a
-  /// limit.
-  auto takePermit(ServerKey Key, Instant Now) -> std::optional<Duration>;
+  /// Takes a permit for a request to the server, of which \p Share of the limit
+  /// may be used. Returns std::nullopt if there was one, or the time until
+  /// there will be. Precondition: the server names a limit.
+  auto takePermit(ServerKey Key, double Share, Instant Now)
+      -> std::optional<Duration>;
 
   /// Records that this instance gets no permit for the server before \p Until.
   auto block(ServerKey Key, Instant Until) -> void;
--- a/Libraries/LibRelay/State.h
+++ b/Libraries/LibRelay/State.h
@@ -218,6 +218,8 @@
   relay::Options Options;
   Instant StartedAt;
   Instant Now;
+  /// End of the last time in which no event was handled.
+  Instant ResumedAt;
   std::shared_ptr<Configuration const> Config;
   /// Era of the store in which the version in force was read last, and the
   /// version that the store held last.
--- a/Tests/LibRelay/EngineFleet.cpp
+++ b/Tests/LibRelay/EngineFleet.cpp
@@ -58,6 +58,10 @@
   struct Node {
     State CurrentState;
     bool IsUp = false;
+    Instant FrozenUntil;
+    Instant CutUntil;
+    /// The rules do not count what the instance sends until then.
+    Instant ExcusedUntil;
     std::uint64_t Incarnation = 0;
     RequestNumber LastNumber = 0;
     /// The callers' requests that have not ended, by number at the instance.
@@ -118,8 +122,10 @@
   auto tick(unsigned Instance, std::uint64_t Incarnation) -> void {
     if (!isCurrent(Instance, Incarnation))
       return;
-    feed(Instance, StoreReachabilityObserved{true, ""});
-    feed(Instance, Tick{});
+    if (Clock.now() >= Nodes[Instance].FrozenUntil) {
+      feed(Instance, StoreReachabilityObserved{true, ""});
+      feed(Instance, Tick{});
+    }
     Clock.schedule(TickInterval, [=, this] { tick(Instance, Incarnation); });
   }
 
@@ -139,7 +145,12 @@
   auto feedLater(Duration After, unsigned Instance, EventBody Body) -> void {
     auto incarnation = Nodes[Instance].Incarnation;
     Clock.schedule(After, [=, this, body = std::move(Body)] {
-      if (isCurrent(Instance, incarnation))
+      if (!isCurrent(Instance, incarnation))
+        return;
+      auto frozen = Nodes[Instance].FrozenUntil - Clock.now();
+      if (frozen > Duration{})
+        feedLater(frozen, Instance, body);
+      else
         feed(Instance, body);
     });
   }
@@ -173,7 +184,8 @@
       return Target.Description.Id;
     });
     Record.Arrivals.push_back(
-        {Clock.now(), Arrived.Request, Arrived.CrashesEngine, false, Server});
+        {Clock.now(), Arrived.Request, Arrived.CrashesEngine, false, Server,
+         Clock.now() < Nodes[Arrived.Instance].ExcusedUntil});
     if (it == Engines.end() || !it->IsUp)
       return interrupt(Arrived, "no response");
     auto number = ++it->NextRun;
@@ -306,38 +318,50 @@
     for (auto n = 0U; n < Nodes.size(); ++n) {
       auto isLost =
           std::uniform_real_distribution<double>()(Random) < Options.ReportLoss;
-      if (!Nodes[n].IsUp || isLost ||
+      if (!Nodes[n].IsUp || isLost || isCut(Instance, n) ||
           !recipients.contains(Nodes[n].CurrentState.Self.PeerAddress))
         continue;
-      Clock.schedule(ReportDelay, [=, this] {
-        if (Nodes[n].IsUp)
-          feed(n, PeerReported{report});
-      });
+      feedLater(ReportDelay, n, PeerReported{report});
     }
   }
 
   auto carryOut(unsigned Instance, SendPermitRequest &Effect) -> void {
-    deliver(Effect.Address,
+    deliver(Instance, Effect.Address,
             PermitRequested{Nodes[Instance].CurrentState.Self.PeerAddress,
                             std::get<PermitRequest>(*decodePermitMessage(
                                 encodePermitMessage(Effect.Request)))});
   }
-  auto carryOut(unsigned /*Instance*/, SendPermitResponse &Effect) -> void {
-    deliver(Effect.Address,
+  auto carryOut(unsigned Instance, SendPermitResponse &Effect) -> void {
+    deliver(Instance, Effect.Address,
             PermitAnswered{std::get<PermitResponse>(
                 *decodePermitMessage(encodePermitMessage(Effect.Response)))});
   }
 
   /// Delivers a datagram to the instance at \p Address, or loses it.
-  auto deliver(std::string const &Address, EventBody Body) -> void {
+  auto deliver(unsigned Sender, std::string const &Address, EventBody Body)
+      -> void {
     auto it = std::ranges::find(Nodes, Address, [](Node const &Target) {
       return Target.CurrentState.Self.PeerAddress;
     });
+    auto receiver = static_cast<unsigned>(it - Nodes.begin());
     auto isLost =
         std::uniform_real_distribution<double>()(Random) < Options.ReportLoss;
-    if (it != Nodes.end() && it->IsUp && !isLost)
-      feedLater(ReportDelay, static_cast<unsigned>(it - Nodes.begin()),
-                std::move(Body));
+    if (it != Nodes.end() && it->IsUp && !isLost && !isCut(Sender, receiver))
+      feedLater(ReportDelay, receiver, std::move(Body));
+  }
+
+  /// Excuses an instance that fails for \p Span, until it is in contact again.
+  auto excuse(unsigned Instance, Duration Span) -> void {
+    auto &until = Nodes[Instance].ExcusedUntil;
+    until = std::max(until, Clock.now() + Span + ContactTime);
+  }
+
+  /// Returns whether datagrams between two instances are lost.
+  [[nodiscard]] auto isCut(unsigned Left, unsigned Right) const -> bool {
+    auto isSplit = Clock.now() < PartitionedUntil &&
+                   (Left < PartitionSize) != (Right < PartitionSize);
+    return isSplit || Clock.now() < Nodes[Left].CutUntil ||
+           Clock.now() < Nodes[Right].CutUntil;
   }
 
   auto carryOut(unsigned Instance, ForwardResponse &Effect) -> void {
@@ -375,7 +399,8 @@
   auto send(std::vector<PromptSegment> Segments, bool IsCallerRetry) -> void {
     auto up = std::vector<unsigned>{};
     for (auto n = 0U; n < Nodes.size(); ++n) {
-      if (Nodes[n].IsUp && Nodes[n].CurrentState.isReady())
+      if (Nodes[n].IsUp && Nodes[n].CurrentState.isReady() &&
+          Clock.now() >= Nodes[n].FrozenUntil)
         up.push_back(n);
     }
     auto request = Record.Requests.size();
@@ -428,6 +453,9 @@
   VirtualScheduler Clock{Instant{} + 1h};
   std::vector<Engine> Engines;
   std::deque<Node> Nodes;
+  /// The first instances lose contact with the others until then.
+  unsigned PartitionSize = 0;
+  Instant PartitionedUntil;
   std::uint64_t Incarnations = 0;
   std::uint64_t Revision = 2;
   unsigned Restarts = 0;
@@ -473,6 +501,37 @@
     it.Runs.clear();
 }
 
+auto EngineFleet::restartInstance(unsigned Instance, Duration Downtime)
+    -> void {
+  auto &node = Impl->Nodes[Instance];
+  if (!node.IsUp)
+    return;
+  Impl->excuse(Instance, Downtime);
+  node.IsUp = false;
+  node.Callers.clear();
+  for (auto &engine : Impl->Engines)
+    std::erase_if(engine.Runs, [&](auto const &it) {
+      return it.second.Instance == Instance;
+    });
+  Impl->Clock.schedule(Downtime,
+                       [this, Instance] { Impl->startInstance(Instance); });
+}
+
+auto EngineFleet::freezeInstance(unsigned Instance, Duration Span) -> void {
+  Impl->excuse(Instance, Span);
+  Impl->Nodes[Instance].FrozenUntil = Impl->Clock.now() + Span;
+}
+
+auto EngineFleet::cutInstance(unsigned Instance, Duration Span) -> void {
+  Impl->excuse(Instance, Span);
+  Impl->Nodes[Instance].CutUntil = Impl->Clock.now() + Span;
+}
+
+auto EngineFleet::partition(unsigned Count, Duration Span) -> void {
+  Impl->PartitionSize = Count;
+  Impl->PartitionedUntil = Impl->Clock.now() + Span;
+}
+
 auto EngineFleet::record() const -> FleetRecord const & { return Impl->Record; }
 
 auto EngineFleet::setLimit(std::string const &Server,
--- a/Tests/LibRelay/EngineFleet.h
+++ b/Tests/LibRelay/EngineFleet.h
@@ -62,6 +62,20 @@
   /// state.
   auto restartInstances(Duration Downtime) -> void;
 
+  /// Ends one instance. It starts again after \p Downtime without any state.
+  auto restartInstance(unsigned Instance, Duration Downtime) -> void;
+
+  /// Suspends one instance: it handles nothing until \p Span has passed, then
+  /// all that has arrived.
+  auto freezeInstance(unsigned Instance, Duration Span) -> void;
+
+  /// Loses all datagrams between this instance and the others for \p Span.
+  auto cutInstance(unsigned Instance, Duration Span) -> void;
+
+  /// Loses all datagrams between the first \p Count instances and the others
+  /// for \p Span. Excuses none of them.
+  auto partition(unsigned Count, Duration Span) -> void;
+
   [[nodiscard]] auto record() const -> FleetRecord const &;
   /// Returns the number of instances.
   [[nodiscard]] auto size() const -> unsigned;
--- a/Tests/LibRelay/FleetRecord.cpp
+++ b/Tests/LibRelay/FleetRecord.cpp
@@ -67,10 +67,15 @@
 
 auto FleetRecord::mostArrivalsAt(std::string_view Server, Instant From,
                                  Duration Window) const -> unsigned {
-  auto most = 0U;
+  auto counted = std::vector<Instant>{};
   for (auto const &it : Arrivals) {
-    if (it.Server == Server && it.At >= From)
-      most = std::max(most, arrivalsAt(Server, it.At, it.At + Window));
+    if (it.Server == Server && it.At >= From && !it.IsExcused)
+      counted.push_back(it.At);
+  }
+  auto most = 0U;
+  for (auto first = counted.begin(); first != counted.end(); ++first) {
+    auto end = std::lower_bound(first, counted.end(), *first + Window);
+    most = std::max(most, static_cast<unsigned>(end - first));
   }
   return most;
 }
--- a/Tests/LibRelay/FleetRecord.h
+++ b/Tests/LibRelay/FleetRecord.h
@@ -11,6 +11,10 @@
 
 namespace dotterel::relay::test {
 
+/// Shortest time of all deployments within which instances must act on what one
+/// of them knows, and after which a failure excuses nothing.
+constexpr auto ContactTime = Duration{3s};
+
 /// A request as a caller saw it.
 struct FleetRequest {
   Instant SentAt;
@@ -29,6 +33,8 @@
   /// It is the first prefill of its request that an engine accepted.
   bool IsFirstPrefill = false;
   std::string Server;
+  /// Its sender failed shortly before.
+  bool IsExcused = false;
 };
 
 /// Collects the events of a simulation in the order of their times, and
@@ -55,7 +61,7 @@
   [[nodiscard]] auto arrivalsAt(std::string_view Server, Instant From,
                                 Instant To) const -> unsigned;
   /// Returns the largest number of requests that reached \p Server within
-  /// \p Window, counted from \p From on.
+  /// \p Window, counted from \p From on, from instances that had not failed.
   [[nodiscard]] auto mostArrivalsAt(std::string_view Server, Instant From,
                                     Duration Window) const -> unsigned;
 };
--- a/Tests/LibRelay/FleetTraffic.h
+++ b/Tests/LibRelay/FleetTraffic.h
@@ -11,9 +11,6 @@
 constexpr auto CrashingSegment = std::uint64_t{0xbad};
 /// Number of seeds that each test runs, from the first one on.
 constexpr auto Seeds = std::uint64_t{4};
-/// Shortest time of all deployments within which instances must act on what one
-/// of them knows.
-constexpr auto ContactTime = Duration{3s};
 
 /// Returns the first seed of a test, which DOTTEREL_SEED sets.
 [[nodiscard]] auto firstSeed() -> std::uint64_t;
--- a/Tests/LibRelay/TestServerLimit.cpp
+++ b/Tests/LibRelay/TestServerLimit.cpp
@@ -195,6 +195,55 @@
   }
 }
 
+// Load: instances restart, freeze and lose contact with the others, one after
+// the other and at the same time, while all servers are in need.
+Test(RelayServerLimit, LimitsHoldWhileInstancesFail) {
+  for (auto seed = firstSeed(); seed < firstSeed() + Seeds; ++seed) {
+    auto const options = drawOptions(seed);
+    auto const limits = plainLimits(options);
+    auto fleet = EngineFleet(options);
+    auto random = std::mt19937_64(seed);
+    fleet.run(2s);
+    auto lookups = LookupTraffic(fleet, 20ms);
+    setLimits(fleet, limits);
+    fleet.run(ContactTime);
+    auto const from = fleet.now();
+    constexpr auto Failures = 20U;
+    for (auto n = 0U; n < Failures; ++n) {
+      auto instance = static_cast<unsigned>(random() % options.Instances);
+      auto span = std::chrono::milliseconds(200 + random() % 4000);
+      if (n % 3 == 0)
+        fleet.restartInstance(instance, span);
+      else if (n % 3 == 1)
+        fleet.freezeInstance(instance, span);
+      else
+        fleet.cutInstance(instance, span);
+      fleet.run(std::chrono::milliseconds(random() % 2000));
+    }
+    expectLimitsKept(fleet, from, seed, limits);
+    expectLimitsUsed(fleet, from, seed, limits);
+  }
+}
+
+// Regression test: two instances without contact issued permits for the whole
+// limit each.
+Test(RelayServerLimit, PartsOfAPartitionedFleetShareTheLimit) {
+  for (auto seed = firstSeed(); seed < firstSeed() + Seeds; ++seed) {
+    auto const options = drawOptions(seed);
+    auto const limits = plainLimits(options);
+    auto fleet = EngineFleet(options);
+    fleet.run(2s);
+    auto lookups = LookupTraffic(fleet, 10ms);
+    setLimits(fleet, limits);
+    fleet.run(ContactTime);
+    auto const from = fleet.now();
+    fleet.partition(options.Instances / 2, 10s);
+    fleet.run(16s);
+    expectLimitsKept(fleet, from, seed, limits);
+    expectLimitsUsed(fleet, from, seed, limits);
+  }
+}
+
 Test(RelayServerLimit, EndsWhenServersNameItNoMore) {
   for (auto seed = firstSeed(); seed < firstSeed() + Seeds; ++seed) {
     auto const options = drawOptions(seed);
