--- a/Libraries/LibRelay/AttemptReducer.cpp
+++ b/Libraries/LibRelay/AttemptReducer.cpp
@@ -157,7 +157,7 @@
                         request.MatchedRoute->Name,
                         {}});
   if (prefilled)
-    requests.placePrefilled(Number, std::move(*prefilled));
+    requests.placePrefilled(Number, *prefilled);
   else
     requests.place(Number, Failure);
   return true;
@@ -334,7 +334,7 @@
   auto prompt = PrefilledPrompt{attempt.Key, attempt.Address, Event.Handle};
   auto requests = RequestReducer(CurrentState, Output);
   requests.endAttempt(*request);
-  requests.placePrefilled(Event.Attempt.Request, std::move(prompt));
+  requests.placePrefilled(Event.Attempt.Request, prompt);
 }
 
 auto AttemptReducer::on(AttemptStreamStarted const &Event) -> void {
--- a/Libraries/LibRelay/RequestReducer.cpp
+++ b/Libraries/LibRelay/RequestReducer.cpp
@@ -162,7 +162,7 @@
 }
 
 auto RequestReducer::placePrefilled(RequestNumber Number,
-                                    PrefilledPrompt Prompt) -> void {
+                                    PrefilledPrompt const &Prompt) -> void {
   auto &request = *find(Number);
   while (mayAttempt(request)) {
     auto chosen = Placement(CurrentState)
@@ -184,7 +184,7 @@
   auto prefilled = takeUnusedPrefill(request);
   endAttempt(request);
   if (prefilled)
-    placePrefilled(Number, std::move(*prefilled));
+    placePrefilled(Number, *prefilled);
   else
     place(Number, ResultCode::NoBackendAvailable);
 }
--- a/Libraries/LibRelay/RequestReducer.h
+++ b/Libraries/LibRelay/RequestReducer.h
@@ -22,7 +22,8 @@
   auto place(RequestNumber Number, ResultCode Failure) -> void;
 
   /// Starts the attempt that decodes a prefilled prompt.
-  auto placePrefilled(RequestNumber Number, PrefilledPrompt Prompt) -> void;
+  auto placePrefilled(RequestNumber Number, PrefilledPrompt const &Prompt)
+      -> void;
 
   /// Places a request again whose attempt got no permit for its server.
   auto placeElsewhere(RequestNumber Number) -> void;
--- a/Tests/LibRelay/TestRequestLimits.cpp
+++ b/Tests/LibRelay/TestRequestLimits.cpp
@@ -63,7 +63,7 @@
     }
     for (auto const &it : taken) {
       auto n = std::ranges::count_if(
-          taken, [&](Instant at) { return at >= it && at < it + 4s; });
+          taken, [&](Instant At) { return At >= it && At < it + 4s; });
       cr_assert(static_cast<double>(n) <= 1.5 * limit * 4 + 5);
     }
     cr_assert(static_cast<double>(taken.size()) >= 0.9 * limit * 20);
--- a/Tests/LibRelay/TestServerLimit.cpp
+++ b/Tests/LibRelay/TestServerLimit.cpp
@@ -79,8 +79,9 @@
 auto plainLimits(EngineFleetOptions const &Options) -> std::vector<NamedLimit> {
   auto limits = std::vector<NamedLimit>{};
   for (auto n = 0U; n < Options.PlainServers; ++n)
-    limits.push_back({fmt::format("p{}", n),
-                      1 + static_cast<double>((Options.Seed + 5 * n) % 8)});
+    limits.push_back(
+        {fmt::format("p{}", n),
+         1 + static_cast<double>((Options.Seed + std::uint64_t{5} * n) % 8)});
   return limits;
 }
 
