LibRelay, LibNet: Log what a failed attempt has in common with others

Two hypotheses on the crashing request (docs/incidents/2026-12-crashing-request.md) cannot be told apart by the logs: nothing names what two requests have in common. attempt-failed now names hashes of the content, the caller's address and the other header fields. No decision uses them.

--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -90,6 +90,12 @@
 
   [[nodiscard]] auto body() -> std::string & override { return Request.body(); }
 
+  [[nodiscard]] auto callerAddress() const -> std::string override {
+    auto ec = boost::system::error_code{};
+    auto const endpoint = Stream.socket().remote_endpoint(ec);
+    return ec ? std::string{} : endpoint.address().to_string();
+  }
+
   auto respond(HttpResponse Response) -> Awaitable<void> override {
     auto message = http::response<http::string_body>{};
     fill(message, Response);
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -43,6 +43,9 @@
   [[nodiscard]] virtual auto field(std::string_view Name) const
       -> std::string = 0;
   [[nodiscard]] virtual auto body() -> std::string & = 0;
+  /// Returns the IP address of the caller's end of the connection, or an empty
+  /// string if the connection is gone.
+  [[nodiscard]] virtual auto callerAddress() const -> std::string = 0;
 
   /// Sends a complete response. Errors, of all functions that send:
   /// boost::system::system_error if the caller disconnected or stopped reading.
--- a/Libraries/LibRelay/AttemptReducer.cpp
+++ b/Libraries/LibRelay/AttemptReducer.cpp
@@ -129,11 +129,12 @@
   auto const &attempt = *Request.CurrentAttempt;
   log(LogLevel::Warning, "attempt-failed",
       "id={} attempt={} server={} reason={} framing={} failure_share={:.2f} "
-      "known={} sent={} segments={}",
+      "known={} sent={} identity={} segments={}",
       quoteLogValue(Request.Content->Id), Id.Number, attempt.Server,
       quoteLogValue(Reason), attempt.Framing ? toString(*attempt.Framing) : "-",
       server == nullptr ? 1 : server->FailureShare, server != nullptr,
-      attempt.IsSent, describeSegments(Request.Content->PromptSegments));
+      attempt.IsSent, toString(Request.Identity),
+      describeSegments(Request.Content->PromptSegments));
 }
 
 auto AttemptReducer::retry(RequestNumber Number, ResultCode Failure) -> bool {
--- a/Libraries/LibRelay/Request.h
+++ b/Libraries/LibRelay/Request.h
@@ -33,6 +33,8 @@
   std::string Body;
   /// Request id that the caller chose.
   std::string Id;
+  /// IP address that the request came from; empty if it is not known.
+  std::string CallerAddress;
   /// Time that the caller waits, counted from the arrival of the request.
   std::optional<Duration> TimeLimit;
   std::string Model;
--- /dev/null
+++ b/Libraries/LibRelay/RequestIdentity.h
@@ -0,0 +1,41 @@
+/// \file
+/// Recognises requests that come again, at any instance and with a new id.
+#pragma once
+
+#include "LibRelay/Request.h"
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+namespace dotterel::relay {
+
+/// Identifies what several requests have in common: their content, their
+/// caller, or a segment of their prompts.
+using SuspectKey = std::uint64_t;
+
+/// The keys under which a request is recognised. What makes a caller is not
+/// known: it may name itself in a header field, or have an address of its own.
+struct RequestIdentity {
+  /// Content and all other header fields except the request's id.
+  SuspectKey Fields = 0;
+  /// Content and the address of the caller.
+  SuspectKey Caller = 0;
+  /// Method, host, path with query, body, model and prompt.
+  SuspectKey Content = 0;
+
+  auto operator==(RequestIdentity const &) const -> bool = default;
+
+  [[nodiscard]] auto keys() const -> std::array<SuspectKey, 3> {
+    return {Fields, Caller, Content};
+  }
+};
+
+/// Returns the identity of \p Source. Thread safety: safe from any thread.
+[[nodiscard]] auto identify(Request const &Source) -> RequestIdentity;
+
+/// Returns the keys of \p Identity as used in logs: hashes in the order of the
+/// members, separated by commas.
+[[nodiscard]] auto toString(RequestIdentity const &Identity) -> std::string;
+
+} // namespace dotterel::relay
--- a/Libraries/LibRelay/RequestReducer.cpp
+++ b/Libraries/LibRelay/RequestReducer.cpp
@@ -88,6 +88,7 @@
                   CurrentState.Quarantine.timeLeft(*segment, now()));
   auto &request = CurrentState.Requests[number];
   request.SharedSegments = std::move(segments);
+  request.Identity = identify(content);
   request.Content = Event.Content;
   request.Config = CurrentState.Config;
   request.MatchedRoute = route;
--- a/Libraries/LibRelay/State.h
+++ b/Libraries/LibRelay/State.h
@@ -6,6 +6,7 @@
 #include "LibRelay/Event.h"
 #include "LibRelay/PrefixIndex.h"
 #include "LibRelay/PromptQuarantine.h"
+#include "LibRelay/RequestIdentity.h"
 #include "LibRelay/RequestLimits.h"
 #include "LibRelay/RetryBudget.h"
 #include "LibRelay/SpeedModel.h"
@@ -105,6 +106,7 @@
   std::string Service;
   std::vector<Prefix> Prefixes;
   std::vector<SegmentKey> SharedSegments;
+  RequestIdentity Identity;
   Instant ArrivedAt;
   Instant Deadline;
   std::optional<Attempt> CurrentAttempt;
--- a/Tests/Fuzz/FuzzCallerFront.cpp
+++ b/Tests/Fuzz/FuzzCallerFront.cpp
@@ -51,6 +51,9 @@
   [[nodiscard]] auto body() -> std::string & override {
     return ParsedRequest.body();
   }
+  [[nodiscard]] auto callerAddress() const -> std::string override {
+    return {};
+  }
   auto respond(dotterel::HttpResponse /*Response*/)
       -> Awaitable<void> override {
     co_return;
--- a/Tests/Platform/TestHeaders.cpp
+++ b/Tests/Platform/TestHeaders.cpp
@@ -39,6 +39,9 @@
     return {};
   }
   [[nodiscard]] auto body() -> std::string & override { return Body; }
+  [[nodiscard]] auto callerAddress() const -> std::string override {
+    return "10.0.0.9";
+  }
   auto respond(HttpResponse /*Response*/) -> Awaitable<void> override {
     co_return;
   }
@@ -88,6 +91,7 @@
   cr_assert_eq(request.PromptSegments[1].Tokens, 660);
   cr_assert(request.TimeLimit == Duration{5s});
   cr_assert(request.Body == "body");
+  cr_assert(request.CallerAddress == "10.0.0.9");
   cr_assert(value(request.Fields, "Attempt-Id") == "9c41");
   cr_assert(value(request.Fields, "Prompt-Prefix") ==
             "5c1e07a2:800,e4402b7d:660");
