Tests: Let one request crash each server that runs it

The simulated fleet now answers 421 where another server has the address, runs servers of the plain service that crash, and lets callers repeat only what the protocol allows.

--- a/Tests/LibRelay/EngineFleet.cpp
+++ b/Tests/LibRelay/EngineFleet.cpp
@@ -26,6 +26,7 @@
 /// The store removes the entry of a silent server after three heartbeats.
 constexpr auto EntryLifetime = Duration{3600ms};
 constexpr auto StoreDelay = Duration{20ms};
+constexpr auto MisdirectedStatus = 421U;
 
 } // namespace
 
@@ -83,6 +84,8 @@
       server.Description = describeServer(fmt::format("p{}", n), "plain");
       Engines.push_back(std::move(server));
     }
+    for (auto const &it : Engines)
+      Addresses[it.Description.Id] = it.Description.Address;
     Nodes.resize(Options.Instances);
     for (auto n = 0U; n < Options.Instances; ++n)
       startInstance(n);
@@ -179,6 +182,15 @@
     Clock.schedule(NetworkDelay, [=, this] { arrive(server, run); });
   }
 
+  /// Returns whether another server runs at the address that \p Server had.
+  auto isReplaced(std::string const &Server) -> bool {
+    auto it = Addresses.find(Server);
+    auto const *current =
+        it == Addresses.end() ? nullptr : findEngine(it->second);
+    return current != nullptr && current->IsUp &&
+           current->Description.Id != Server;
+  }
+
   auto arrive(std::string const &Server, Run const &Arrived) -> void {
     auto it = std::ranges::find(Engines, Server, [](Engine const &Target) {
       return Target.Description.Id;
@@ -186,6 +198,12 @@
     Record.Arrivals.push_back(
         {Clock.now(), Arrived.Request, Arrived.CrashesEngine, false, Server,
          Clock.now() < Nodes[Arrived.Instance].ExcusedUntil});
+    if (isReplaced(Server)) {
+      auto response = ServerResponse{};
+      response.Status = MisdirectedStatus;
+      response.IsMisdirected = true;
+      return feedRun(Arrived, AttemptResponded{Arrived.Attempt, response});
+    }
     if (it == Engines.end() || !it->IsUp)
       return interrupt(Arrived, "no response");
     auto number = ++it->NextRun;
@@ -207,6 +225,12 @@
 
   /// Completes a lookup at a server of the plain service.
   auto respond(std::string const &Server, std::uint64_t Number) -> void {
+    auto *target = findById(Server);
+    if (target != nullptr && target->Runs.contains(Number) &&
+        target->Runs.at(Number).CrashesEngine) {
+      Record.Crashes.push_back(Clock.now());
+      return crash(*target);
+    }
     auto run = take(Server, Number);
     if (!run)
       return;
@@ -276,6 +300,7 @@
     Clock.schedule(EntryLifetime, [=, this] { publish(id, std::nullopt); });
     Clock.schedule(Options.RestartTime, [&Target, this] {
       Target.Description.Id = fmt::format("r{}", ++Restarts);
+      Addresses[Target.Description.Id] = Target.Description.Address;
       Target.IsUp = true;
       publish(Target.Description.Id, Target.Description);
     });
@@ -365,26 +390,34 @@
   }
 
   auto carryOut(unsigned Instance, ForwardResponse &Effect) -> void {
-    end(Instance, Effect.Number, true, {});
+    (void)endCall(Instance, Effect.Number);
   }
   auto carryOut(unsigned Instance, EndStream &Effect) -> void {
-    end(Instance, Effect.Number, true, {});
+    (void)endCall(Instance, Effect.Number);
   }
   auto carryOut(unsigned Instance, AbortStream &Effect) -> void {
-    end(Instance, Effect.Number, false, {});
+    auto request = endCall(Instance, Effect.Number);
+    if (request && Calls[*request].Route == RouteKind::Stream)
+      retryLater(*request, {});
   }
   auto carryOut(unsigned Instance, SendErrorResponse &Effect) -> void {
-    end(Instance, Effect.Number, false, Effect.RetryAfter.value_or(Duration{}));
-  }
-
-  auto end(unsigned Instance, RequestNumber Number, bool IsServed,
-           Duration RetryAfter) -> void {
-    auto node = Nodes[Instance].Callers.extract(Number);
-    if (node.empty())
+    auto request = endCall(Instance, Effect.Number);
+    if (!request)
       return;
-    auto request = node.mapped();
-    if (!IsServed)
-      retryLater(request, RetryAfter);
+    auto const route = Calls[*request].Route;
+    Record.Requests[*request].IsQuarantined =
+        Effect.Code == ResultCode::PromptQuarantined;
+    // Callers repeat other requests only if they did not run.
+    if (route == RouteKind::Lookup || route == RouteKind::Stream ||
+        impliesNotExecuted(describe(Effect.Code).HttpStatus))
+      retryLater(*request, Effect.RetryAfter.value_or(Duration{}));
+  }
+
+  /// Ends a caller's request and returns its index, unless it has ended.
+  auto endCall(unsigned Instance, RequestNumber Number)
+      -> std::optional<std::uint64_t> {
+    auto node = Nodes[Instance].Callers.extract(Number);
+    return node.empty() ? std::nullopt : std::optional(node.mapped());
   }
 
   /// Lets the caller repeat a request that failed, once.
@@ -393,10 +426,20 @@
       return;
     // Callers honour a time up to a third of what they have left.
     Clock.schedule(std::min<Duration>(After, 1s) + NetworkDelay,
-                   [=, this] { send(Prompts[Request], true); });
+                   [=, this] { send(Calls[Request], true); });
   }
 
-  auto send(std::vector<PromptSegment> Segments, bool IsCallerRetry) -> void {
+  [[nodiscard]] auto isCrashing(FleetCall const &Call) const -> bool {
+    auto isSegment = [this](auto const &it) {
+      return it.Hash == CrashingSegment;
+    };
+    return std::ranges::any_of(Call.Segments, isSegment) ||
+           (CrashingCall && Call.Route == CrashingCall->Route &&
+            Call.Item == CrashingCall->Item &&
+            Call.CallerAddress == CrashingCall->CallerAddress);
+  }
+
+  auto send(FleetCall Call, bool IsCallerRetry) -> void {
     auto up = std::vector<unsigned>{};
     for (auto n = 0U; n < Nodes.size(); ++n) {
       if (Nodes[n].IsUp && Nodes[n].CurrentState.isReady() &&
@@ -404,11 +447,9 @@
         up.push_back(n);
     }
     auto request = Record.Requests.size();
-    auto isCrashing = std::ranges::any_of(Segments, [this](auto const &it) {
-      return it.Hash == CrashingSegment;
-    });
-    Record.Requests.push_back({Clock.now(), isCrashing, false, IsCallerRetry});
-    Prompts.push_back(Segments);
+    Record.Requests.push_back(
+        {Clock.now(), isCrashing(Call), false, IsCallerRetry});
+    Calls.push_back(Call);
     if (up.empty())
       return;
     auto isUneven =
@@ -419,14 +460,15 @@
         up[std::uniform_int_distribution<std::size_t>(0, last - 1)(Random)];
     auto content = relay::Request{};
     content.Method = "POST";
-    content.Target = Segments.empty() ? "/look/x" : "/stream/x";
+    content.Target = pathPrefix(Call.Route) + Call.Item;
     content.Host = "h";
     content.Id = fmt::format("r{}", request);
+    content.CallerAddress = Call.CallerAddress;
     content.TimeLimit = 4s;
     content.Model = "m";
-    for (auto const &it : Segments)
+    for (auto const &it : Call.Segments)
       content.PromptTokens += it.Tokens;
-    content.PromptSegments = std::move(Segments);
+    content.PromptSegments = std::move(Call.Segments);
     auto number = ++Nodes[instance].LastNumber;
     Nodes[instance].Callers[number] = request;
     feed(instance,
@@ -452,6 +494,8 @@
   std::mt19937_64 Random;
   VirtualScheduler Clock{Instant{} + 1h};
   std::vector<Engine> Engines;
+  /// Addresses of all servers that ever ran, by id.
+  std::map<std::string, std::string> Addresses;
   std::deque<Node> Nodes;
   /// The first instances lose contact with the others until then.
   unsigned PartitionSize = 0;
@@ -460,10 +504,11 @@
   std::uint64_t Revision = 2;
   unsigned Restarts = 0;
   std::uint64_t CrashingSegment = 0;
+  std::optional<FleetCall> CrashingCall;
   /// The segments in quarantine that the store has.
   std::set<SegmentKey> StoredSegments;
   FleetRecord Record;
-  std::vector<std::vector<PromptSegment>> Prompts;
+  std::vector<FleetCall> Calls;
   std::set<std::uint64_t> Prefilled;
 };
 
@@ -476,8 +521,23 @@
   Impl->CrashingSegment = Hash;
 }
 
-auto EngineFleet::send(std::vector<PromptSegment> Segments) -> void {
-  Impl->send(std::move(Segments), false);
+auto EngineFleet::setCrashingCall(FleetCall Call) -> void {
+  Impl->CrashingCall = std::move(Call);
+}
+
+auto EngineFleet::send(FleetCall Call) -> void {
+  Impl->send(std::move(Call), false);
+}
+
+auto EngineFleet::crashServer(std::string const &Service) -> void {
+  auto up = std::vector<Implementation::Engine *>{};
+  for (auto &it : Impl->Engines) {
+    if (it.IsUp && it.Description.Service == Service)
+      up.push_back(&it);
+  }
+  if (!up.empty())
+    Impl->crash(*up[std::uniform_int_distribution<std::size_t>(
+        0, up.size() - 1)(Impl->Random)]);
 }
 
 auto EngineFleet::schedule(Duration After, std::function<void()> Action)
--- a/Tests/LibRelay/EngineFleet.h
+++ b/Tests/LibRelay/EngineFleet.h
@@ -1,11 +1,13 @@
 /// \file
 /// Several relaying instances and the servers that they share, in virtual time.
-/// One segment of a prompt may crash each engine that decodes it; servers may
-/// name a limit on what they take.
+/// One segment of a prompt may crash each engine that decodes it, or one
+/// request each server that runs it; servers may name a limit on what they
+/// take.
 #pragma once
 
 #include "LibRelay/FleetRecord.h"
 #include "LibRelay/Reducer.h"
+#include "LibRelay/RelayNode.h"
 #include "LibTest/VirtualScheduler.h"
 
 #include <functional>
@@ -31,6 +33,15 @@
   std::uint64_t Seed = 1;
 };
 
+/// What a caller sends.
+struct FleetCall {
+  RouteKind Route = RouteKind::Stream;
+  /// Last part of the path; requests with the same one are identical.
+  std::string Item = "x";
+  std::vector<PromptSegment> Segments;
+  std::string CallerAddress = "10.0.0.1";
+};
+
 /// Drives the reducers of all instances, and of the engines and callers around
 /// them. Thread safety: none.
 class EngineFleet {
@@ -44,10 +55,16 @@
   /// them.
   auto setCrashingSegment(std::uint64_t Hash) -> void;
 
-  /// Sends a request to a random instance now: a prompt, or a lookup at the
-  /// plain service if there are no segments. Its caller repeats it once if it
-  /// fails.
-  auto send(std::vector<PromptSegment> Segments) -> void;
+  /// Lets requests with the route, item and caller of \p Call crash the servers
+  /// that run them.
+  auto setCrashingCall(FleetCall Call) -> void;
+
+  /// Sends a request to a random instance now. Its caller repeats it once if it
+  /// fails and may be repeated.
+  auto send(FleetCall Call) -> void;
+
+  /// Lets a random server of \p Service crash by itself, if one is up.
+  auto crashServer(std::string const &Service) -> void;
 
   /// Lets a server name a limit in its responses from now on, or none.
   auto setLimit(std::string const &Server, std::optional<double> PerSecond)
--- a/Tests/LibRelay/FleetRecord.cpp
+++ b/Tests/LibRelay/FleetRecord.cpp
@@ -32,18 +32,24 @@
   return worst;
 }
 
-auto FleetRecord::crashingArrivalsAfterFifthCrash(Duration Delay) const
-    -> unsigned {
-  constexpr auto Fifth = std::size_t{4};
-  if (Crashes.size() <= Fifth)
+auto FleetRecord::crashingArrivalsAfterCrash(std::size_t Crash,
+                                             Duration Delay) const -> unsigned {
+  if (Crashes.size() < Crash)
     return 0;
-  auto from = Crashes[Fifth] + Delay;
+  auto from = Crashes[Crash - 1] + Delay;
   return static_cast<unsigned>(
       std::ranges::count_if(Arrivals, [&](FleetArrival const &it) {
         return it.CrashesEngines && it.At > from;
       }));
 }
 
+auto FleetRecord::soundRequestsQuarantined(Instant From) const -> unsigned {
+  return static_cast<unsigned>(
+      std::ranges::count_if(Requests, [&](FleetRequest const &it) {
+        return !it.CrashesEngines && it.IsQuarantined && it.SentAt >= From;
+      }));
+}
+
 auto FleetRecord::soundShareBegun(Instant From, Instant To) const -> double {
   auto sent = 0.0;
   auto begun = 0.0;
--- a/Tests/LibRelay/FleetRecord.h
+++ b/Tests/LibRelay/FleetRecord.h
@@ -23,6 +23,8 @@
   bool HasBegun = false;
   /// Repeats an earlier request of the caller.
   bool IsCallerRetry = false;
+  /// It was refused because it, or its prompt, is in quarantine.
+  bool IsQuarantined = false;
 };
 
 /// A request that reached a server.
@@ -50,9 +52,13 @@
   [[nodiscard]] auto arrivalsAboveBudget(RetryLimits const &Limits) const
       -> double;
   /// Returns the number of crashing requests that reached servers later than
-  /// \p Delay after the fifth crash.
-  [[nodiscard]] auto crashingArrivalsAfterFifthCrash(Duration Delay) const
+  /// \p Delay after crash number \p Crash, counted from 1.
+  [[nodiscard]] auto crashingArrivalsAfterCrash(std::size_t Crash,
+                                                Duration Delay) const
       -> unsigned;
+  /// Returns the number of sound requests sent from \p From on that were
+  /// refused because of a quarantine.
+  [[nodiscard]] auto soundRequestsQuarantined(Instant From) const -> unsigned;
   /// Returns the share of the first attempts of callers between \p From and
   /// \p To that servers began to run, without those that crash engines.
   [[nodiscard]] auto soundShareBegun(Instant From, Instant To) const -> double;
--- a/Tests/LibRelay/FleetTraffic.cpp
+++ b/Tests/LibRelay/FleetTraffic.cpp
@@ -16,7 +16,7 @@
 }
 
 auto PromptTraffic::startCrashing(Duration Interval) -> void {
-  Fleet.send(makePrompt(true));
+  Fleet.send({.Segments = makePrompt(true)});
   Fleet.schedule(scaled(Interval, static_cast<double>(draw(500, 1500)) / 1000),
                  [=, this] { startCrashing(Interval); });
 }
@@ -43,17 +43,65 @@
 }
 
 auto PromptTraffic::sendSound() -> void {
-  Fleet.send(makePrompt(false));
+  Fleet.send({.Segments = makePrompt(false)});
   Fleet.schedule(SoundInterval, [this] { sendSound(); });
 }
 
+MixedTraffic::MixedTraffic(EngineFleet &Fleet, std::uint64_t Seed)
+    : Fleet(Fleet), Random(Seed), Prompts(Fleet, Seed, Duration{12ms}) {
+  sendPlain();
+}
+
+auto MixedTraffic::crashingCall(RouteKind Route) -> FleetCall {
+  auto call = FleetCall{Route, "bad", {}, "10.0.0.66"};
+  if (Route == RouteKind::Stream || Route == RouteKind::PlainStream)
+    call.Segments = {{1, 2000}, {60, 800}, {CrashingSegment, 300}};
+  return call;
+}
+
+auto MixedTraffic::startCrashing(RouteKind Route, Duration Interval) -> void {
+  Fleet.send(crashingCall(Route));
+  Fleet.schedule(varied(Interval),
+                 [=, this] { startCrashing(Route, Interval); });
+}
+
+auto MixedTraffic::startServerCrashes(Duration Interval) -> void {
+  Fleet.crashServer(draw(0, 1) == 0 ? "plain" : "model");
+  Fleet.schedule(varied(Interval / 2),
+                 [=, this] { startServerCrashes(Interval); });
+}
+
+auto MixedTraffic::draw(std::uint64_t From, std::uint64_t To) -> std::uint64_t {
+  return std::uniform_int_distribution<std::uint64_t>(From, To)(Random);
+}
+
+auto MixedTraffic::varied(Duration Interval) -> Duration {
+  return scaled(Interval, static_cast<double>(draw(500, 1500)) / 1000);
+}
+
+auto MixedTraffic::drawCaller() -> std::string {
+  return "10.0.0." + std::to_string(draw(1, 20));
+}
+
+auto MixedTraffic::sendPlain() -> void {
+  constexpr auto Interval = Duration{26ms};
+  auto kind = draw(0, 9);
+  auto call = FleetCall{RouteKind::Lookup, "popular", {}, drawCaller()};
+  if (kind >= 3)
+    call.Item = "item-" + std::to_string(++UniqueItems);
+  if (kind >= 6)
+    call.Route = RouteKind::Booking;
+  Fleet.send(std::move(call));
+  Fleet.schedule(varied(Interval), [this] { sendPlain(); });
+}
+
 LookupTraffic::LookupTraffic(EngineFleet &Fleet, Duration Interval)
     : Fleet(Fleet), Interval(Interval) {
   send();
 }
 
 auto LookupTraffic::send() -> void {
-  Fleet.send({});
+  Fleet.send({.Route = RouteKind::Lookup});
   Fleet.schedule(Interval, [this] { send(); });
 }
 
--- a/Tests/LibRelay/FleetTraffic.h
+++ b/Tests/LibRelay/FleetTraffic.h
@@ -35,6 +35,36 @@
   std::uint64_t UniqueSegments = 0;
 };
 
+/// Sends requests of all routes; many of the lookups are identical. From a
+/// given time on, one request comes again and again that crashes the servers
+/// that run it.
+class MixedTraffic {
+public:
+  MixedTraffic(EngineFleet &Fleet, std::uint64_t Seed);
+
+  /// Returns the request that \ref startCrashing sends. It shares all parts of
+  /// its prompt but the last one with sound prompts.
+  [[nodiscard]] static auto crashingCall(RouteKind Route) -> FleetCall;
+
+  /// Sends the crashing request of \p Route every \p Interval on average.
+  auto startCrashing(RouteKind Route, Duration Interval) -> void;
+
+  /// Lets a server of each service crash by itself every \p Interval on
+  /// average.
+  auto startServerCrashes(Duration Interval) -> void;
+
+private:
+  auto draw(std::uint64_t From, std::uint64_t To) -> std::uint64_t;
+  auto varied(Duration Interval) -> Duration;
+  auto drawCaller() -> std::string;
+  auto sendPlain() -> void;
+
+  EngineFleet &Fleet; // NOLINT: outlives the traffic
+  std::mt19937_64 Random;
+  PromptTraffic Prompts;
+  std::uint64_t UniqueItems = 0;
+};
+
 /// Sends lookups to the plain service at an interval that can be changed.
 class LookupTraffic {
 public:
--- a/Tests/LibRelay/RelayNode.cpp
+++ b/Tests/LibRelay/RelayNode.cpp
@@ -8,20 +8,6 @@
 
 constexpr auto TickInterval = Duration{50ms};
 
-auto pathOf(RouteKind Route) -> std::string {
-  switch (Route) {
-  case RouteKind::Booking:
-    return "/book/x";
-  case RouteKind::Lookup:
-    return "/look/x";
-  case RouteKind::Stream:
-    return "/stream/x";
-  case RouteKind::PlainStream:
-    return "/once/x";
-  }
-  return "/";
-}
-
 auto makeRoute(std::string Name, std::string Prefix, std::string Service)
     -> Route {
   auto route = Route{};
@@ -37,6 +23,20 @@
 
 } // namespace
 
+auto pathPrefix(RouteKind Route) -> std::string {
+  switch (Route) {
+  case RouteKind::Booking:
+    return "/book/";
+  case RouteKind::Lookup:
+    return "/look/";
+  case RouteKind::Stream:
+    return "/stream/";
+  case RouteKind::PlainStream:
+    return "/once/";
+  }
+  return "/";
+}
+
 auto describeServer(std::string Id, std::string Service, EngineStage Stage)
     -> ServerDescription {
   auto server = ServerDescription{};
@@ -149,7 +149,7 @@
                         std::uint64_t LastEvent) -> RequestNumber {
   auto content = Request{};
   content.Method = "POST";
-  content.Target = pathOf(Route);
+  content.Target = pathPrefix(Route) + "x";
   content.Host = "h";
   content.Id = fmt::format("r{}", ++LastNumber);
   content.TimeLimit = TimeLimit;
--- a/Tests/LibRelay/RelayNode.h
+++ b/Tests/LibRelay/RelayNode.h
@@ -13,6 +13,9 @@
 /// Routes of the configuration that every test node has.
 enum class RouteKind { Booking, Lookup, Stream, PlainStream };
 
+/// Returns the path of a route without its last part.
+[[nodiscard]] auto pathPrefix(RouteKind Route) -> std::string;
+
 /// An instance with one plain service ("plain", servers p0 to p2) and one
 /// service of engines ("model": f0 and f1 prefill, d0 to d2 decode). Time
 /// advances only when a test advances it.
--- a/Tests/LibRelay/TestCrashingPrompt.cpp
+++ b/Tests/LibRelay/TestCrashingPrompt.cpp
@@ -104,7 +104,7 @@
     Fleet.run(10s);
     cr_expect(Fleet.record().Crashes.size() > 1,
               "seed %lu: the load causes no crash", Seed);
-    auto later = Fleet.record().crashingArrivalsAfterFifthCrash(ContactTime);
+    auto later = Fleet.record().crashingArrivalsAfterCrash(5, ContactTime);
     cr_expect(later <= MaximumLaterArrivals,
               "seed %lu: %u arrivals after the fifth of %zu crashes", Seed,
               later, Fleet.record().Crashes.size());
@@ -139,7 +139,7 @@
   forEachSeed(DefaultLimits, [](EngineFleet &Fleet, std::uint64_t Seed) {
     Fleet.restartInstances(1s);
     Fleet.run(10s);
-    auto later = Fleet.record().crashingArrivalsAfterFifthCrash(ContactTime);
+    auto later = Fleet.record().crashingArrivalsAfterCrash(5, ContactTime);
     cr_expect(later <= MaximumLaterArrivals,
               "seed %lu: %u arrivals after the fifth of %zu crashes", Seed,
               later, Fleet.record().Crashes.size());
--- /dev/null
+++ b/Tests/LibRelay/TestCrashingRequest.cpp
@@ -0,0 +1,215 @@
+// One request crashes each server that runs it. It comes again, with the same
+// content and caller, at any instance.
+#include "LibRelay/FleetTraffic.h"
+
+#include <criterion/criterion.h>
+
+namespace dotterel::relay::test {
+
+namespace {
+
+constexpr auto MinimumCrashes = std::size_t{3};
+/// Limit of the users' rule on what reaches servers once the instances have had
+/// the time to act on the third crash.
+constexpr auto MaximumLaterArrivals = 3U;
+
+/// Returns a fleet whose size, losses and restarts depend on the seed.
+auto drawOptions(std::uint64_t Seed) -> EngineFleetOptions {
+  auto random = std::mt19937_64(Seed);
+  auto draw = [&](unsigned From, unsigned To) {
+    return std::uniform_int_distribution<unsigned>(From, To)(random);
+  };
+  auto options = EngineFleetOptions{};
+  options.Seed = Seed;
+  options.Instances = draw(8, 24);
+  options.PrefillEngines = draw(8, 14);
+  options.DecodeEngines = draw(5, 10);
+  options.PlainServers = draw(3, 5);
+  options.ReportLoss = draw(0, 20) / 100.0;
+  options.RestartTime = std::chrono::milliseconds(draw(1500, 4500));
+  return options;
+}
+
+struct SeededFleet {
+  explicit SeededFleet(std::uint64_t Seed)
+      : Seed(Seed), Fleet(drawOptions(Seed)), Traffic(start()) {}
+
+  /// The crashing request begins to come, 1 to 8 times a second.
+  auto startCrashing(RouteKind Route) -> void {
+    Fleet.setCrashingCall(MixedTraffic::crashingCall(Route));
+    Traffic.startCrashing(Route, std::chrono::milliseconds(125 << (Seed % 4)));
+  }
+
+  auto expectFewLaterArrivals() const -> void {
+    auto const &record = Fleet.record();
+    cr_expect(record.Crashes.size() >= MinimumCrashes,
+              "seed %lu: the load causes %zu crashes", Seed,
+              record.Crashes.size());
+    auto later = record.crashingArrivalsAfterCrash(MinimumCrashes, ContactTime);
+    cr_expect(later <= MaximumLaterArrivals,
+              "seed %lu: %u arrivals after the third of %zu crashes", Seed,
+              later, record.Crashes.size());
+  }
+
+  std::uint64_t Seed;
+  EngineFleet Fleet;
+  MixedTraffic Traffic;
+
+private:
+  auto start() -> MixedTraffic {
+    Fleet.run(2s);
+    return {Fleet, Seed};
+  }
+};
+
+template <typename Function> auto forEachSeed(Function Check) -> void {
+  for (auto n = std::uint64_t{0}; n < Seeds; ++n) {
+    auto fleet = SeededFleet(firstSeed() + n);
+    fleet.Fleet.run(5s);
+    Check(fleet);
+  }
+}
+
+auto expectItReachesNoFurtherServers(RouteKind Route) -> void {
+  forEachSeed([Route](SeededFleet &Target) {
+    Target.startCrashing(Route);
+    Target.Fleet.run(20s);
+    Target.expectFewLaterArrivals();
+  });
+}
+
+auto expectSoundRequestsGoOn(RouteKind Route) -> void {
+  forEachSeed([Route](SeededFleet &Target) {
+    auto &fleet = Target.Fleet;
+    Target.startCrashing(Route);
+    fleet.run(12s);
+    auto from = fleet.now();
+    fleet.run(10s);
+    auto const &record = fleet.record();
+    auto quarantined = record.soundRequestsQuarantined(from);
+    cr_expect_eq(quarantined, 0, "seed %lu: %u sound requests in quarantine",
+                 Target.Seed, quarantined);
+    auto share = record.soundShareBegun(from, fleet.now() - 1s);
+    cr_expect(share > 0.9, "seed %lu: %.2f of the sound requests begun",
+              Target.Seed, share);
+  });
+}
+
+} // namespace
+
+// Regression tests: each instance sent a request on that had crashed servers
+// before, as often as it came.
+Test(RelayCrashingRequest, LookupReachesNoFurtherServers) {
+  expectItReachesNoFurtherServers(RouteKind::Lookup);
+}
+
+// Only its caller sends it again.
+Test(RelayCrashingRequest, BookingReachesNoFurtherServers) {
+  expectItReachesNoFurtherServers(RouteKind::Booking);
+}
+
+Test(RelayCrashingRequest, ResumableStreamReachesNoFurtherServers) {
+  expectItReachesNoFurtherServers(RouteKind::Stream);
+}
+
+Test(RelayCrashingRequest, PlainStreamReachesNoFurtherServers) {
+  expectItReachesNoFurtherServers(RouteKind::PlainStream);
+}
+
+Test(RelayCrashingRequest, SoundRequestsGoOnBesideALookup) {
+  expectSoundRequestsGoOn(RouteKind::Lookup);
+}
+
+Test(RelayCrashingRequest, SoundRequestsGoOnBesideABooking) {
+  expectSoundRequestsGoOn(RouteKind::Booking);
+}
+
+Test(RelayCrashingRequest, SoundRequestsGoOnBesideAResumableStream) {
+  expectSoundRequestsGoOn(RouteKind::Stream);
+}
+
+Test(RelayCrashingRequest, SoundRequestsGoOnBesideAPlainStream) {
+  expectSoundRequestsGoOn(RouteKind::PlainStream);
+}
+
+// Load: servers crash by themselves, with popular requests in progress at all
+// of them.
+Test(RelayCrashingRequest, PopularRequestsGoOnWhenServersCrashByThemselves) {
+  forEachSeed([](SeededFleet &Target) {
+    Target.Traffic.startServerCrashes(2s);
+    auto from = Target.Fleet.now();
+    Target.Fleet.run(20s);
+    auto quarantined = Target.Fleet.record().soundRequestsQuarantined(from);
+    cr_expect_eq(quarantined, 0, "seed %lu: %u sound requests in quarantine",
+                 Target.Seed, quarantined);
+  });
+}
+
+Test(RelayCrashingRequest, RestartedInstanceKnowsIt) {
+  for (auto route : {RouteKind::Lookup, RouteKind::Stream}) {
+    forEachSeed([route](SeededFleet &Target) {
+      auto &fleet = Target.Fleet;
+      Target.startCrashing(route);
+      fleet.run(8s);
+      for (auto n = 0U; n < fleet.size() / 2; ++n) {
+        fleet.restartInstance(n, 500ms);
+        fleet.run(1s);
+      }
+      Target.expectFewLaterArrivals();
+    });
+  }
+}
+
+// Load: all instances are killed at once while the request still comes.
+Test(RelayCrashingRequest, QuarantineOutlivesAllInstances) {
+  for (auto route : {RouteKind::Booking, RouteKind::PlainStream}) {
+    forEachSeed([route](SeededFleet &Target) {
+      auto &fleet = Target.Fleet;
+      Target.startCrashing(route);
+      fleet.run(10s);
+      fleet.restartInstances(1s);
+      fleet.run(10s);
+      Target.expectFewLaterArrivals();
+    });
+  }
+}
+
+// The content is sound, only the caller's own fields crash the servers.
+Test(RelayCrashingRequest, OtherCallersOfTheSameContentGoOn) {
+  forEachSeed([](SeededFleet &Target) {
+    auto &fleet = Target.Fleet;
+    auto const sound = FleetCall{RouteKind::Lookup, "bad", {}, "10.0.0.5"};
+    for (auto after = Duration{}; after < 20s; after += 300ms)
+      fleet.schedule(after, [&fleet, sound] { fleet.send(sound); });
+    Target.startCrashing(RouteKind::Lookup);
+    fleet.run(12s);
+    auto from = fleet.now();
+    fleet.run(8s);
+    Target.expectFewLaterArrivals();
+    cr_expect_eq(fleet.record().soundRequestsQuarantined(from), 0,
+                 "seed %lu: sound requests in quarantine", Target.Seed);
+  });
+}
+
+// Regression test: while engines that decode are gone, prompts were prefilled
+// again without charging the retry budget.
+Test(RelayCrashingRequest, RepeatsStayWithinTheRetryBudget) {
+  auto const limits = RetryLimits{0.05, 50, 10s};
+  for (auto n = std::uint64_t{0}; n < Seeds; ++n) {
+    auto options = drawOptions(firstSeed() + n);
+    options.Retries = limits;
+    auto fleet = EngineFleet(options);
+    auto const call = MixedTraffic::crashingCall(RouteKind::Stream);
+    fleet.setCrashingCall(call);
+    fleet.run(2s);
+    auto prompts = PromptTraffic(fleet, options.Seed, 9ms);
+    for (auto after = Duration{5s}; after < 20s; after += 200ms)
+      fleet.schedule(after, [&fleet, call] { fleet.send(call); });
+    fleet.run(20s);
+    auto excess = fleet.record().arrivalsAboveBudget(limits);
+    cr_expect(excess <= 0, "seed %lu: %.0f arrivals above the budget",
+              options.Seed, excess);
+  }
+}
+
+} // namespace dotterel::relay::test
--- a/Tests/LibRelay/TestServerLimit.cpp
+++ b/Tests/LibRelay/TestServerLimit.cpp
@@ -171,7 +171,7 @@
     lookups.setInterval(10s);
     fleet.run(8s);
     for (auto n = 0; n < 300; ++n)
-      fleet.send({});
+      fleet.send({.Route = RouteKind::Lookup});
     fleet.run(4s);
     expectLimitsKept(fleet, from, seed, limits);
   }
