--- a/Libraries/LibRelay/CrashEvidence.cpp
+++ b/Libraries/LibRelay/CrashEvidence.cpp
@@ -20,17 +20,17 @@
 
 } // namespace
 
-auto sharedSegments(Request const &Source) -> std::vector<SegmentKey> {
+auto sharedSegments(Request const &Source) -> std::vector<SuspectKey> {
   auto const &segments = Source.PromptSegments;
   auto const model = hashText(Source.Model);
-  auto keys = std::vector<SegmentKey>{};
+  auto keys = std::vector<SuspectKey>{};
   for (auto n = std::size_t{0}; n + 1 < segments.size(); ++n)
     keys.push_back(combine(segments[n].Hash, model));
   return keys;
 }
 
 auto describeInterruption(Request const &Source, ServerKey Server)
-    -> InterruptedPrompt {
+    -> InterruptedRequest {
   auto prompt = hashText(Source.Model);
   for (auto const &it : Source.PromptSegments)
     prompt = combine(it.Hash, prompt);
@@ -50,7 +50,7 @@
   return crash;
 }
 
-auto CrashEvidence::recordInterruption(InterruptedPrompt Interrupted,
+auto CrashEvidence::recordInterruption(InterruptedRequest Interrupted,
                                        Instant Now) -> void {
   auto &crash = crashOf(Interrupted.Server, Now);
   auto isKnown = std::ranges::any_of(crash.Prompts, [&](auto const &it) {
@@ -74,7 +74,7 @@
                 [&](auto const &it) { return Now - it.At > ConfirmationTime; });
 }
 
-auto CrashEvidence::removeSegment(SegmentKey Segment) -> void {
+auto CrashEvidence::removeSegment(SuspectKey Segment) -> void {
   for (auto &crash : Crashes) {
     for (auto &prompt : crash.second.Prompts)
       std::erase(prompt.Segments, Segment);
@@ -88,7 +88,7 @@
   });
 }
 
-auto CrashEvidence::contains(SegmentKey Segment) const -> bool {
+auto CrashEvidence::contains(SuspectKey Segment) const -> bool {
   return std::ranges::any_of(Crashes, [&](auto const &it) {
     return std::ranges::any_of(it.second.Prompts, [&](auto const &Target) {
       return std::ranges::find(Target.Segments, Segment) !=
@@ -104,18 +104,18 @@
 }
 
 auto CrashEvidence::mostFrequent(
-    Instant Known, std::function<bool(SegmentKey)> const &IsExplained) const
+    Instant Known, std::function<bool(SuspectKey)> const &IsExplained) const
     -> std::vector<SegmentCrashes> {
   struct Count {
     std::size_t Crashes = 0;
     std::set<std::uint64_t> Prompts;
   };
-  auto counts = std::map<SegmentKey, Count>{};
+  auto counts = std::map<SuspectKey, Count>{};
   for (auto const &crash : Crashes) {
     auto const &confirmedAt = crash.second.ConfirmedAt;
     if (!confirmedAt || *confirmedAt > Known)
       continue;
-    auto prompts = std::map<SegmentKey, std::set<std::uint64_t>>{};
+    auto prompts = std::map<SuspectKey, std::set<std::uint64_t>>{};
     for (auto const &prompt : crash.second.Prompts) {
       for (auto segment : prompt.Segments)
         prompts[segment].insert(prompt.Hash);
--- a/Libraries/LibRelay/CrashEvidence.h
+++ b/Libraries/LibRelay/CrashEvidence.h
@@ -2,7 +2,7 @@
 /// Which prompts were in progress when servers crashed.
 #pragma once
 
-#include "LibRelay/Request.h"
+#include "LibRelay/RequestIdentity.h"
 #include "LibRelay/ServerHistory.h"
 
 #include <functional>
@@ -13,32 +13,29 @@
 
 namespace dotterel::relay {
 
-/// Identifies a segment of prompts for one model.
-using SegmentKey = std::uint64_t;
-
 /// Returns the keys of all segments of a prompt except for the last, which is
 /// specific to the request or its session. Thread safety: safe from any thread.
 [[nodiscard]] auto sharedSegments(Request const &Source)
-    -> std::vector<SegmentKey>;
+    -> std::vector<SuspectKey>;
 
 /// A prompt that was in progress at a server when its connection broke.
-struct InterruptedPrompt {
+struct InterruptedRequest {
   ServerKey Server = 0;
   /// Hash of the whole prompt.
   std::uint64_t Prompt = 0;
-  std::vector<SegmentKey> Segments;
+  std::vector<SuspectKey> Segments;
 
-  auto operator==(InterruptedPrompt const &) const -> bool = default;
+  auto operator==(InterruptedRequest const &) const -> bool = default;
 };
 
 /// Returns the description of a request that was in progress at \p Server.
 /// Thread safety: safe from any thread.
 [[nodiscard]] auto describeInterruption(Request const &Source, ServerKey Server)
-    -> InterruptedPrompt;
+    -> InterruptedRequest;
 
 /// A segment and the crashes during which prompts with it were in progress.
 struct SegmentCrashes {
-  SegmentKey Segment = 0;
+  SuspectKey Segment = 0;
   /// Runs of servers that crashed.
   std::size_t Crashes = 0;
   /// Distinct prompts that were in progress.
@@ -55,18 +52,18 @@
       : ConfirmationTime(ConfirmationTime) {}
 
   /// Records a prompt of this instance or of a peer.
-  auto recordInterruption(InterruptedPrompt Interrupted, Instant Now) -> void;
+  auto recordInterruption(InterruptedRequest Interrupted, Instant Now) -> void;
 
   /// Records that the run of a server ended without notice.
   auto recordCrash(ServerKey Server, Instant Now) -> void;
 
   /// Removes a segment from all prompts.
-  auto removeSegment(SegmentKey Segment) -> void;
+  auto removeSegment(SuspectKey Segment) -> void;
 
   /// Forgets crashes that are older than \p Lifetime.
   auto expire(Duration Lifetime, Instant Now) -> void;
 
-  [[nodiscard]] auto contains(SegmentKey Segment) const -> bool;
+  [[nodiscard]] auto contains(SuspectKey Segment) const -> bool;
 
   /// Returns whether a crash became known after \p Known.
   [[nodiscard]] auto hasCrashAfter(Instant Known) const -> bool;
@@ -76,13 +73,13 @@
   /// which \p IsExplained returns true do not count.
   [[nodiscard]] auto
   mostFrequent(Instant Known,
-               std::function<bool(SegmentKey)> const &IsExplained) const
+               std::function<bool(SuspectKey)> const &IsExplained) const
       -> std::vector<SegmentCrashes>;
 
 private:
   struct Prompt {
     std::uint64_t Hash = 0;
-    std::vector<SegmentKey> Segments;
+    std::vector<SuspectKey> Segments;
     Instant At;
   };
 
--- a/Libraries/LibRelay/Effect.h
+++ b/Libraries/LibRelay/Effect.h
@@ -128,12 +128,12 @@
 
 /// Writes a segment in quarantine to the store, for instances that start later.
 struct StoreQuarantine {
-  SegmentKey Segment = 0;
+  SuspectKey Segment = 0;
 };
 
 /// Deletes a segment from the store that is no longer in quarantine.
 struct DeleteQuarantine {
-  SegmentKey Segment = 0;
+  SuspectKey Segment = 0;
 };
 
 /// Orders a server to change its stage. Not sent after ValidUntil.
--- a/Libraries/LibRelay/Event.h
+++ b/Libraries/LibRelay/Event.h
@@ -206,7 +206,7 @@
 
 /// Segments of prompts that the store lists as quarantined.
 struct QuarantineListed {
-  std::vector<SegmentKey> Segments;
+  std::vector<SuspectKey> Segments;
 };
 
 /// A caller asked which instances to connect to.
--- a/Libraries/LibRelay/Peers.cpp
+++ b/Libraries/LibRelay/Peers.cpp
@@ -42,13 +42,13 @@
   for (auto const &it : Source.at(0))
     report.Interrupted.push_back({it.at(0).get<ServerKey>(),
                                   it.at(1).get<std::uint64_t>(),
-                                  it.at(2).get<std::vector<SegmentKey>>()});
+                                  it.at(2).get<std::vector<SuspectKey>>()});
   auto const &completed = Source.at(1);
   for (auto n = std::size_t{0}; n + 1 < completed.size(); n += 2)
     report.Completed.push_back(
-        {completed[n].get<SegmentKey>(),
+        {completed[n].get<SuspectKey>(),
          std::chrono::milliseconds(completed[n + 1].get<std::uint32_t>())});
-  report.Quarantined = Source.at(2).get<std::vector<SegmentKey>>();
+  report.Quarantined = Source.at(2).get<std::vector<SuspectKey>>();
   return report;
 }
 
--- a/Libraries/LibRelay/Peers.h
+++ b/Libraries/LibRelay/Peers.h
@@ -5,10 +5,10 @@
 #pragma once
 
 #include "LibRelay/DemandMeter.h"
-#include "LibRelay/PromptQuarantine.h"
 #include "LibRelay/RequestLimits.h"
 #include "LibRelay/ServerTable.h"
 #include "LibRelay/StoreWatch.h"
+#include "LibRelay/SuspectQuarantine.h"
 
 #include <map>
 #include <optional>
--- a/Libraries/LibRelay/QuarantineReducer.cpp
+++ b/Libraries/LibRelay/QuarantineReducer.cpp
@@ -72,7 +72,7 @@
     emit(StoreQuarantine{it});
 }
 
-auto QuarantineReducer::apply(SegmentKey Segment, std::string_view Source,
+auto QuarantineReducer::apply(SuspectKey Segment, std::string_view Source,
                               std::size_t Crashes, std::size_t Prompts)
     -> void {
   log(LogLevel::Warning, "segment-quarantined",
@@ -97,7 +97,7 @@
   }
 }
 
-auto QuarantineReducer::release(SegmentKey Segment, std::string_view Reason)
+auto QuarantineReducer::release(SuspectKey Segment, std::string_view Reason)
     -> void {
   log(LogLevel::Warning, "segment-released", "segment={:016x} reason={}",
       Segment, quoteLogValue(Reason));
--- a/Libraries/LibRelay/QuarantineReducer.h
+++ b/Libraries/LibRelay/QuarantineReducer.h
@@ -22,9 +22,9 @@
   auto observeCompletion(InFlightRequest const &Request) -> void;
 
 private:
-  auto apply(SegmentKey Segment, std::string_view Source, std::size_t Crashes,
+  auto apply(SuspectKey Segment, std::string_view Source, std::size_t Crashes,
              std::size_t Prompts) -> void;
-  auto release(SegmentKey Segment, std::string_view Reason) -> void;
+  auto release(SuspectKey Segment, std::string_view Reason) -> void;
 };
 
 } // namespace dotterel::relay
--- a/Libraries/LibRelay/Reducer.cpp
+++ b/Libraries/LibRelay/Reducer.cpp
@@ -24,7 +24,7 @@
   auto state = State{};
   state.Self = std::move(Self);
   state.Options = Options;
-  state.Quarantine = PromptQuarantine(Options.entryRemovalTime());
+  state.Quarantine = SuspectQuarantine(Options.entryRemovalTime());
   state.StartedAt = Now;
   state.Now = Now;
   return state;
--- a/Libraries/LibRelay/State.h
+++ b/Libraries/LibRelay/State.h
@@ -5,12 +5,12 @@
 #include "LibRelay/DemandMeter.h"
 #include "LibRelay/Event.h"
 #include "LibRelay/PrefixIndex.h"
-#include "LibRelay/PromptQuarantine.h"
 #include "LibRelay/RequestIdentity.h"
 #include "LibRelay/RequestLimits.h"
 #include "LibRelay/RetryBudget.h"
 #include "LibRelay/SpeedModel.h"
 #include "LibRelay/StoreWatch.h"
+#include "LibRelay/SuspectQuarantine.h"
 
 #include <map>
 #include <memory>
@@ -105,7 +105,7 @@
   Route const *MatchedRoute = nullptr;
   std::string Service;
   std::vector<Prefix> Prefixes;
-  std::vector<SegmentKey> SharedSegments;
+  std::vector<SuspectKey> SharedSegments;
   RequestIdentity Identity;
   Instant ArrivedAt;
   Instant Deadline;
@@ -244,7 +244,7 @@
   Instant NextFullReportAt;
   std::vector<PeerPrefixUse> UnreportedPrefixUses;
   PrefixIndex Prefixes;
-  PromptQuarantine Quarantine{relay::Options{}.entryRemovalTime()};
+  SuspectQuarantine Quarantine{relay::Options{}.entryRemovalTime()};
   RequestLimits Limits;
   std::map<std::string, SpeedModel> SpeedModels;
   std::map<std::string, RetryBudget> RetryBudgets;
--- a/Libraries/LibRelay/PromptQuarantine.cpp
+++ b/Libraries/LibRelay/SuspectQuarantine.cpp
@@ -1,4 +1,4 @@
-#include "LibRelay/PromptQuarantine.h"
+#include "LibRelay/SuspectQuarantine.h"
 
 #include <algorithm>
 
@@ -26,8 +26,8 @@
 
 } // namespace
 
-auto PromptQuarantine::recordOwnInterruption(InterruptedPrompt Interrupted,
-                                             Instant Now) -> void {
+auto SuspectQuarantine::recordOwnInterruption(InterruptedRequest Interrupted,
+                                              Instant Now) -> void {
   removeHarmless(Interrupted, Now);
   if (Interrupted.Segments.empty())
     return;
@@ -35,8 +35,8 @@
   recordInterruption(std::move(Interrupted), Now);
 }
 
-auto PromptQuarantine::recordInterruption(InterruptedPrompt Interrupted,
-                                          Instant Now) -> void {
+auto SuspectQuarantine::recordInterruption(InterruptedRequest Interrupted,
+                                           Instant Now) -> void {
   for (auto it : Interrupted.Segments) {
     if (isHarmless(it, Now))
       reportCompletion(it, Now);
@@ -48,29 +48,29 @@
   HasNewEvidence = true;
 }
 
-auto PromptQuarantine::recordCrash(ServerKey Server, Instant Now) -> void {
+auto SuspectQuarantine::recordCrash(ServerKey Server, Instant Now) -> void {
   Evidence.recordCrash(Server, Now);
   HasNewEvidence = true;
 }
 
-auto PromptQuarantine::isHarmless(SegmentKey Segment, Instant Now) const
+auto SuspectQuarantine::isHarmless(SuspectKey Segment, Instant Now) const
     -> bool {
   auto it = CompletedAt.find(Segment);
   return it != CompletedAt.end() && Now - it->second < ConfirmationTime;
 }
 
-auto PromptQuarantine::removeHarmless(InterruptedPrompt &Interrupted,
-                                      Instant Now) const -> void {
+auto SuspectQuarantine::removeHarmless(InterruptedRequest &Interrupted,
+                                       Instant Now) const -> void {
   std::erase_if(Interrupted.Segments,
-                [&](SegmentKey it) { return isHarmless(it, Now); });
+                [&](SuspectKey it) { return isHarmless(it, Now); });
 }
 
-auto PromptQuarantine::reportCompletion(SegmentKey Segment, Instant Now)
+auto SuspectQuarantine::reportCompletion(SuspectKey Segment, Instant Now)
     -> void {
   PendingCompletions[Segment] = Now + ReportPeriod;
 }
 
-auto PromptQuarantine::forgetOldestCompletion() -> void {
+auto SuspectQuarantine::forgetOldestCompletion() -> void {
   auto const oldest = Completions.front();
   Completions.pop_front();
   auto it = CompletedAt.find(oldest.first);
@@ -78,8 +78,8 @@
     CompletedAt.erase(it);
 }
 
-auto PromptQuarantine::recordCompletedSegment(CompletedSegment const &Completed,
-                                              Instant Now) -> bool {
+auto SuspectQuarantine::recordCompletedSegment(
+    CompletedSegment const &Completed, Instant Now) -> bool {
   if (Completed.Age >= ConfirmationTime)
     return false;
   auto const at = Now - Completed.Age;
@@ -94,10 +94,10 @@
   return Quarantined.erase(Completed.Segment) > 0;
 }
 
-auto PromptQuarantine::recordCompletion(std::span<SegmentKey const> Segments,
-                                        Instant Now)
-    -> std::vector<SegmentKey> {
-  auto released = std::vector<SegmentKey>{};
+auto SuspectQuarantine::recordCompletion(std::span<SuspectKey const> Segments,
+                                         Instant Now)
+    -> std::vector<SuspectKey> {
+  auto released = std::vector<SuspectKey>{};
   for (auto it : Segments) {
     if (Evidence.contains(it) || Quarantined.contains(it))
       reportCompletion(it, Now);
@@ -107,7 +107,7 @@
   return released;
 }
 
-auto PromptQuarantine::quarantine(SegmentKey Segment, Instant Now) -> bool {
+auto SuspectQuarantine::quarantine(SuspectKey Segment, Instant Now) -> bool {
   if (isHarmless(Segment, Now)) {
     reportCompletion(Segment, Now);
     return false;
@@ -120,10 +120,10 @@
       .second;
 }
 
-auto PromptQuarantine::findCauses(Instant Known) const
+auto SuspectQuarantine::findCauses(Instant Known) const
     -> std::vector<SegmentCrashes> {
   auto segments = Evidence.mostFrequent(
-      Known, [this](SegmentKey it) { return Quarantined.contains(it); });
+      Known, [this](SuspectKey it) { return Quarantined.contains(it); });
   // A segment that lacks other prompts may still be the cause instead of the
   // others, so it counts as one of several.
   auto const required =
@@ -134,7 +134,7 @@
   return segments;
 }
 
-auto PromptQuarantine::evaluate(Duration PropagationTime, Instant Now)
+auto SuspectQuarantine::evaluate(Duration PropagationTime, Instant Now)
     -> std::vector<SegmentCrashes> {
   auto added = std::vector<SegmentCrashes>{};
   if (!HasNewEvidence)
@@ -157,7 +157,7 @@
   return added;
 }
 
-auto PromptQuarantine::expire(Instant Now) -> std::vector<SegmentKey> {
+auto SuspectQuarantine::expire(Instant Now) -> std::vector<SuspectKey> {
   while (!Completions.empty() &&
          Now - Completions.front().second >= ConfirmationTime)
     forgetOldestCompletion();
@@ -165,7 +165,7 @@
   std::erase_if(PendingReports, [&](auto const &it) { return Now > it.Until; });
   std::erase_if(PendingCompletions,
                 [&](auto const &it) { return Now > it.second; });
-  auto ended = std::vector<SegmentKey>{};
+  auto ended = std::vector<SuspectKey>{};
   for (auto const &it : Quarantined) {
     if (Now >= it.second.Until)
       ended.push_back(it.first);
@@ -175,8 +175,8 @@
   return ended;
 }
 
-auto PromptQuarantine::findQuarantined(
-    std::span<SegmentKey const> Segments) const -> std::optional<SegmentKey> {
+auto SuspectQuarantine::findQuarantined(
+    std::span<SuspectKey const> Segments) const -> std::optional<SuspectKey> {
   for (auto it : Segments) {
     if (Quarantined.contains(it))
       return it;
@@ -184,12 +184,12 @@
   return std::nullopt;
 }
 
-auto PromptQuarantine::timeLeft(SegmentKey Segment, Instant Now) const
+auto SuspectQuarantine::timeLeft(SuspectKey Segment, Instant Now) const
     -> Duration {
   return std::max(Duration{}, Quarantined.at(Segment).Until - Now);
 }
 
-auto PromptQuarantine::makeReport(bool IsFull, Instant Now)
+auto SuspectQuarantine::makeReport(bool IsFull, Instant Now)
     -> QuarantineReport {
   auto report = QuarantineReport{};
   for (auto &it : PendingReports)
@@ -216,8 +216,8 @@
   return report;
 }
 
-auto PromptQuarantine::takeUnstored() -> std::vector<SegmentKey> {
-  auto unstored = std::vector<SegmentKey>{};
+auto SuspectQuarantine::takeUnstored() -> std::vector<SuspectKey> {
+  auto unstored = std::vector<SuspectKey>{};
   for (auto &it : Quarantined) {
     if (!std::exchange(it.second.IsStored, true))
       unstored.push_back(it.first);
@@ -225,13 +225,13 @@
   return unstored;
 }
 
-auto PromptQuarantine::markStored(SegmentKey Segment) -> void {
+auto SuspectQuarantine::markStored(SuspectKey Segment) -> void {
   auto it = Quarantined.find(Segment);
   if (it != Quarantined.end())
     it->second.IsStored = true;
 }
 
-auto PromptQuarantine::markAllUnstored() -> void {
+auto SuspectQuarantine::markAllUnstored() -> void {
   for (auto &it : Quarantined)
     it.second.IsStored = false;
 }
--- a/Meta/code-mutations.sh
+++ b/Meta/code-mutations.sh
@@ -82,13 +82,13 @@
     's/if \(attempt.IsSent\)\n    return std::nullopt;/return std::nullopt;/'
   mutate 'a broken connection counts as a crash' CrashEvidence.cpp \
     's/if \(!confirmedAt \|\| \*confirmedAt > Known\)/if (false)/'
-  mutate 'one prompt is enough evidence' PromptQuarantine.cpp \
+  mutate 'one prompt is enough evidence' SuspectQuarantine.cpp \
     's/MinimumPrompts = std::size_t\{2\}/MinimumPrompts = std::size_t{1}/'
-  mutate 'an explained crash counts against other segments' PromptQuarantine.cpp \
+  mutate 'an explained crash counts against other segments' SuspectQuarantine.cpp \
     's/return Quarantined.contains\(it\); \}\);/return false; });/'
-  mutate 'a completed prompt shows nothing' PromptQuarantine.cpp \
+  mutate 'a completed prompt shows nothing' SuspectQuarantine.cpp \
     's/Now - it->second < ConfirmationTime/false/'
-  mutate 'a reported completion loses its age' PromptQuarantine.cpp \
+  mutate 'a reported completion loses its age' SuspectQuarantine.cpp \
     's/Now - CompletedAt.at\(it.first\)\}/Duration{}}/'
   mutate 'a peer does not learn of a quarantine' QuarantineReducer.cpp \
     's/if \(quarantine.quarantine\(it, now\(\)\)\)/if (false)/'
--- a/Tests/LibGateway/TestStoredQuarantine.cpp
+++ b/Tests/LibGateway/TestStoredQuarantine.cpp
@@ -2,7 +2,7 @@
 // start later.
 #include "LibCore/Hash.h"
 #include "LibGateway/RunningGateway.h"
-#include "LibRelay/PromptQuarantine.h"
+#include "LibRelay/SuspectQuarantine.h"
 #include "platform/Store.h"
 
 #include <thread>
--- a/Tests/LibRelay/EngineFleet.cpp
+++ b/Tests/LibRelay/EngineFleet.cpp
@@ -506,7 +506,7 @@
   std::uint64_t CrashingSegment = 0;
   std::optional<FleetCall> CrashingCall;
   /// The segments in quarantine that the store has.
-  std::set<SegmentKey> StoredSegments;
+  std::set<SuspectKey> StoredSegments;
   FleetRecord Record;
   std::vector<FleetCall> Calls;
   std::set<std::uint64_t> Prefilled;
--- a/Tests/LibRelay/TestCrashingPrompt.cpp
+++ b/Tests/LibRelay/TestCrashingPrompt.cpp
@@ -16,7 +16,7 @@
 constexpr auto DefaultLimits = RetryLimits{0.2, 126, 10s};
 
 /// Returns the key of the segment \p Hash, as a list.
-auto keysOf(std::uint64_t Hash) -> std::vector<SegmentKey> {
+auto keysOf(std::uint64_t Hash) -> std::vector<SuspectKey> {
   auto request = Request{};
   request.Model = "m";
   request.PromptSegments = {{Hash, 1}, {0, 1}};
--- a/Tests/LibRelay/TestQuarantine.cpp
+++ b/Tests/LibRelay/TestQuarantine.cpp
@@ -14,7 +14,7 @@
 }
 
 /// Returns the key of the segment as the instance computes it.
-auto segmentKey() -> SegmentKey {
+auto segmentKey() -> SuspectKey {
   auto request = Request{};
   request.PromptSegments = crashingPrompt();
   return sharedSegments(request).at(0);
--- a/Tests/LibRelay/TestPromptQuarantine.cpp
+++ b/Tests/LibRelay/TestSuspectQuarantine.cpp
@@ -1,5 +1,5 @@
 #include "LibRelay/Peers.h"
-#include "LibRelay/PromptQuarantine.h"
+#include "LibRelay/SuspectQuarantine.h"
 
 #include <criterion/criterion.h>
 
@@ -7,9 +7,9 @@
 
 namespace {
 
-constexpr auto Application = SegmentKey{1};
-constexpr auto Subject = SegmentKey{2};
-constexpr auto Crashing = SegmentKey{3};
+constexpr auto Application = SuspectKey{1};
+constexpr auto Subject = SuspectKey{2};
+constexpr auto Crashing = SuspectKey{3};
 
 constexpr auto PropagationTime = Duration{100ms};
 
@@ -18,40 +18,40 @@
 public:
   /// A server crashes with one prompt in progress.
   auto crash(ServerKey Server, std::uint64_t Prompt,
-             std::vector<SegmentKey> Segments) -> void {
+             std::vector<SuspectKey> Segments) -> void {
     interrupt(Server, Prompt, std::move(Segments));
     Quarantine.recordCrash(Server, Now);
     Now += 100ms;
   }
 
   auto interrupt(ServerKey Server, std::uint64_t Prompt,
-                 std::vector<SegmentKey> Segments) -> void {
+                 std::vector<SuspectKey> Segments) -> void {
     Quarantine.recordOwnInterruption({Server, Prompt, std::move(Segments)},
                                      Now);
   }
 
-  auto complete(std::vector<SegmentKey> const &Segments)
-      -> std::vector<SegmentKey> {
+  auto complete(std::vector<SuspectKey> const &Segments)
+      -> std::vector<SuspectKey> {
     return Quarantine.recordCompletion(Segments, Now);
   }
 
   /// Returns the segments that are put into quarantine now.
-  auto added() -> std::vector<SegmentKey> {
-    auto segments = std::vector<SegmentKey>{};
+  auto added() -> std::vector<SuspectKey> {
+    auto segments = std::vector<SuspectKey>{};
     for (auto const &it : Quarantine.evaluate(PropagationTime, Now))
       segments.push_back(it.Segment);
     return segments;
   }
 
-  PromptQuarantine Quarantine{Duration{5s}};
+  SuspectQuarantine Quarantine{Duration{5s}};
   Instant Now = Instant{} + 1h;
 };
 
-auto only(SegmentKey Segment) -> std::vector<SegmentKey> { return {Segment}; }
+auto only(SuspectKey Segment) -> std::vector<SuspectKey> { return {Segment}; }
 
 } // namespace
 
-Test(PromptQuarantine, SegmentCommonToAllCrashesIsQuarantined) {
+Test(SuspectQuarantine, SegmentCommonToAllCrashesIsQuarantined) {
   auto evidence = Evidence();
   evidence.crash(1, 11, {Application, Subject, Crashing});
   evidence.crash(2, 12, {Application, Crashing});
@@ -65,7 +65,7 @@
 
 // The same prompt, sent again, does not show which of its segments is the
 // cause.
-Test(PromptQuarantine, RepeatsOfOnePromptAreNotEnough) {
+Test(SuspectQuarantine, RepeatsOfOnePromptAreNotEnough) {
   auto evidence = Evidence();
   for (auto server = ServerKey{1}; server <= 4; ++server)
     evidence.crash(server, 11, {Subject, Crashing});
@@ -74,14 +74,14 @@
   cr_assert(evidence.added() == only(Crashing));
 }
 
-Test(PromptQuarantine, BrokenConnectionIsNoCrash) {
+Test(SuspectQuarantine, BrokenConnectionIsNoCrash) {
   auto evidence = Evidence();
   for (auto n = 1U; n <= 9; ++n)
     evidence.interrupt(n, n, {Crashing});
   cr_assert(evidence.added().empty());
 }
 
-Test(PromptQuarantine, ConnectionThatBrokeLongBeforeTheCrashDoesNotCount) {
+Test(SuspectQuarantine, ConnectionThatBrokeLongBeforeTheCrashDoesNotCount) {
   auto evidence = Evidence();
   for (auto n = 1U; n <= 3; ++n)
     evidence.interrupt(n, n, {Crashing});
@@ -93,7 +93,7 @@
 
 // Load: a failure domain loses power, with many prompts of the same application
 // in progress.
-Test(PromptQuarantine, SegmentCompletedShortlyBeforeIsNotQuarantined) {
+Test(SuspectQuarantine, SegmentCompletedShortlyBeforeIsNotQuarantined) {
   auto evidence = Evidence();
   evidence.complete({Application});
   evidence.Now += 1s;
@@ -102,7 +102,7 @@
   cr_assert(evidence.added().empty());
 }
 
-Test(PromptQuarantine, ExplainedCrashCountsAgainstNoOtherSegment) {
+Test(SuspectQuarantine, ExplainedCrashCountsAgainstNoOtherSegment) {
   auto evidence = Evidence();
   evidence.crash(1, 11, {Crashing});
   evidence.crash(2, 12, {Crashing});
@@ -117,7 +117,7 @@
 
 // Regression test: the reports of the crashing prompts were delayed, so the
 // crashes seemed to have another cause.
-Test(PromptQuarantine, SecondSegmentWaitsForAllReports) {
+Test(SuspectQuarantine, SecondSegmentWaitsForAllReports) {
   auto evidence = Evidence();
   cr_assert(evidence.Quarantine.quarantine(Crashing, evidence.Now));
   for (auto n = 1U; n <= 3; ++n)
@@ -127,7 +127,7 @@
   cr_assert(evidence.added() == only(Subject));
 }
 
-Test(PromptQuarantine, CompletedPromptReleasesItsSegments) {
+Test(SuspectQuarantine, CompletedPromptReleasesItsSegments) {
   auto evidence = Evidence();
   for (auto n = 1U; n <= 3; ++n)
     evidence.crash(n, n, {Subject});
@@ -143,20 +143,20 @@
 
 // Otherwise instances would renew each other's knowledge of a segment that has
 // begun to crash servers.
-Test(PromptQuarantine, ReportedCompletionKeepsItsAge) {
+Test(SuspectQuarantine, ReportedCompletionKeepsItsAge) {
   auto evidence = Evidence();
   evidence.complete({Subject});
   evidence.Now += 3s;
   evidence.Quarantine.recordInterruption({1, 11, {Subject}}, evidence.Now);
   auto report = evidence.Quarantine.makeReport(false, evidence.Now);
   cr_assert(report.Completed.at(0).Age == 3s);
-  auto peer = PromptQuarantine(5s);
+  auto peer = SuspectQuarantine(5s);
   (void)peer.recordCompletedSegment(report.Completed[0], evidence.Now);
   cr_assert_not(peer.quarantine(Subject, evidence.Now));
   cr_assert(peer.quarantine(Subject, evidence.Now + 2s));
 }
 
-Test(PromptQuarantine, EndsAfterAnHour) {
+Test(SuspectQuarantine, EndsAfterAnHour) {
   auto evidence = Evidence();
   cr_assert(evidence.Quarantine.quarantine(Crashing, evidence.Now));
   cr_assert(evidence.Quarantine.timeLeft(Crashing, evidence.Now) == 1h);
@@ -165,7 +165,7 @@
   cr_assert_eq(evidence.Quarantine.size(), 0);
 }
 
-Test(PromptQuarantine, IsWrittenToTheStoreOnceInEachEra) {
+Test(SuspectQuarantine, IsWrittenToTheStoreOnceInEachEra) {
   auto evidence = Evidence();
   (void)evidence.Quarantine.quarantine(Crashing, evidence.Now);
   (void)evidence.Quarantine.quarantine(Subject, evidence.Now);
@@ -177,12 +177,12 @@
 }
 
 // Load: crashes, completions and quarantines by the hundred within a second.
-Test(PromptQuarantine, ReportFitsIntoOneDatagram) {
+Test(SuspectQuarantine, ReportFitsIntoOneDatagram) {
   constexpr auto UnfragmentedBytes = std::size_t{1472};
-  constexpr auto Count = SegmentKey{500};
-  constexpr auto LargeHash = SegmentKey{1} << 63U;
+  constexpr auto Count = SuspectKey{500};
+  constexpr auto LargeHash = SuspectKey{1} << 63U;
   auto evidence = Evidence();
-  for (auto n = SegmentKey{0}; n < Count; ++n) {
+  for (auto n = SuspectKey{0}; n < Count; ++n) {
     auto const first = LargeHash + 10 * n;
     evidence.interrupt(static_cast<ServerKey>(~n), first,
                        {first + 1, first + 2, first + 3});
@@ -202,7 +202,7 @@
 
 // Regression test: an instance had seen only its own prompts of a crash, and
 // the peers' reports of the crashing one were late.
-Test(PromptQuarantine, CrashCountsOnceThePeersReportsHaveArrived) {
+Test(SuspectQuarantine, CrashCountsOnceThePeersReportsHaveArrived) {
   auto evidence = Evidence();
   for (auto n = 1U; n <= 3; ++n)
     evidence.interrupt(n, 10 + n, {Subject});
@@ -218,7 +218,7 @@
 
 // Regression test: a sound segment was in more of the prompts at three crashes
 // than the crashing one.
-Test(PromptQuarantine, NumberOfPromptsDoesNotDecideBetweenSegments) {
+Test(SuspectQuarantine, NumberOfPromptsDoesNotDecideBetweenSegments) {
   auto evidence = Evidence();
   evidence.crash(1, 11, {Subject, Crashing});
   evidence.crash(2, 12, {Subject, Crashing});
@@ -231,7 +231,7 @@
 
 // Regression test: a caller repeated the crashing prompt, so one prompt was in
 // progress at all crashes, and several sound ones with the same subject.
-Test(PromptQuarantine, SegmentOfOnePromptCountsAsPossibleCause) {
+Test(SuspectQuarantine, SegmentOfOnePromptCountsAsPossibleCause) {
   auto evidence = Evidence();
   for (auto n = 1U; n <= 3; ++n) {
     evidence.interrupt(n, 20 + n, {Subject});
@@ -242,7 +242,7 @@
   cr_assert(evidence.added() == only(Crashing));
 }
 
-Test(PromptQuarantine, EquallyFrequentSegmentsNeedMoreEvidence) {
+Test(SuspectQuarantine, EquallyFrequentSegmentsNeedMoreEvidence) {
   auto evidence = Evidence();
   for (auto n = 1U; n <= 4; ++n)
     evidence.crash(n, n, {Subject, Crashing});
@@ -253,7 +253,7 @@
 
 // Regression test: when more servers were lost at the same moment than are
 // remembered, the newest record was erased while it was in use.
-Test(PromptQuarantine, ManyCrashesAtOnceKeepTheNewestEvidence) {
+Test(SuspectQuarantine, ManyCrashesAtOnceKeepTheNewestEvidence) {
   constexpr auto FirstOther = 1000U;
   constexpr auto Others = 200U;
   auto evidence = Evidence();
