--- a/Libraries/LibCore/ResultCode.cpp
+++ b/Libraries/LibCore/ResultCode.cpp
@@ -48,6 +48,8 @@
      "the servers could not begin within the time that callers aim for"},
     {ResultCode::PromptQuarantined, 503, "prompt-quarantined",
      "a segment of the prompt has crashed several servers; nothing was sent"},
+    {ResultCode::RequestQuarantined, 503, "request-quarantined",
+     "the request has crashed several servers; nothing was sent"},
     {ResultCode::AnswerLost, 502, "answer-lost",
      "the connection broke after the call may have been sent"},
     {ResultCode::HomeUnreachable, 502, "home-unreachable",
--- a/Libraries/LibCore/ResultCode.h
+++ b/Libraries/LibCore/ResultCode.h
@@ -35,6 +35,7 @@
   KeyTableFull = 1207,
   QueueTooLong = 1208,
   PromptQuarantined = 1209,
+  RequestQuarantined = 1210,
 
   AnswerLost = 2001,
   HomeUnreachable = 2002,
--- a/Libraries/LibGateway/QuarantineStore.cpp
+++ b/Libraries/LibGateway/QuarantineStore.cpp
@@ -25,7 +25,7 @@
                  RelayLoop &Loop)
       : Context(Context), Address(std::move(Address)), Loop(Loop) {}
 
-  /// Lists the segments in quarantine once in each era of the store. Later ones
+  /// Lists the suspects in quarantine once in each era of the store. Later ones
   /// are learned from the peers.
   auto follow() -> Awaitable<void> {
     auto client = StoreClient(Context, Address, Loop);
@@ -40,8 +40,8 @@
       backoff.reset();
       auto listed = relay::QuarantineListed{};
       for (auto const &it : objects) {
-        if (auto segment = platform::readQuarantine(it))
-          listed.Segments.push_back(*segment);
+        if (auto suspect = platform::readQuarantine(it))
+          listed.Suspects.push_back(*suspect);
       }
       Loop.feed(std::move(listed));
       client.close();
@@ -78,7 +78,7 @@
                                {},
                                ""};
     co_await callUntilDone(std::move(request),
-                           platform::writeQuarantine(Effect.Segment), Done);
+                           platform::writeQuarantine(Effect.Suspect), Done);
   }
 
   auto remove(relay::DeleteQuarantine Effect) -> Awaitable<void> {
@@ -87,7 +87,7 @@
     auto request = HttpRequest{
         "DELETE",
         platform::objectPath(platform::QuarantineKind,
-                             platform::quarantineName(Effect.Segment)),
+                             platform::quarantineName(Effect.Key)),
         "",
         {},
         ""};
--- a/Libraries/LibGateway/QuarantineStore.h
+++ b/Libraries/LibGateway/QuarantineStore.h
@@ -1,5 +1,5 @@
 /// \file
-/// The segments of prompts in quarantine that the platform's store holds.
+/// The suspects in quarantine that the platform's store holds.
 #pragma once
 
 #include "LibGateway/RelayLoop.h"
@@ -10,7 +10,7 @@
 
 namespace dotterel {
 
-/// Reads, writes and deletes the objects of segments in quarantine. Thread
+/// Reads, writes and deletes the objects of suspects in quarantine. Thread
 /// safety: none; used on one executor.
 class QuarantineStore {
 public:
--- a/Libraries/LibGateway/RelayMetrics.cpp
+++ b/Libraries/LibGateway/RelayMetrics.cpp
@@ -153,7 +153,9 @@
   set("servers_paused", paused);
   set("servers_limited", static_cast<double>(CurrentState.Limits.size()));
   set("quarantined_segments",
-      static_cast<double>(CurrentState.Quarantine.size()));
+      static_cast<double>(CurrentState.Quarantine.segmentCount()));
+  set("quarantined_requests",
+      static_cast<double>(CurrentState.Quarantine.requestCount()));
   set("store_reachable", CurrentState.Store.IsReachable ? 1 : 0);
   set("ready", CurrentState.isReady() ? 1 : 0);
   return prometheus::TextSerializer{}.Serialize(Impl->Registry.Collect());
--- a/Libraries/LibRelay/AttemptReducer.cpp
+++ b/Libraries/LibRelay/AttemptReducer.cpp
@@ -145,7 +145,7 @@
     return false;
   if (request.ServersUsed >= request.MatchedRoute->MaximumServers)
     return false;
-  if (CurrentState.Quarantine.findQuarantined(request.SharedSegments))
+  if (CurrentState.Quarantine.find(request.suspectKeys()))
     return false;
   auto requests = RequestReducer(CurrentState, Output);
   if (!requests.reserveRetry(request, false))
@@ -237,6 +237,8 @@
       toMilliseconds(Response.Notice.Pause.value_or(Duration{})),
       server == nullptr ? 0 : server->load().Requests);
   if (server != nullptr) {
+    if (Response.IsMisdirected && !server->isLeaving())
+      QuarantineReducer(CurrentState, Output).observeCrash(server->Key);
     server->HasStaleAddress = server->HasStaleAddress || Response.IsMisdirected;
     // A pause that the server asked for says nothing about its health.
     if (!Response.Notice.Pause) {
@@ -267,6 +269,8 @@
       server->observeDuration(now() - attempt.SentAt,
                               Request.MatchedRoute->TargetLatency);
   }
+  if (!isError)
+    QuarantineReducer(CurrentState, Output).observeCompletion(Request);
   if (isError && Request.isRetryable() &&
       retry(Number, ResultCode::RetriesExhausted))
     return;
@@ -440,6 +444,7 @@
   if (request == nullptr)
     return;
   auto previous = *request->CurrentAttempt;
+  QuarantineReducer(CurrentState, Output).observeInterruption(*request);
   if (!retry(Attempt.Request, ResultCode::RetriesExhausted))
     return;
   emit(CancelAttempt{Attempt});
--- a/Libraries/LibRelay/CrashEvidence.cpp
+++ b/Libraries/LibRelay/CrashEvidence.cpp
@@ -12,12 +12,41 @@
 
 /// Limits on the memory.
 constexpr auto MaximumCrashes = std::size_t{64};
-constexpr auto MaximumPromptsPerCrash = std::size_t{256};
+constexpr auto MaximumInterruptionsPerCrash = std::size_t{256};
 
 auto combine(std::uint64_t Hash, std::uint64_t Seed) -> std::uint64_t {
   return hashText({reinterpret_cast<char const *>(&Hash), sizeof Hash}, Seed);
 }
 
+/// Returns the elements of \p Suspects with the most crashes.
+auto keepMostFrequent(std::vector<SuspectCrashes> Suspects)
+    -> std::vector<SuspectCrashes> {
+  auto most = std::size_t{0};
+  for (auto const &it : Suspects)
+    most = std::max(most, it.Crashes);
+  std::erase_if(Suspects, [most](auto const &it) { return it.Crashes < most; });
+  return Suspects;
+}
+
+/// Returns the keys of \p Identities at position \p Rank that most crashes have
+/// in common. \p Counts holds the number of crashes of each key.
+auto keysOfRank(std::vector<RequestIdentity> const &Identities,
+                std::size_t Rank,
+                std::map<SuspectKey, std::size_t> const &Counts)
+    -> std::vector<SuspectCrashes> {
+  auto keys = std::set<SuspectKey>{};
+  for (auto const &it : Identities)
+    keys.insert(it.keys()[Rank]);
+  auto suspects = std::vector<SuspectCrashes>{};
+  for (auto key : keys) {
+    auto const it = Counts.find(key);
+    if (it != Counts.end())
+      suspects.push_back(
+          {{key, SuspectKind::Request}, it->second, 1, it->second});
+  }
+  return keepMostFrequent(std::move(suspects));
+}
+
 } // namespace
 
 auto sharedSegments(Request const &Source) -> std::vector<SuspectKey> {
@@ -29,20 +58,56 @@
   return keys;
 }
 
-auto describeInterruption(Request const &Source, ServerKey Server)
-    -> InterruptedRequest {
-  auto prompt = hashText(Source.Model);
-  for (auto const &it : Source.PromptSegments)
-    prompt = combine(it.Hash, prompt);
-  return {Server, prompt, sharedSegments(Source)};
+auto suspectKeys(RequestIdentity const &Identity,
+                 std::span<SuspectKey const> SharedSegments)
+    -> std::vector<SuspectKey> {
+  auto const own = Identity.keys();
+  auto keys = std::vector<SuspectKey>(own.begin(), own.end());
+  keys.insert(keys.end(), SharedSegments.begin(), SharedSegments.end());
+  return keys;
+}
+
+auto CrashEvidence::Crash::explain(Explanation const &Explain) const
+    -> std::optional<SuspectKind> {
+  auto explanation = std::optional<SuspectKind>{};
+  auto check = [&](std::vector<SuspectKey> const &Keys) {
+    for (auto it : Keys) {
+      if (auto kind = Explain(it))
+        explanation = explanation ? std::min(*explanation, *kind) : *kind;
+    }
+  };
+  for (auto const &it : Interruptions) {
+    check(it.RequestKeys);
+    check(it.Segments);
+  }
+  return explanation;
+}
+
+auto CrashEvidence::count(Interruption const &Added) -> void {
+  for (auto it : Added.RequestKeys)
+    ++Occurrences[it];
+  for (auto it : Added.Segments)
+    ++Occurrences[it];
+}
+
+auto CrashEvidence::discount(Interruption const &Removed) -> void {
+  auto remove = [this](SuspectKey Key) {
+    auto it = Occurrences.find(Key);
+    if (--it->second == 0)
+      Occurrences.erase(it);
+  };
+  std::ranges::for_each(Removed.RequestKeys, remove);
+  std::ranges::for_each(Removed.Segments, remove);
 }
 
 auto CrashEvidence::crashOf(ServerKey Server, Instant Now) -> Crash & {
   if (Crashes.size() >= MaximumCrashes && !Crashes.contains(Server)) {
-    // Crashes without any prompt in progress are forgotten first.
+    // Crashes without any request in progress are forgotten first.
     auto least = std::ranges::min_element(Crashes, {}, [](auto const &it) {
-      return std::pair(!it.second.Prompts.empty(), it.second.LastAt);
+      return std::pair(!it.second.Interruptions.empty(), it.second.LastAt);
     });
+    for (auto const &it : least->second.Interruptions)
+      discount(it);
     Crashes.erase(least);
   }
   auto &crash = Crashes[Server];
@@ -53,16 +118,24 @@
 auto CrashEvidence::recordInterruption(InterruptedRequest Interrupted,
                                        Instant Now) -> void {
   auto &crash = crashOf(Interrupted.Server, Now);
-  auto isKnown = std::ranges::any_of(crash.Prompts, [&](auto const &it) {
-    return it.Hash == Interrupted.Prompt;
+  auto isKnown = std::ranges::any_of(crash.Interruptions, [&](auto const &it) {
+    return it.Identity == Interrupted.Identity;
   });
   // A connection that breaks long after the server crashed has another cause.
   auto isLate =
       crash.ConfirmedAt && Now - *crash.ConfirmedAt > ConfirmationTime;
-  if (isKnown || isLate || crash.Prompts.size() >= MaximumPromptsPerCrash)
+  if (isKnown || isLate ||
+      crash.Interruptions.size() >= MaximumInterruptionsPerCrash)
     return;
-  crash.Prompts.push_back(
-      {Interrupted.Prompt, std::move(Interrupted.Segments), Now});
+  auto const keys = Interrupted.Identity.keys();
+  auto interruption = Interruption{Interrupted.Identity,
+                                   {keys.begin(), keys.end()},
+                                   std::move(Interrupted.Segments),
+                                   Now};
+  // Instances of earlier versions do not report all keys.
+  std::erase(interruption.RequestKeys, SuspectKey{0});
+  count(interruption);
+  crash.Interruptions.push_back(std::move(interruption));
 }
 
 auto CrashEvidence::recordCrash(ServerKey Server, Instant Now) -> void {
@@ -70,30 +143,33 @@
   if (crash.ConfirmedAt)
     return;
   crash.ConfirmedAt = Now;
-  std::erase_if(crash.Prompts,
-                [&](auto const &it) { return Now - it.At > ConfirmationTime; });
+  std::erase_if(crash.Interruptions, [&](auto const &it) {
+    auto isEarlier = Now - it.At > ConfirmationTime;
+    if (isEarlier)
+      discount(it);
+    return isEarlier;
+  });
 }
 
-auto CrashEvidence::removeSegment(SuspectKey Segment) -> void {
+auto CrashEvidence::remove(SuspectKey Key) -> void {
+  if (Occurrences.erase(Key) == 0)
+    return;
   for (auto &crash : Crashes) {
-    for (auto &prompt : crash.second.Prompts)
-      std::erase(prompt.Segments, Segment);
+    for (auto &it : crash.second.Interruptions) {
+      std::erase(it.RequestKeys, Key);
+      std::erase(it.Segments, Key);
+    }
   }
 }
 
 auto CrashEvidence::expire(Duration Lifetime, Instant Now) -> void {
   std::erase_if(Crashes, [&](auto const &it) {
     auto lifetime = it.second.ConfirmedAt ? Lifetime : ConfirmationTime;
-    return Now - it.second.LastAt > lifetime;
-  });
-}
-
-auto CrashEvidence::contains(SuspectKey Segment) const -> bool {
-  return std::ranges::any_of(Crashes, [&](auto const &it) {
-    return std::ranges::any_of(it.second.Prompts, [&](auto const &Target) {
-      return std::ranges::find(Target.Segments, Segment) !=
-             Target.Segments.end();
-    });
+    auto isOld = Now - it.second.LastAt > lifetime;
+    if (isOld)
+      std::ranges::for_each(it.second.Interruptions,
+                            [this](auto const &Old) { discount(Old); });
+    return isOld;
   });
 }
 
@@ -103,41 +179,90 @@
   });
 }
 
-auto CrashEvidence::mostFrequent(
-    Instant Known, std::function<bool(SuspectKey)> const &IsExplained) const
-    -> std::vector<SegmentCrashes> {
+auto CrashEvidence::mostFrequentSegments(Instant Known,
+                                         Explanation const &Explain) const
+    -> std::vector<SuspectCrashes> {
   struct Count {
     std::size_t Crashes = 0;
-    std::set<std::uint64_t> Prompts;
+    std::size_t Unexplained = 0;
+    std::set<SuspectKey> Contents;
   };
   auto counts = std::map<SuspectKey, Count>{};
-  for (auto const &crash : Crashes) {
-    auto const &confirmedAt = crash.second.ConfirmedAt;
-    if (!confirmedAt || *confirmedAt > Known)
+  for (auto const &[server, crash] : Crashes) {
+    if (!crash.ConfirmedAt || *crash.ConfirmedAt > Known)
+      continue;
+    auto const explanation = crash.explain(Explain);
+    if (explanation == SuspectKind::Segment)
       continue;
-    auto prompts = std::map<SuspectKey, std::set<std::uint64_t>>{};
-    for (auto const &prompt : crash.second.Prompts) {
-      for (auto segment : prompt.Segments)
-        prompts[segment].insert(prompt.Hash);
+    auto contents = std::map<SuspectKey, std::set<SuspectKey>>{};
+    for (auto const &request : crash.Interruptions) {
+      for (auto segment : request.Segments)
+        contents[segment].insert(request.Identity.Content);
     }
-    if (std::ranges::any_of(
-            prompts, [&](auto const &it) { return IsExplained(it.first); }))
+    for (auto &it : contents) {
+      auto &count = counts[it.first];
+      ++count.Crashes;
+      count.Unexplained += explanation ? 0 : 1;
+      count.Contents.merge(it.second);
+    }
+  }
+  auto segments = std::vector<SuspectCrashes>{};
+  for (auto const &[key, count] : counts) {
+    if (count.Unexplained > 0)
+      segments.push_back({{key, SuspectKind::Segment},
+                          count.Crashes,
+                          count.Contents.size(),
+                          count.Unexplained});
+  }
+  return keepMostFrequent(std::move(segments));
+}
+
+auto CrashEvidence::mostFrequentRequests(Instant Known,
+                                         Explanation const &Explain) const
+    -> std::vector<SuspectCrashes> {
+  auto counts = std::map<SuspectKey, std::size_t>{};
+  auto contents = std::map<SuspectKey, std::vector<RequestIdentity>>{};
+  for (auto const &[server, crash] : Crashes) {
+    if (!crash.ConfirmedAt || *crash.ConfirmedAt > Known ||
+        crash.explain(Explain))
       continue;
-    for (auto &it : prompts) {
-      ++counts[it.first].Crashes;
-      counts[it.first].Prompts.merge(it.second);
+    auto keys = std::set<SuspectKey>{};
+    for (auto const &it : crash.Interruptions) {
+      keys.insert(it.RequestKeys.begin(), it.RequestKeys.end());
+      contents[it.Identity.Content].push_back(it.Identity);
+    }
+    for (auto it : keys)
+      ++counts[it];
+  }
+  auto requests = std::vector<SuspectCrashes>{};
+  for (auto const &[content, identities] : contents) {
+    auto specific = std::vector<SuspectCrashes>{};
+    for (auto rank = std::size_t{0}; rank < RequestIdentity{}.keys().size();
+         ++rank) {
+      auto const most = specific.empty() ? 0 : specific.front().Crashes;
+      auto found = keysOfRank(identities, rank, counts);
+      if (!found.empty() && found.front().Crashes > most)
+        specific = std::move(found);
     }
+    requests.insert(requests.end(), specific.begin(), specific.end());
   }
-  auto most = std::vector<SegmentCrashes>{};
-  for (auto const &it : counts) {
-    auto const segment =
-        SegmentCrashes{it.first, it.second.Crashes, it.second.Prompts.size()};
-    if (!most.empty() && segment.Crashes > most.front().Crashes)
-      most.clear();
-    if (most.empty() || segment.Crashes == most.front().Crashes)
-      most.push_back(segment);
+  return keepMostFrequent(std::move(requests));
+}
+
+auto CrashEvidence::crashesOf(SuspectKey Key, Explanation const &Explain) const
+    -> SuspectCrashes {
+  auto crashes = SuspectCrashes{{Key, SuspectKind::Request}, 0, 1, 0};
+  for (auto const &[server, crash] : Crashes) {
+    auto isWith = [Key](Interruption const &Target) {
+      return std::ranges::find(Target.RequestKeys, Key) !=
+             Target.RequestKeys.end();
+    };
+    if (!crash.ConfirmedAt || std::ranges::none_of(crash.Interruptions, isWith))
+      continue;
+    ++crashes.Crashes;
+    crashes.Unexplained += crash.explain(Explain) ? 0 : 1;
   }
-  return most;
+  return crashes;
 }
 
 } // namespace dotterel::relay
--- a/Libraries/LibRelay/CrashEvidence.h
+++ b/Libraries/LibRelay/CrashEvidence.h
@@ -1,5 +1,5 @@
 /// \file
-/// Which prompts were in progress when servers crashed.
+/// Which requests were in progress when servers crashed.
 #pragma once
 
 #include "LibRelay/RequestIdentity.h"
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <unordered_map>
 #include <vector>
 
 namespace dotterel::relay {
@@ -18,32 +19,35 @@
 [[nodiscard]] auto sharedSegments(Request const &Source)
     -> std::vector<SuspectKey>;
 
-/// A prompt that was in progress at a server when its connection broke.
+/// Returns the keys of a request itself, the most specific one first, and of
+/// the shared segments of its prompt. Thread safety: safe from any thread.
+[[nodiscard]] auto suspectKeys(RequestIdentity const &Identity,
+                               std::span<SuspectKey const> SharedSegments)
+    -> std::vector<SuspectKey>;
+
+/// A request that was in progress at a server when its connection broke.
 struct InterruptedRequest {
   ServerKey Server = 0;
-  /// Hash of the whole prompt.
-  std::uint64_t Prompt = 0;
+  RequestIdentity Identity;
+  /// Segments of its prompt, except for the last.
   std::vector<SuspectKey> Segments;
 
   auto operator==(InterruptedRequest const &) const -> bool = default;
 };
 
-/// Returns the description of a request that was in progress at \p Server.
-/// Thread safety: safe from any thread.
-[[nodiscard]] auto describeInterruption(Request const &Source, ServerKey Server)
-    -> InterruptedRequest;
-
-/// A segment and the crashes during which prompts with it were in progress.
-struct SegmentCrashes {
-  SuspectKey Segment = 0;
+/// A suspect and the crashes during which requests with it were in progress.
+struct SuspectCrashes {
+  relay::Suspect Suspect;
   /// Runs of servers that crashed.
   std::size_t Crashes = 0;
-  /// Distinct prompts that were in progress.
-  std::size_t Prompts = 0;
+  /// Distinct requests that were in progress.
+  std::size_t Requests = 0;
+  /// Crashes among them that no suspect in quarantine explains.
+  std::size_t Unexplained = 0;
 };
 
-/// The crashes that an instance knows of, and the prompts that were in progress
-/// at the servers according to all instances. Thread safety: none.
+/// The crashes that an instance knows of, and the requests that were in
+/// progress at the servers according to all instances. Thread safety: none.
 class CrashEvidence {
 public:
   /// \p ConfirmationTime is the longest time from a broken connection until it
@@ -51,34 +55,51 @@
   explicit CrashEvidence(Duration ConfirmationTime)
       : ConfirmationTime(ConfirmationTime) {}
 
-  /// Records a prompt of this instance or of a peer.
+  /// Records a request of this instance or of a peer.
   auto recordInterruption(InterruptedRequest Interrupted, Instant Now) -> void;
 
   /// Records that the run of a server ended without notice.
   auto recordCrash(ServerKey Server, Instant Now) -> void;
 
-  /// Removes a segment from all prompts.
-  auto removeSegment(SuspectKey Segment) -> void;
+  /// Removes a suspect from all requests.
+  auto remove(SuspectKey Key) -> void;
 
   /// Forgets crashes that are older than \p Lifetime.
   auto expire(Duration Lifetime, Instant Now) -> void;
 
-  [[nodiscard]] auto contains(SuspectKey Segment) const -> bool;
+  [[nodiscard]] auto contains(SuspectKey Key) const -> bool {
+    return Occurrences.contains(Key);
+  }
 
   /// Returns whether a crash became known after \p Known.
   [[nodiscard]] auto hasCrashAfter(Instant Known) const -> bool;
 
+  /// Returns which suspects in quarantine explain a crash.
+  using Explanation = std::function<std::optional<SuspectKind>(SuspectKey)>;
+
   /// Returns the segments that were in progress during most crashes that were
-  /// known at \p Known. Crashes during which a segment was in progress for
-  /// which \p IsExplained returns true do not count.
-  [[nodiscard]] auto
-  mostFrequent(Instant Known,
-               std::function<bool(SuspectKey)> const &IsExplained) const
-      -> std::vector<SegmentCrashes>;
+  /// known at \p Known. Crashes that a segment explains do not count. A segment
+  /// all of whose crashes a request explains is left out.
+  [[nodiscard]] auto mostFrequentSegments(Instant Known,
+                                          Explanation const &Explain) const
+      -> std::vector<SuspectCrashes>;
+
+  /// Returns the same for requests, of each the most specific key. Crashes that
+  /// a segment or a request explains do not count.
+  [[nodiscard]] auto mostFrequentRequests(Instant Known,
+                                          Explanation const &Explain) const
+      -> std::vector<SuspectCrashes>;
+
+  /// Returns the crashes during which a request with \p Key was in progress.
+  [[nodiscard]] auto crashesOf(SuspectKey Key, Explanation const &Explain) const
+      -> SuspectCrashes;
 
 private:
-  struct Prompt {
-    std::uint64_t Hash = 0;
+  /// What remains of an interrupted request without the keys that were removed.
+  struct Interruption {
+    RequestIdentity Identity;
+    /// The most specific one first.
+    std::vector<SuspectKey> RequestKeys;
     std::vector<SuspectKey> Segments;
     Instant At;
   };
@@ -88,13 +109,20 @@
   struct Crash {
     std::optional<Instant> ConfirmedAt;
     Instant LastAt;
-    std::vector<Prompt> Prompts;
+    std::vector<Interruption> Interruptions;
+
+    [[nodiscard]] auto explain(Explanation const &Explain) const
+        -> std::optional<SuspectKind>;
   };
 
   auto crashOf(ServerKey Server, Instant Now) -> Crash &;
+  auto count(Interruption const &Added) -> void;
+  auto discount(Interruption const &Removed) -> void;
 
   Duration ConfirmationTime;
   std::map<ServerKey, Crash> Crashes;
+  /// Number of interruptions that contain a key.
+  std::unordered_map<SuspectKey, std::size_t> Occurrences;
 };
 
 } // namespace dotterel::relay
--- a/Libraries/LibRelay/Effect.h
+++ b/Libraries/LibRelay/Effect.h
@@ -126,14 +126,14 @@
   std::string Holder;
 };
 
-/// Writes a segment in quarantine to the store, for instances that start later.
+/// Writes a suspect in quarantine to the store, for instances that start later.
 struct StoreQuarantine {
-  SuspectKey Segment = 0;
+  relay::Suspect Suspect;
 };
 
-/// Deletes a segment from the store that is no longer in quarantine.
+/// Deletes a suspect from the store that is no longer in quarantine.
 struct DeleteQuarantine {
-  SuspectKey Segment = 0;
+  SuspectKey Key = 0;
 };
 
 /// Orders a server to change its stage. Not sent after ValidUntil.
--- a/Libraries/LibRelay/Event.h
+++ b/Libraries/LibRelay/Event.h
@@ -204,9 +204,9 @@
   ServerNotice Notice{};
 };
 
-/// Segments of prompts that the store lists as quarantined.
+/// Suspects that the store lists as quarantined.
 struct QuarantineListed {
-  std::vector<SuspectKey> Segments;
+  std::vector<Suspect> Suspects;
 };
 
 /// A caller asked which instances to connect to.
--- a/Libraries/LibRelay/FleetReducer.cpp
+++ b/Libraries/LibRelay/FleetReducer.cpp
@@ -1,6 +1,7 @@
 #include "LibRelay/FleetReducer.h"
 
 #include "LibRelay/LimitReducer.h"
+#include "LibRelay/QuarantineReducer.h"
 #include "LibRelay/RequestReducer.h"
 #include "LibRelay/ServerListReducer.h"
 
@@ -105,7 +106,7 @@
                            std::uint64_t Incarnation) -> void {
   if (!Target.Suspicion.record(Incarnation, now()))
     return;
-  CurrentState.Quarantine.recordCrash(Target.Key, now());
+  QuarantineReducer(CurrentState, Output).observeCrash(Target.Key);
   log(LogLevel::Info, "server-suspected", "server={} address={} by={}",
       Target.Description.Id, Target.Description.Address, PeerAddress);
 }
--- a/Libraries/LibRelay/LimitReducer.cpp
+++ b/Libraries/LibRelay/LimitReducer.cpp
@@ -1,6 +1,6 @@
 #include "LibRelay/LimitReducer.h"
 
-#include "LibCore/Hash.h"
+#include "LibRelay/Coordinator.h"
 #include "LibRelay/RequestReducer.h"
 
 #include <algorithm>
@@ -11,12 +11,6 @@
 
 constexpr auto FirstSuccessStatus = 200U;
 constexpr auto FirstRedirectStatus = 300U;
-/// A peer issues permits once it has been heard of for this long. Longer than
-/// the time that it needs to know its own peers.
-constexpr auto IssuerWarmUp = Duration{2s};
-/// Time after a suspension of this process in which it issues no permits: what
-/// it knows of its peers is old.
-constexpr auto ResumptionPeriod = PeerDiscoveryPeriod;
 /// Issuers answer within a few milliseconds, on a busy machine within tens.
 constexpr auto PermitTimeout = Duration{150ms};
 /// Time after which to ask again if no instance issues permits: instances learn
@@ -56,44 +50,18 @@
   logChange(Report.Server, CurrentState.Limits.adopt(Report, now()), Source);
 }
 
-auto LimitReducer::findIssuer(ServerKey Key) const
-    -> std::optional<std::string> {
-  auto issuer = std::optional<std::string>{};
-  auto highest = std::uint64_t{0};
-  auto consider = [&](std::string const &Address) {
-    auto score = rendezvousScore(Key, Address);
-    if (issuer && score <= highest)
-      return;
-    issuer = Address;
-    highest = score;
-  };
-  auto isResuming = now() - CurrentState.ResumedAt < ResumptionPeriod;
-  if (CurrentState.knowsPeers() && !CurrentState.LeavingSince && !isResuming)
-    consider(CurrentState.Self.PeerAddress);
-  for (auto const &[address, peer] : CurrentState.Peers.all()) {
-    if (isKnownWell(peer) && !peer.LastReport->IsLeaving)
-      consider(address);
-  }
-  return issuer;
-}
-
-auto LimitReducer::isKnownWell(Peer const &Target) const -> bool {
-  return CurrentState.Peers.isAlive(Target, now()) &&
-         now() - Target.HeardSince >= IssuerWarmUp;
-}
-
 auto LimitReducer::fleetShare() const -> double {
   auto heard = 1U;
   auto known = 1U;
   for (auto const &it : CurrentState.Peers.all()) {
     heard += it.second.LastReport ? 1 : 0;
-    known += isKnownWell(it.second) ? 1 : 0;
+    known += isKnownWell(CurrentState, it.second) ? 1 : 0;
   }
   return static_cast<double>(known) / heard;
 }
 
 auto LimitReducer::issue(ServerKey Key) -> std::optional<Duration> {
-  if (findIssuer(Key) != CurrentState.Self.PeerAddress)
+  if (findCoordinator(CurrentState, Key) != CurrentState.Self.PeerAddress)
     return NoIssuerBackoff;
   // The limit may have ended since the other instance observed it.
   if (!CurrentState.Limits.find(Key))
@@ -111,7 +79,7 @@
   auto perSecond = limits.find(Target.Key);
   if (!perSecond)
     return PermitStatus::Granted;
-  auto issuer = findIssuer(Target.Key);
+  auto issuer = findCoordinator(CurrentState, Target.Key);
   if (issuer && *issuer != CurrentState.Self.PeerAddress) {
     emit(SendPermitRequest{*issuer,
                            {Target.Key, Attempt, CurrentState.Self.Incarnation,
--- a/Libraries/LibRelay/LimitReducer.h
+++ b/Libraries/LibRelay/LimitReducer.h
@@ -48,12 +48,6 @@
 private:
   auto logChange(ServerKey Key, LimitChange Change, std::string_view Source)
       -> void;
-  /// Returns the peer address of the instance that issues the permits for a
-  /// server, or std::nullopt if none is known yet.
-  [[nodiscard]] auto findIssuer(ServerKey Key) const
-      -> std::optional<std::string>;
-  /// Returns whether a peer has sent reports for long enough to issue permits.
-  [[nodiscard]] auto isKnownWell(Peer const &Target) const -> bool;
   /// Returns the share of the known instances that this one is in contact with.
   /// The parts of a partitioned fleet each use their share of a limit.
   [[nodiscard]] auto fleetShare() const -> double;
--- a/Libraries/LibRelay/Peers.cpp
+++ b/Libraries/LibRelay/Peers.cpp
@@ -27,28 +27,60 @@
 auto encodeQuarantine(QuarantineReport const &Report) -> json {
   auto interrupted = json::array();
   for (auto const &it : Report.Interrupted)
-    interrupted.push_back({it.Server, it.Prompt, it.Segments});
-  auto completed = json::array();
-  for (auto const &it : Report.Completed) {
-    completed.push_back(it.Segment);
-    completed.push_back(toMilliseconds(it.Age));
+    interrupted.push_back({it.Server, it.Identity.Content, it.Segments,
+                           it.Identity.Caller, it.Identity.Fields,
+                           it.Identity.Exact});
+  auto cleared = json::array();
+  for (auto const &it : Report.Cleared) {
+    cleared.push_back(it.Key);
+    cleared.push_back(toMilliseconds(it.Age));
   }
-  return json::array(
-      {std::move(interrupted), std::move(completed), Report.Quarantined});
+  // Instances of the first format know segments only.
+  auto segments = json::array();
+  auto requests = json::array();
+  for (auto const &it : Report.Quarantined) {
+    if (it.Kind == SuspectKind::Segment) {
+      segments.push_back(it.Key);
+      continue;
+    }
+    requests.push_back(it.Key);
+    requests.push_back(it.Kind == SuspectKind::AmbiguousRequest);
+  }
+  return json::array({std::move(interrupted), std::move(cleared),
+                      std::move(segments), std::move(requests)});
 }
 
 auto decodeQuarantine(json const &Source) -> QuarantineReport {
   auto report = QuarantineReport{};
-  for (auto const &it : Source.at(0))
-    report.Interrupted.push_back({it.at(0).get<ServerKey>(),
-                                  it.at(1).get<std::uint64_t>(),
-                                  it.at(2).get<std::vector<SuspectKey>>()});
-  auto const &completed = Source.at(1);
-  for (auto n = std::size_t{0}; n + 1 < completed.size(); n += 2)
-    report.Completed.push_back(
-        {completed[n].get<SuspectKey>(),
-         std::chrono::milliseconds(completed[n + 1].get<std::uint32_t>())});
-  report.Quarantined = Source.at(2).get<std::vector<SuspectKey>>();
+  for (auto const &it : Source.at(0)) {
+    auto interrupted = InterruptedRequest{};
+    interrupted.Server = it.at(0).get<ServerKey>();
+    interrupted.Identity.Content = it.at(1).get<SuspectKey>();
+    interrupted.Segments = it.at(2).get<std::vector<SuspectKey>>();
+    constexpr auto FirstFormatFields = std::size_t{3};
+    if (it.size() > FirstFormatFields) {
+      interrupted.Identity.Caller = it.at(3).get<SuspectKey>();
+      interrupted.Identity.Fields = it.at(4).get<SuspectKey>();
+      interrupted.Identity.Exact = it.at(5).get<SuspectKey>();
+    }
+    report.Interrupted.push_back(std::move(interrupted));
+  }
+  auto const &cleared = Source.at(1);
+  for (auto n = std::size_t{0}; n + 1 < cleared.size(); n += 2)
+    report.Cleared.push_back(
+        {cleared[n].get<SuspectKey>(),
+         std::chrono::milliseconds(cleared[n + 1].get<std::uint32_t>())});
+  for (auto const &it : Source.at(2))
+    report.Quarantined.push_back({it.get<SuspectKey>(), SuspectKind::Segment});
+  constexpr auto RequestsIndex = std::size_t{3};
+  if (Source.size() <= RequestsIndex)
+    return report;
+  auto const &requests = Source[RequestsIndex];
+  for (auto n = std::size_t{0}; n + 1 < requests.size(); n += 2)
+    report.Quarantined.push_back(
+        {requests[n].get<SuspectKey>(), requests[n + 1].get<bool>()
+                                            ? SuspectKind::AmbiguousRequest
+                                            : SuspectKind::Request});
   return report;
 }
 
--- a/Libraries/LibRelay/QuarantineReducer.cpp
+++ b/Libraries/LibRelay/QuarantineReducer.cpp
@@ -1,5 +1,6 @@
 #include "LibRelay/QuarantineReducer.h"
 
+#include "LibRelay/Coordinator.h"
 #include "LibRelay/RequestReducer.h"
 
 #include <algorithm>
@@ -11,22 +12,60 @@
 /// Report intervals until the peers' reports of a crash have arrived. One
 /// report may be lost.
 constexpr auto PropagationIntervals = 2;
+/// Time after which to come back with an ambiguous request; the trial of the
+/// cause usually clears the others within seconds.
+constexpr auto RetryAfterAmbiguity = Duration{1s};
 
 } // namespace
 
 auto QuarantineReducer::observeInterruption(InFlightRequest const &Request)
     -> void {
   auto const &attempt = *Request.CurrentAttempt;
-  if (attempt.IsSent && !Request.SharedSegments.empty())
+  if (attempt.IsSent)
     CurrentState.Quarantine.recordOwnInterruption(
-        describeInterruption(*Request.Content, attempt.Key), now());
+        {attempt.Key, Request.Identity, Request.SharedSegments}, now());
 }
 
 auto QuarantineReducer::observeCompletion(InFlightRequest const &Request)
     -> void {
   for (auto it :
-       CurrentState.Quarantine.recordCompletion(Request.SharedSegments, now()))
-    release(it, "prompt completed");
+       CurrentState.Quarantine.recordCompletion(Request.suspectKeys(), now()))
+    release(it, "request completed");
+}
+
+auto QuarantineReducer::observeCrash(ServerKey Key) -> void {
+  CurrentState.Quarantine.recordCrash(Key, now());
+  for (auto const &it : CurrentState.Requests) {
+    auto const &attempt = it.second.CurrentAttempt;
+    if (attempt && attempt->Key == Key)
+      observeInterruption(it.second);
+  }
+}
+
+auto QuarantineReducer::admitTrial(Suspect const &Target) -> bool {
+  if (Target.Kind != SuspectKind::AmbiguousRequest ||
+      findCoordinator(CurrentState, Target.Key) !=
+          CurrentState.Self.PeerAddress ||
+      !CurrentState.Quarantine.startTrial(Target.Key))
+    return false;
+  log(LogLevel::Warning, "suspect-tried", "suspect={:016x}", Target.Key);
+  return true;
+}
+
+auto QuarantineReducer::endTrial(InFlightRequest const &Request,
+                                 bool IsAnswered) -> void {
+  if (Request.TrialOf && (IsAnswered || !Request.MayHaveRun))
+    CurrentState.Quarantine.repeatTrial(*Request.TrialOf);
+}
+
+auto QuarantineReducer::refusal(Suspect const &Target) const -> Refusal {
+  auto code = Target.Kind == SuspectKind::Segment
+                  ? ResultCode::PromptQuarantined
+                  : ResultCode::RequestQuarantined;
+  auto retryAfter = Target.Kind == SuspectKind::AmbiguousRequest
+                        ? RetryAfterAmbiguity
+                        : CurrentState.Quarantine.timeLeft(Target.Key, now());
+  return {code, retryAfter};
 }
 
 auto QuarantineReducer::on(PeerReported const &Event) -> void {
@@ -34,26 +73,26 @@
   auto &quarantine = CurrentState.Quarantine;
   if (Event.Report.PeerAddress == CurrentState.Self.PeerAddress)
     return;
-  for (auto const &it : report.Completed) {
-    if (quarantine.recordCompletedSegment(it, now()))
-      release(it.Segment, "prompt completed at a peer");
+  for (auto const &it : report.Cleared) {
+    if (quarantine.recordCleared(it, now()))
+      release(it.Key, "cleared by a peer");
   }
   for (auto const &it : report.Interrupted)
     quarantine.recordInterruption(it, now());
-  for (auto it : report.Quarantined) {
+  for (auto const &it : report.Quarantined) {
     if (quarantine.quarantine(it, now()))
       apply(it, Event.Report.PeerAddress, 0, 0);
   }
 }
 
 auto QuarantineReducer::on(QuarantineListed const &Event) -> void {
-  for (auto it : Event.Segments) {
+  for (auto const &it : Event.Suspects) {
     if (CurrentState.Quarantine.quarantine(it, now()))
       apply(it, "store", 0, 0);
-    CurrentState.Quarantine.markStored(it);
-    // A prompt with the segment was completed recently.
-    if (!CurrentState.Quarantine.findQuarantined({&it, 1}))
-      emit(DeleteQuarantine{it});
+    CurrentState.Quarantine.markStored(it.Key);
+    // It was shown to be harmless recently.
+    if (!CurrentState.Quarantine.find({&it.Key, 1}))
+      emit(DeleteQuarantine{it.Key});
   }
 }
 
@@ -63,47 +102,49 @@
     release(it, "time passed");
   auto propagationTime =
       PropagationIntervals * CurrentState.Peers.reportInterval();
-  for (auto const &it : quarantine.evaluate(propagationTime, now()))
-    apply(it.Segment, "evidence", it.Crashes, it.Prompts);
+  auto const changes = quarantine.evaluate(propagationTime, now());
+  for (auto const &it : changes.Added)
+    apply(it.Suspect, "evidence", it.Crashes, it.Requests);
+  for (auto it : changes.Cleared)
+    release(it, "another suspect is the cause");
   // Watchers write on behalf of their peers.
   if (!CurrentState.StoreWatch.IsWatcher)
     return;
-  for (auto it : quarantine.takeUnstored())
+  for (auto const &it : quarantine.takeUnstored())
     emit(StoreQuarantine{it});
 }
 
-auto QuarantineReducer::apply(SuspectKey Segment, std::string_view Source,
-                              std::size_t Crashes, std::size_t Prompts)
+auto QuarantineReducer::apply(Suspect const &Target, std::string_view Source,
+                              std::size_t Crashes, std::size_t Requests)
     -> void {
-  log(LogLevel::Warning, "segment-quarantined",
-      "segment={:016x} from={} crashes={} prompts={}", Segment,
-      quoteLogValue(Source), Crashes, Prompts);
+  log(LogLevel::Warning, "suspect-quarantined",
+      "suspect={:016x} kind={} from={} crashes={} requests={}", Target.Key,
+      toString(Target.Kind), quoteLogValue(Source), Crashes, Requests);
   CurrentState.NextReportAt = now();
   auto affected = std::vector<RequestNumber>{};
   for (auto const &it : CurrentState.Requests) {
     auto const &request = it.second;
-    auto const &segments = request.SharedSegments;
+    auto const keys = request.suspectKeys();
     auto isDecoded = request.CurrentAttempt &&
                      !request.CurrentAttempt->IsPrefill &&
                      request.CurrentAttempt->HasFirstPart;
-    if (!isDecoded && std::ranges::find(segments, Segment) != segments.end())
+    if (!isDecoded && std::ranges::find(keys, Target.Key) != keys.end())
       affected.push_back(it.first);
   }
   for (auto it : affected) {
-    auto code = find(it)->MayHaveRun ? ResultCode::AnswerLost
-                                     : ResultCode::PromptQuarantined;
-    RequestReducer(CurrentState, Output)
-        .fail(it, code, CurrentState.Quarantine.timeLeft(Segment, now()));
+    auto const reason = refusal(Target);
+    auto code = find(it)->MayHaveRun ? ResultCode::AnswerLost : reason.Code;
+    RequestReducer(CurrentState, Output).fail(it, code, reason.RetryAfter);
   }
 }
 
-auto QuarantineReducer::release(SuspectKey Segment, std::string_view Reason)
+auto QuarantineReducer::release(SuspectKey Key, std::string_view Reason)
     -> void {
-  log(LogLevel::Warning, "segment-released", "segment={:016x} reason={}",
-      Segment, quoteLogValue(Reason));
+  log(LogLevel::Warning, "suspect-released", "suspect={:016x} reason={}", Key,
+      quoteLogValue(Reason));
   CurrentState.NextReportAt = now();
   if (CurrentState.StoreWatch.IsWatcher)
-    emit(DeleteQuarantine{Segment});
+    emit(DeleteQuarantine{Key});
 }
 
 } // namespace dotterel::relay
--- a/Libraries/LibRelay/QuarantineReducer.h
+++ b/Libraries/LibRelay/QuarantineReducer.h
@@ -1,7 +1,8 @@
 /// \file
-/// Keeps prompts away from servers that would crash on them.
+/// Keeps requests away from servers that would crash on them.
 #pragma once
 
+#include "LibRelay/Admission.h"
 #include "LibRelay/SubReducer.h"
 
 namespace dotterel::relay {
@@ -16,15 +17,29 @@
   auto on(QuarantineListed const &Event) -> void;
   auto on(Tick const &Event) -> void;
 
-  /// Records that the connection of a request's current attempt broke.
+  /// Records that the current attempt of a request ended without a response.
   auto observeInterruption(InFlightRequest const &Request) -> void;
   /// Records that a request received a complete response.
   auto observeCompletion(InFlightRequest const &Request) -> void;
+  /// Records that the run of a server ended without notice. The requests that
+  /// this instance has in progress there have been interrupted.
+  auto observeCrash(ServerKey Key) -> void;
+
+  /// Returns whether a request with a suspect in quarantine is admitted
+  /// nevertheless, as the one trial of an ambiguous request.
+  [[nodiscard]] auto admitTrial(Suspect const &Target) -> bool;
+  /// Records the end of a request. \p IsAnswered tells whether a server
+  /// responded to it.
+  auto endTrial(InFlightRequest const &Request, bool IsAnswered) -> void;
+
+  /// Returns the response to requests with a suspect in quarantine: the result
+  /// code, and the time after which callers may come back.
+  [[nodiscard]] auto refusal(Suspect const &Target) const -> Refusal;
 
 private:
-  auto apply(SuspectKey Segment, std::string_view Source, std::size_t Crashes,
-             std::size_t Prompts) -> void;
-  auto release(SuspectKey Segment, std::string_view Reason) -> void;
+  auto apply(Suspect const &Target, std::string_view Source,
+             std::size_t Crashes, std::size_t Requests) -> void;
+  auto release(SuspectKey Key, std::string_view Reason) -> void;
 };
 
 } // namespace dotterel::relay
--- a/Libraries/LibRelay/RequestIdentity.cpp
+++ b/Libraries/LibRelay/RequestIdentity.cpp
@@ -39,12 +39,25 @@
     fields = combine(fields, it.Value);
   }
   identity.Fields = fields;
+  identity.Exact = combine(fields, Source.CallerAddress);
   return identity;
 }
 
+auto toString(SuspectKind Kind) -> std::string_view {
+  switch (Kind) {
+  case SuspectKind::Segment:
+    return "segment";
+  case SuspectKind::Request:
+    return "request";
+  case SuspectKind::AmbiguousRequest:
+    return "ambiguous-request";
+  }
+  return "segment";
+}
+
 auto toString(RequestIdentity const &Identity) -> std::string {
-  return fmt::format("{:016x},{:016x},{:016x}", Identity.Fields,
-                     Identity.Caller, Identity.Content);
+  return fmt::format("{:016x},{:016x},{:016x},{:016x}", Identity.Exact,
+                     Identity.Fields, Identity.Caller, Identity.Content);
 }
 
 } // namespace dotterel::relay
--- a/Libraries/LibRelay/RequestIdentity.h
+++ b/Libraries/LibRelay/RequestIdentity.h
@@ -17,7 +17,10 @@
 /// The keys under which a request is recognised. What makes a caller is not
 /// known: it may name itself in a header field, or have an address of its own.
 struct RequestIdentity {
-  /// Content and all other header fields except the request's id.
+  /// Content, address of the caller and all other header fields except the
+  /// request's id.
+  SuspectKey Exact = 0;
+  /// Content and the other header fields.
   SuspectKey Fields = 0;
   /// Content and the address of the caller.
   SuspectKey Caller = 0;
@@ -26,11 +29,32 @@
 
   auto operator==(RequestIdentity const &) const -> bool = default;
 
-  [[nodiscard]] auto keys() const -> std::array<SuspectKey, 3> {
-    return {Fields, Caller, Content};
+  /// Returns the keys, the most specific one first.
+  [[nodiscard]] auto keys() const -> std::array<SuspectKey, 4> {
+    return {Exact, Fields, Caller, Content};
   }
 };
 
+enum class SuspectKind : std::uint8_t {
+  /// A segment of prompts for one model.
+  Segment,
+  /// A request, wherever it comes again.
+  Request,
+  /// One of several requests of which only one may be the cause.
+  AmbiguousRequest,
+};
+
+/// Returns the name of \p Kind as used in logs.
+[[nodiscard]] auto toString(SuspectKind Kind) -> std::string_view;
+
+/// What may crash servers.
+struct Suspect {
+  SuspectKey Key = 0;
+  SuspectKind Kind = SuspectKind::Segment;
+
+  auto operator==(Suspect const &) const -> bool = default;
+};
+
 /// Returns the identity of \p Source. Thread safety: safe from any thread.
 [[nodiscard]] auto identify(Request const &Source) -> RequestIdentity;
 
--- a/Libraries/LibRelay/RequestReducer.cpp
+++ b/Libraries/LibRelay/RequestReducer.cpp
@@ -4,6 +4,7 @@
 #include "LibRelay/Admission.h"
 #include "LibRelay/AttemptReducer.h"
 #include "LibRelay/LimitReducer.h"
+#include "LibRelay/QuarantineReducer.h"
 
 #include <algorithm>
 #include <utility>
@@ -82,13 +83,19 @@
       CurrentState.Config->findRoute(content.Host, content.path());
   if (route == nullptr || route->Services.empty())
     return refuse(ResultCode::UnknownPath, std::nullopt);
+  auto const identity = identify(content);
   auto segments = sharedSegments(content);
-  if (auto segment = CurrentState.Quarantine.findQuarantined(segments))
-    return refuse(ResultCode::PromptQuarantined,
-                  CurrentState.Quarantine.timeLeft(*segment, now()));
+  auto quarantine = QuarantineReducer(CurrentState, Output);
+  auto suspect = CurrentState.Quarantine.find(suspectKeys(identity, segments));
+  if (suspect && !quarantine.admitTrial(*suspect)) {
+    auto const refusal = quarantine.refusal(*suspect);
+    return refuse(refusal.Code, refusal.RetryAfter);
+  }
   auto &request = CurrentState.Requests[number];
+  if (suspect)
+    request.TrialOf = suspect->Key;
+  request.Identity = identity;
   request.SharedSegments = std::move(segments);
-  request.Identity = identify(content);
   request.Content = Event.Content;
   request.Config = CurrentState.Config;
   request.MatchedRoute = route;
@@ -361,6 +368,8 @@
                             unsigned Status) -> void {
   auto node = CurrentState.Requests.extract(Number);
   auto &request = node.mapped();
+  QuarantineReducer(CurrentState, Output)
+      .endTrial(request, Code == ResultCode::Completed);
   auto const *attempt =
       request.CurrentAttempt ? &*request.CurrentAttempt : nullptr;
   log(LogLevel::Info, "request-finished",
@@ -408,8 +417,11 @@
 
 auto RequestReducer::checkTimeouts(RequestNumber Number,
                                    InFlightRequest &Request) -> void {
-  if (now() >= Request.Deadline)
+  if (now() >= Request.Deadline) {
+    if (Request.CurrentAttempt)
+      QuarantineReducer(CurrentState, Output).observeInterruption(Request);
     return fail(Number, ResultCode::DeadlineInfeasible, Duration{});
+  }
   auto const *attempt =
       Request.CurrentAttempt ? &*Request.CurrentAttempt : nullptr;
   if (attempt != nullptr && attempt->PermitRequestedAt)
--- a/Libraries/LibRelay/ServerListReducer.cpp
+++ b/Libraries/LibRelay/ServerListReducer.cpp
@@ -1,5 +1,7 @@
 #include "LibRelay/ServerListReducer.h"
 
+#include "LibRelay/QuarantineReducer.h"
+
 #include <algorithm>
 
 namespace dotterel::relay {
@@ -52,11 +54,13 @@
   auto const *previous = CurrentState.Servers.find(id);
   if (previous != nullptr &&
       previous->Description.StartedAt < Description.StartedAt)
-    CurrentState.Quarantine.recordCrash(previous->Key, now());
+    QuarantineReducer(CurrentState, Output).observeCrash(previous->Key);
   if (!CurrentState.Servers.put(std::move(Description)))
     return;
   auto &server = *CurrentState.Servers.find(id);
   CurrentState.Peers.restoreLoads(server);
+  if (!isKnown)
+    observeReplacement(server);
   auto const &entry = server.Description;
   auto const *run = CurrentState.Servers.history().find(key);
   if (!isKnown && mayBeOutdated && run != nullptr && run->RemovedAt &&
@@ -74,6 +78,19 @@
     emit(CloseIdleConnections{entry.Address});
 }
 
+auto ServerListReducer::observeReplacement(Server const &Successor) -> void {
+  auto replaced = std::vector<ServerKey>{};
+  for (auto const &it : CurrentState.Servers.all()) {
+    auto const &server = *it.second;
+    if (server.Description.Address == Successor.Description.Address &&
+        server.Description.StartedAt < Successor.Description.StartedAt &&
+        !server.isLeaving())
+      replaced.push_back(server.Key);
+  }
+  for (auto it : replaced)
+    QuarantineReducer(CurrentState, Output).observeCrash(it);
+}
+
 auto ServerListReducer::remove(std::string const &Id, StoreVersion Version,
                                std::string_view Reason) -> void {
   CurrentState.LapsedServers.erase(Id);
@@ -81,7 +98,7 @@
   if (server == nullptr)
     return;
   if (!server->isLeaving())
-    CurrentState.Quarantine.recordCrash(server->Key, now());
+    QuarantineReducer(CurrentState, Output).observeCrash(server->Key);
   auto &run = CurrentState.Servers.history().at(server->Key);
   run.RemovedAt = std::max(Version, server->Description.Version);
   run.WasDraining = server->isLeaving();
--- a/Libraries/LibRelay/ServerListReducer.h
+++ b/Libraries/LibRelay/ServerListReducer.h
@@ -38,6 +38,9 @@
   auto observeNotice(Server &Target, ServerNotice const &Notice) -> void;
 
 private:
+  /// Records that the servers that had the address of \p Successor before have
+  /// ended.
+  auto observeReplacement(Server const &Successor) -> void;
   auto handleRemoval(ServerUpdate const &Update) -> void;
   auto put(ServerDescription Description) -> void;
   /// Returns whether an entry may come from the copy that the store was
--- a/Libraries/LibRelay/State.h
+++ b/Libraries/LibRelay/State.h
@@ -105,8 +105,10 @@
   Route const *MatchedRoute = nullptr;
   std::string Service;
   std::vector<Prefix> Prefixes;
-  std::vector<SuspectKey> SharedSegments;
   RequestIdentity Identity;
+  std::vector<SuspectKey> SharedSegments;
+  /// Set if the request is the trial of an ambiguous request in quarantine.
+  std::optional<SuspectKey> TrialOf;
   Instant ArrivedAt;
   Instant Deadline;
   std::optional<Attempt> CurrentAttempt;
@@ -135,6 +137,11 @@
   /// together with the first event.
   std::optional<ServerResponse> StreamHeader;
 
+  /// Returns the keys of the request itself and of its shared segments.
+  [[nodiscard]] auto suspectKeys() const -> std::vector<SuspectKey> {
+    return relay::suspectKeys(Identity, SharedSegments);
+  }
+
   /// Returns the number of attempts to connect to a server.
   [[nodiscard]] auto attemptsStarted() const -> std::uint32_t {
     return AttemptsMade - PermitsDenied;
--- a/Libraries/LibRelay/SuspectQuarantine.cpp
+++ b/Libraries/LibRelay/SuspectQuarantine.cpp
@@ -6,30 +6,33 @@
 
 namespace {
 
-/// Evidence for a segment. One prompt is not enough: it does not show which of
-/// its segments crashed the servers.
+/// Evidence against a suspect.
 constexpr auto MinimumCrashes = std::size_t{3};
-constexpr auto MinimumPrompts = std::size_t{2};
-/// The same if several segments were in progress during equally many crashes.
-/// Usually only one of them is the cause, and further crashes show which.
+/// One request does not show which of its segments crashed the servers.
+constexpr auto MinimumRequests = std::size_t{2};
+/// Evidence against one of several segments that were in progress during
+/// equally many crashes. Usually only one of them is the cause, and further
+/// crashes show which.
 constexpr auto MinimumTiedCrashes = std::size_t{5};
 constexpr auto QuarantineTime = Duration{1h};
 /// An observation is repeated in the reports for this long, because reports may
 /// be lost.
 constexpr auto ReportPeriod = Duration{1s};
 /// Limits on the memory.
-constexpr auto MaximumCompletions = std::size_t{16384};
+constexpr auto MaximumCleared = std::size_t{16384};
 constexpr auto MaximumQuarantined = std::size_t{1024};
 /// Limits on the size of one report.
-constexpr auto MaximumPromptsPerReport = std::size_t{20};
-constexpr auto MaximumSegmentsPerReport = std::size_t{24};
+constexpr auto MaximumInterruptedPerReport = std::size_t{12};
+constexpr auto MaximumSuspectsPerReport = std::size_t{16};
 
 } // namespace
 
 auto SuspectQuarantine::recordOwnInterruption(InterruptedRequest Interrupted,
                                               Instant Now) -> void {
-  removeHarmless(Interrupted, Now);
-  if (Interrupted.Segments.empty())
+  removeHarmlessSegments(Interrupted, Now);
+  auto isHarmlessKey = [&](SuspectKey it) { return isHarmless(it, Now); };
+  if (Interrupted.Segments.empty() &&
+      std::ranges::all_of(Interrupted.Identity.keys(), isHarmlessKey))
     return;
   PendingReports.push_back({Interrupted, Now + ReportPeriod});
   recordInterruption(std::move(Interrupted), Now);
@@ -37,14 +40,19 @@
 
 auto SuspectQuarantine::recordInterruption(InterruptedRequest Interrupted,
                                            Instant Now) -> void {
-  for (auto it : Interrupted.Segments) {
+  auto reportHarmless = [&](SuspectKey Key) {
+    if (isHarmless(Key, Now))
+      reportCleared(Key, Now);
+  };
+  auto const keys = Interrupted.Identity.keys();
+  std::ranges::for_each(keys, reportHarmless);
+  std::ranges::for_each(Interrupted.Segments, reportHarmless);
+  removeHarmlessSegments(Interrupted, Now);
+  Evidence.recordInterruption(std::move(Interrupted), Now);
+  for (auto it : keys) {
     if (isHarmless(it, Now))
-      reportCompletion(it, Now);
+      Evidence.remove(it);
   }
-  removeHarmless(Interrupted, Now);
-  if (Interrupted.Segments.empty())
-    return;
-  Evidence.recordInterruption(std::move(Interrupted), Now);
   HasNewEvidence = true;
 }
 
@@ -53,117 +61,185 @@
   HasNewEvidence = true;
 }
 
-auto SuspectQuarantine::isHarmless(SuspectKey Segment, Instant Now) const
-    -> bool {
-  auto it = CompletedAt.find(Segment);
-  return it != CompletedAt.end() && Now - it->second < ConfirmationTime;
+auto SuspectQuarantine::isHarmless(SuspectKey Key, Instant Now) const -> bool {
+  auto it = ClearedAt.find(Key);
+  return it != ClearedAt.end() && Now - it->second < ConfirmationTime;
 }
 
-auto SuspectQuarantine::removeHarmless(InterruptedRequest &Interrupted,
-                                       Instant Now) const -> void {
+auto SuspectQuarantine::removeHarmlessSegments(InterruptedRequest &Interrupted,
+                                               Instant Now) const -> void {
   std::erase_if(Interrupted.Segments,
                 [&](SuspectKey it) { return isHarmless(it, Now); });
 }
 
-auto SuspectQuarantine::reportCompletion(SuspectKey Segment, Instant Now)
-    -> void {
-  PendingCompletions[Segment] = Now + ReportPeriod;
+auto SuspectQuarantine::reportCleared(SuspectKey Key, Instant Now) -> void {
+  PendingCleared[Key] = Now + ReportPeriod;
 }
 
-auto SuspectQuarantine::forgetOldestCompletion() -> void {
-  auto const oldest = Completions.front();
-  Completions.pop_front();
-  auto it = CompletedAt.find(oldest.first);
-  if (it != CompletedAt.end() && it->second <= oldest.second)
-    CompletedAt.erase(it);
+auto SuspectQuarantine::forgetOldestCleared() -> void {
+  auto const oldest = ClearedOrder.front();
+  ClearedOrder.pop_front();
+  auto it = ClearedAt.find(oldest.first);
+  if (it != ClearedAt.end() && it->second <= oldest.second)
+    ClearedAt.erase(it);
 }
 
-auto SuspectQuarantine::recordCompletedSegment(
-    CompletedSegment const &Completed, Instant Now) -> bool {
-  if (Completed.Age >= ConfirmationTime)
+auto SuspectQuarantine::recordCleared(ClearedSuspect const &Cleared,
+                                      Instant Now) -> bool {
+  if (Cleared.Age >= ConfirmationTime)
     return false;
-  auto const at = Now - Completed.Age;
-  auto &completedAt = CompletedAt[Completed.Segment];
-  if (completedAt >= at)
+  auto const at = Now - Cleared.Age;
+  auto &clearedAt = ClearedAt[Cleared.Key];
+  if (clearedAt >= at)
     return false;
-  completedAt = at;
-  Completions.emplace_back(Completed.Segment, at);
-  if (Completions.size() > MaximumCompletions)
-    forgetOldestCompletion();
-  Evidence.removeSegment(Completed.Segment);
-  return Quarantined.erase(Completed.Segment) > 0;
+  clearedAt = at;
+  ClearedOrder.emplace_back(Cleared.Key, at);
+  if (ClearedOrder.size() > MaximumCleared)
+    forgetOldestCleared();
+  if (Evidence.contains(Cleared.Key)) {
+    Evidence.remove(Cleared.Key);
+    HasNewEvidence = true;
+  }
+  return Quarantined.erase(Cleared.Key) > 0;
 }
 
-auto SuspectQuarantine::recordCompletion(std::span<SuspectKey const> Segments,
+auto SuspectQuarantine::recordCompletion(std::span<SuspectKey const> Keys,
                                          Instant Now)
     -> std::vector<SuspectKey> {
   auto released = std::vector<SuspectKey>{};
-  for (auto it : Segments) {
+  for (auto it : Keys) {
     if (Evidence.contains(it) || Quarantined.contains(it))
-      reportCompletion(it, Now);
-    if (recordCompletedSegment({it, Duration{}}, Now))
+      reportCleared(it, Now);
+    if (recordCleared({it, Duration{}}, Now))
       released.push_back(it);
   }
   return released;
 }
 
-auto SuspectQuarantine::quarantine(SuspectKey Segment, Instant Now) -> bool {
-  if (isHarmless(Segment, Now)) {
-    reportCompletion(Segment, Now);
+auto SuspectQuarantine::quarantine(Suspect const &Target, Instant Now) -> bool {
+  if (isHarmless(Target.Key, Now)) {
+    reportCleared(Target.Key, Now);
     return false;
   }
-  if (Quarantined.size() >= MaximumQuarantined)
+  auto it = Quarantined.find(Target.Key);
+  if (it == Quarantined.end()) {
+    if (Quarantined.size() >= MaximumQuarantined)
+      return false;
+    Quarantined.emplace(Target.Key, Entry{Target.Kind, Now + QuarantineTime,
+                                          Now + ReportPeriod});
+    return true;
+  }
+  auto &entry = it->second;
+  if (entry.Kind != SuspectKind::AmbiguousRequest ||
+      Target.Kind != SuspectKind::Request)
     return false;
-  return Quarantined
-      .try_emplace(Segment,
-                   Entry{Now + QuarantineTime, Now + ReportPeriod, false})
-      .second;
+  entry.Kind = SuspectKind::Request;
+  entry.ReportUntil = Now + ReportPeriod;
+  return true;
+}
+
+auto SuspectQuarantine::explain(SuspectKey Key) const
+    -> std::optional<SuspectKind> {
+  auto it = Quarantined.find(Key);
+  return it == Quarantined.end() ? std::nullopt
+                                 : std::optional(it->second.Kind);
 }
 
-auto SuspectQuarantine::findCauses(Instant Known) const
-    -> std::vector<SegmentCrashes> {
-  auto segments = Evidence.mostFrequent(
-      Known, [this](SuspectKey it) { return Quarantined.contains(it); });
-  // A segment that lacks other prompts may still be the cause instead of the
+auto SuspectQuarantine::explainWithCertainty(SuspectKey Key) const
+    -> std::optional<SuspectKind> {
+  auto kind = explain(Key);
+  return kind == SuspectKind::AmbiguousRequest ? std::nullopt : kind;
+}
+
+auto SuspectQuarantine::findRequests(Instant Known) const
+    -> std::vector<SuspectCrashes> {
+  auto requests = Evidence.mostFrequentRequests(
+      Known, [this](SuspectKey it) { return explainWithCertainty(it); });
+  std::erase_if(requests, [](SuspectCrashes const &it) {
+    return it.Crashes < MinimumCrashes;
+  });
+  if (requests.size() > 1) {
+    for (auto &it : requests)
+      it.Suspect.Kind = SuspectKind::AmbiguousRequest;
+  }
+  return requests;
+}
+
+auto SuspectQuarantine::findSegments(Instant Known) const
+    -> std::vector<SuspectCrashes> {
+  auto segments = Evidence.mostFrequentSegments(
+      Known, [this](SuspectKey it) { return explain(it); });
+  // A segment that lacks other requests may still be the cause instead of the
   // others, so it counts as one of several.
-  auto const required =
-      segments.size() > 1 ? MinimumTiedCrashes : MinimumCrashes;
-  std::erase_if(segments, [&](SegmentCrashes const &it) {
-    return it.Crashes < required || it.Prompts < MinimumPrompts;
+  auto const isTied = segments.size() > 1;
+  std::erase_if(segments, [isTied](SuspectCrashes const &it) {
+    auto const required = isTied ? MinimumTiedCrashes : MinimumCrashes;
+    return it.Crashes < required || it.Requests < MinimumRequests;
   });
   return segments;
 }
 
+auto SuspectQuarantine::clearOthers(Instant Now) -> std::vector<SuspectKey> {
+  auto cleared = std::vector<SuspectKey>{};
+  for (auto const &[key, entry] : Quarantined) {
+    if (entry.Kind != SuspectKind::AmbiguousRequest)
+      continue;
+    auto const crashes = Evidence.crashesOf(
+        key, [this](SuspectKey it) { return explainWithCertainty(it); });
+    if (crashes.Unexplained < crashes.Crashes &&
+        crashes.Unexplained < MinimumCrashes)
+      cleared.push_back(key);
+  }
+  for (auto it : cleared) {
+    reportCleared(it, Now);
+    (void)recordCleared({it, Duration{}}, Now);
+  }
+  return cleared;
+}
+
 auto SuspectQuarantine::evaluate(Duration PropagationTime, Instant Now)
-    -> std::vector<SegmentCrashes> {
-  auto added = std::vector<SegmentCrashes>{};
+    -> QuarantineChanges {
+  auto changes = QuarantineChanges{};
   if (!HasNewEvidence)
-    return added;
-  // A crash may be explained by a segment that is in quarantine already, so all
+    return changes;
+  // A crash may be explained by a suspect that is in quarantine already, so all
   // repetitions of the peers' reports are awaited.
   auto const known =
       Now - (Quarantined.empty() ? PropagationTime
                                  : std::max(PropagationTime, ReportPeriod));
   HasNewEvidence = Evidence.hasCrashAfter(known);
-  for (auto isProgress = true; isProgress;) {
-    isProgress = false;
-    for (auto const &it : findCauses(known)) {
-      if (!quarantine(it.Segment, Now))
+  auto add = [&](std::vector<SuspectCrashes> const &Found) {
+    auto isProgress = false;
+    for (auto const &it : Found) {
+      if (!quarantine(it.Suspect, Now))
         continue;
-      added.push_back(it);
+      changes.Added.push_back(it);
       isProgress = true;
     }
+    return isProgress;
+  };
+  for (auto isProgress = true; isProgress;) {
+    auto const requests = findRequests(known);
+    auto const segments = findSegments(known);
+    // The most frequent suspect is the likely cause, or the most specific one
+    // of equally frequent ones.
+    auto isSegmentLikely =
+        !segments.empty() && (requests.empty() || segments.front().Crashes >
+                                                      requests.front().Crashes);
+    isProgress = isSegmentLikely ? add(segments) || add(requests)
+                                 : add(requests) || add(segments);
   }
-  return added;
+  changes.Cleared = clearOthers(Now);
+  return changes;
 }
 
 auto SuspectQuarantine::expire(Instant Now) -> std::vector<SuspectKey> {
-  while (!Completions.empty() &&
-         Now - Completions.front().second >= ConfirmationTime)
-    forgetOldestCompletion();
+  while (!ClearedOrder.empty() &&
+         Now - ClearedOrder.front().second >= ConfirmationTime)
+    forgetOldestCleared();
   Evidence.expire(QuarantineTime, Now);
   std::erase_if(PendingReports, [&](auto const &it) { return Now > it.Until; });
-  std::erase_if(PendingCompletions,
+  std::erase_if(PendingCleared,
                 [&](auto const &it) { return Now > it.second; });
   auto ended = std::vector<SuspectKey>{};
   for (auto const &it : Quarantined) {
@@ -175,58 +251,74 @@
   return ended;
 }
 
-auto SuspectQuarantine::findQuarantined(
-    std::span<SuspectKey const> Segments) const -> std::optional<SuspectKey> {
-  for (auto it : Segments) {
-    if (Quarantined.contains(it))
-      return it;
+auto SuspectQuarantine::find(std::span<SuspectKey const> Keys) const
+    -> std::optional<Suspect> {
+  for (auto key : Keys) {
+    auto it = Quarantined.find(key);
+    if (it != Quarantined.end())
+      return Suspect{key, it->second.Kind};
   }
   return std::nullopt;
 }
 
-auto SuspectQuarantine::timeLeft(SuspectKey Segment, Instant Now) const
+auto SuspectQuarantine::timeLeft(SuspectKey Key, Instant Now) const
     -> Duration {
-  return std::max(Duration{}, Quarantined.at(Segment).Until - Now);
+  return std::max(Duration{}, Quarantined.at(Key).Until - Now);
+}
+
+auto SuspectQuarantine::startTrial(SuspectKey Key) -> bool {
+  auto it = Quarantined.find(Key);
+  return it != Quarantined.end() &&
+         it->second.Kind == SuspectKind::AmbiguousRequest &&
+         std::exchange(it->second.HasTrial, false);
+}
+
+auto SuspectQuarantine::repeatTrial(SuspectKey Key) -> void {
+  auto it = Quarantined.find(Key);
+  if (it != Quarantined.end())
+    it->second.HasTrial = true;
 }
 
 auto SuspectQuarantine::makeReport(bool IsFull, Instant Now)
     -> QuarantineReport {
   auto report = QuarantineReport{};
   for (auto &it : PendingReports)
-    removeHarmless(it.Interrupted, Now);
-  std::erase_if(PendingReports,
-                [](auto const &it) { return it.Interrupted.Segments.empty(); });
+    removeHarmlessSegments(it.Interrupted, Now);
   // In a burst of crashes there are more than fit into one report.
   std::ranges::stable_sort(PendingReports, {}, &PendingReport::Repetitions);
-  auto const count = std::min(PendingReports.size(), MaximumPromptsPerReport);
+  auto const count =
+      std::min(PendingReports.size(), MaximumInterruptedPerReport);
   for (auto &it : std::span(PendingReports).first(count)) {
     ++it.Repetitions;
     report.Interrupted.push_back(it.Interrupted);
   }
-  for (auto const &it : PendingCompletions) {
+  for (auto const &it : PendingCleared) {
     if (isHarmless(it.first, Now) &&
-        report.Completed.size() < MaximumSegmentsPerReport)
-      report.Completed.push_back({it.first, Now - CompletedAt.at(it.first)});
+        report.Cleared.size() < MaximumSuspectsPerReport)
+      report.Cleared.push_back({it.first, Now - ClearedAt.at(it.first)});
   }
-  for (auto const &it : Quarantined) {
-    if ((IsFull || Now < it.second.ReportUntil) &&
-        report.Quarantined.size() < MaximumSegmentsPerReport)
-      report.Quarantined.push_back(it.first);
+  // New ones first: the peers do not know them yet.
+  for (auto isNew : {true, false}) {
+    for (auto const &it : Quarantined) {
+      if ((isNew || IsFull) && isNew == (Now < it.second.ReportUntil) &&
+          report.Quarantined.size() < MaximumSuspectsPerReport)
+        report.Quarantined.push_back({it.first, it.second.Kind});
+    }
   }
   return report;
 }
 
-auto SuspectQuarantine::takeUnstored() -> std::vector<SuspectKey> {
-  auto unstored = std::vector<SuspectKey>{};
+auto SuspectQuarantine::takeUnstored() -> std::vector<Suspect> {
+  auto unstored = std::vector<Suspect>{};
   for (auto &it : Quarantined) {
     if (!std::exchange(it.second.IsStored, true))
-      unstored.push_back(it.first);
+      unstored.push_back({it.first, it.second.Kind});
   }
   return unstored;
 }
 
-auto SuspectQuarantine::markStored(SuspectKey Segment) -> void {
-  auto it = Quarantined.find(Segment);
+auto SuspectQuarantine::markStored(SuspectKey Key) -> void {
+  auto it = Quarantined.find(Key);
   if (it != Quarantined.end())
     it->second.IsStored = true;
 }
@@ -236,4 +328,11 @@
     it.second.IsStored = false;
 }
 
+auto SuspectQuarantine::segmentCount() const -> std::size_t {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(Quarantined, [](auto const &it) {
+        return it.second.Kind == SuspectKind::Segment;
+      }));
+}
+
 } // namespace dotterel::relay
--- a/Libraries/LibRelay/SuspectQuarantine.h
+++ b/Libraries/LibRelay/SuspectQuarantine.h
@@ -1,6 +1,7 @@
 /// \file
-/// Segments of prompts that crash the servers that decode them. No single
-/// instance sees enough to find them, so instances report what they observe.
+/// Requests, and segments of prompts, that crash the servers that run them. No
+/// single instance sees enough to find them, so instances report what they
+/// observe.
 #pragma once
 
 #include "LibRelay/CrashEvidence.h"
@@ -15,31 +16,46 @@
 
 namespace dotterel::relay {
 
-/// A segment of a prompt that was completed some time ago.
-struct CompletedSegment {
-  SuspectKey Segment = 0;
+/// A suspect that was shown some time ago to be harmless.
+struct ClearedSuspect {
+  SuspectKey Key = 0;
   Duration Age{};
 };
 
 /// What an instance reports to its peers.
 struct QuarantineReport {
   std::vector<InterruptedRequest> Interrupted;
-  /// Completed segments of prompts that were interrupted or quarantined.
-  std::vector<CompletedSegment> Completed;
-  std::vector<SuspectKey> Quarantined;
+  /// Suspects that were shown to be harmless although requests with them were
+  /// interrupted, or they were in quarantine.
+  std::vector<ClearedSuspect> Cleared;
+  std::vector<Suspect> Quarantined;
 
   [[nodiscard]] auto isEmpty() const -> bool {
-    return Interrupted.empty() && Completed.empty() && Quarantined.empty();
+    return Interrupted.empty() && Cleared.empty() && Quarantined.empty();
   }
 };
 
-/// The segments in quarantine, and what this instance reports about segments.
+/// What \ref SuspectQuarantine::evaluate changed.
+struct QuarantineChanges {
+  std::vector<SuspectCrashes> Added;
+  /// Suspects that left quarantine because another one is the cause.
+  std::vector<SuspectKey> Cleared;
+};
+
+/// The suspects in quarantine, and what this instance reports about suspects.
+///
+/// A request is put into quarantine after several servers crashed with it in
+/// progress. If several requests were in progress at the same crashes, all of
+/// them are, as ambiguous ones: one of each may be tried once more, and once
+/// the cause is known, the others are cleared.
 ///
 /// A segment is put into quarantine after several servers crashed with several
-/// prompts in progress that contain it, if no prompt with it was completed. A
-/// crash that a segment in quarantine explains counts against no other segment.
-/// A completed prompt shows that its segments caused no crash until then, nor
-/// shortly after it. Thread safety: none.
+/// requests in progress whose prompts contain it. A request that explains the
+/// crashes goes before its segments.
+///
+/// A completed request shows that neither it nor its segments caused a crash
+/// until then, nor shortly after it. A crash that a suspect in quarantine
+/// explains counts against no other one. Thread safety: none.
 class SuspectQuarantine {
 public:
   /// \p ConfirmationTime is the longest time from a broken connection until it
@@ -47,67 +63,74 @@
   explicit SuspectQuarantine(Duration ConfirmationTime)
       : ConfirmationTime(ConfirmationTime), Evidence(ConfirmationTime) {}
 
-  /// Records a prompt that this instance had in progress at a server when the
+  /// Records a request that this instance had in progress at a server when the
   /// connection broke. It is reported to the peers.
   auto recordOwnInterruption(InterruptedRequest Interrupted, Instant Now)
       -> void;
 
-  /// Records a prompt that a peer had in progress.
+  /// Records a request that a peer had in progress.
   auto recordInterruption(InterruptedRequest Interrupted, Instant Now) -> void;
 
   /// Records that the run of a server ended without notice.
   auto recordCrash(ServerKey Server, Instant Now) -> void;
 
-  /// Records that this instance received a complete response to a prompt.
-  /// Returns the segments that were released from quarantine.
-  auto recordCompletion(std::span<SuspectKey const> Segments, Instant Now)
+  /// Records that this instance received a complete response to a request with
+  /// the suspects \p Keys. Returns those that were released from quarantine.
+  auto recordCompletion(std::span<SuspectKey const> Keys, Instant Now)
       -> std::vector<SuspectKey>;
 
-  /// Records that a prompt with the segment was completed, at this instance or
-  /// at a peer. Returns whether the segment was released from quarantine.
-  auto recordCompletedSegment(CompletedSegment const &Completed, Instant Now)
-      -> bool;
+  /// Records that a suspect was shown to be harmless, at this instance or at a
+  /// peer. Returns whether it was released from quarantine.
+  auto recordCleared(ClearedSuspect const &Cleared, Instant Now) -> bool;
 
-  /// Puts a segment into quarantine that a peer or the store names. Returns
-  /// false if it is there already, or if a prompt with it was completed
-  /// recently.
-  auto quarantine(SuspectKey Segment, Instant Now) -> bool;
+  /// Puts a suspect into quarantine that a peer or the store names. Returns
+  /// false if that changes nothing, or if it was shown to be harmless recently.
+  auto quarantine(Suspect const &Target, Instant Now) -> bool;
 
-  /// Puts the segments into quarantine for which there is enough evidence, and
-  /// returns them. A crash counts \p PropagationTime after it is known, or
-  /// later, when the peers' reports of it have arrived: this instance alone may
-  /// only have seen prompts that did not cause it.
-  auto evaluate(Duration PropagationTime, Instant Now)
-      -> std::vector<SegmentCrashes>;
+  /// Puts the suspects into quarantine for which there is enough evidence. A
+  /// crash counts \p PropagationTime after it is known, or later, when the
+  /// peers' reports of it have arrived: this instance alone may only have seen
+  /// requests that did not cause it.
+  auto evaluate(Duration PropagationTime, Instant Now) -> QuarantineChanges;
 
-  /// Forgets old evidence. Returns the segments whose quarantine has ended.
+  /// Forgets old evidence. Returns the suspects whose quarantine has ended.
   auto expire(Instant Now) -> std::vector<SuspectKey>;
 
-  /// Returns the first of \p Segments that is in quarantine.
-  [[nodiscard]] auto findQuarantined(std::span<SuspectKey const> Segments) const
-      -> std::optional<SuspectKey>;
+  /// Returns the first of \p Keys that is in quarantine.
+  [[nodiscard]] auto find(std::span<SuspectKey const> Keys) const
+      -> std::optional<Suspect>;
 
-  /// Returns the time until the quarantine of \p Segment ends. Precondition: it
-  /// is in quarantine.
-  [[nodiscard]] auto timeLeft(SuspectKey Segment, Instant Now) const
-      -> Duration;
+  /// Returns the time until the quarantine of \p Key ends. Precondition: it is
+  /// in quarantine.
+  [[nodiscard]] auto timeLeft(SuspectKey Key, Instant Now) const -> Duration;
 
-  /// Returns the next report to the peers. A full one names all segments in
+  /// Starts the one trial of an ambiguous request at this instance. Returns
+  /// false if it is not ambiguous or has had its trial.
+  auto startTrial(SuspectKey Key) -> bool;
+  /// Permits another trial, because the last one ended without an interruption.
+  auto repeatTrial(SuspectKey Key) -> void;
+
+  /// Returns the next report to the peers. A full one names all suspects in
   /// quarantine.
   [[nodiscard]] auto makeReport(bool IsFull, Instant Now) -> QuarantineReport;
 
-  /// Returns the segments that have not been written to the store, and assumes
+  /// Returns the suspects that have not been written to the store, and assumes
   /// that they will be.
-  [[nodiscard]] auto takeUnstored() -> std::vector<SuspectKey>;
-  /// Records that the store has the segment.
-  auto markStored(SuspectKey Segment) -> void;
-  /// Records that the store may have lost all segments.
+  [[nodiscard]] auto takeUnstored() -> std::vector<Suspect>;
+  /// Records that the store has the suspect.
+  auto markStored(SuspectKey Key) -> void;
+  /// Records that the store may have lost all suspects.
   auto markAllUnstored() -> void;
 
-  [[nodiscard]] auto size() const -> std::size_t { return Quarantined.size(); }
+  /// Returns the number of segments in quarantine.
+  [[nodiscard]] auto segmentCount() const -> std::size_t;
+  /// Returns the number of requests in quarantine, including ambiguous ones.
+  [[nodiscard]] auto requestCount() const -> std::size_t {
+    return Quarantined.size() - segmentCount();
+  }
 
 private:
-  /// An interrupted prompt to report to the peers.
+  /// An interrupted request to report to the peers.
   struct PendingReport {
     InterruptedRequest Interrupted;
     Instant Until;
@@ -115,33 +138,45 @@
   };
 
   struct Entry {
+    SuspectKind Kind = SuspectKind::Segment;
     Instant Until;
     Instant ReportUntil;
     bool IsStored = false;
+    bool HasTrial = true;
   };
 
-  /// Returns the segments for which the crashes that were known at \p Known are
+  /// Returns the suspects for which the crashes that were known at \p Known are
   /// enough evidence.
-  [[nodiscard]] auto findCauses(Instant Known) const
-      -> std::vector<SegmentCrashes>;
-  /// Returns whether a prompt with the segment was completed recently.
-  [[nodiscard]] auto isHarmless(SuspectKey Segment, Instant Now) const -> bool;
-  auto removeHarmless(InterruptedRequest &Interrupted, Instant Now) const
-      -> void;
-  auto forgetOldestCompletion() -> void;
-  auto reportCompletion(SuspectKey Segment, Instant Now) -> void;
+  [[nodiscard]] auto findRequests(Instant Known) const
+      -> std::vector<SuspectCrashes>;
+  [[nodiscard]] auto findSegments(Instant Known) const
+      -> std::vector<SuspectCrashes>;
+  /// Explains a crash by everything in quarantine, or only by what is certain.
+  [[nodiscard]] auto explain(SuspectKey Key) const
+      -> std::optional<SuspectKind>;
+  [[nodiscard]] auto explainWithCertainty(SuspectKey Key) const
+      -> std::optional<SuspectKind>;
+  /// Clears the ambiguous requests most of whose crashes another suspect
+  /// explains, and returns them.
+  auto clearOthers(Instant Now) -> std::vector<SuspectKey>;
+  /// Returns whether a suspect was shown to be harmless recently.
+  [[nodiscard]] auto isHarmless(SuspectKey Key, Instant Now) const -> bool;
+  auto removeHarmlessSegments(InterruptedRequest &Interrupted,
+                              Instant Now) const -> void;
+  auto forgetOldestCleared() -> void;
+  auto reportCleared(SuspectKey Key, Instant Now) -> void;
 
   Duration ConfirmationTime;
   CrashEvidence Evidence;
   bool HasNewEvidence = false;
   std::map<SuspectKey, Entry> Quarantined;
-  /// Times at which prompts with a segment were last completed, and the order
-  /// in which they expire.
-  std::unordered_map<SuspectKey, Instant> CompletedAt;
-  std::deque<std::pair<SuspectKey, Instant>> Completions;
+  /// Times at which suspects were last shown to be harmless, and the order in
+  /// which they expire.
+  std::unordered_map<SuspectKey, Instant> ClearedAt;
+  std::deque<std::pair<SuspectKey, Instant>> ClearedOrder;
   std::vector<PendingReport> PendingReports;
-  /// Completed segments to report to the peers, and until when.
-  std::map<SuspectKey, Instant> PendingCompletions;
+  /// Harmless suspects to report to the peers, and until when.
+  std::map<SuspectKey, Instant> PendingCleared;
 };
 
 } // namespace dotterel::relay
--- a/Tests/LibRelay/EngineFleet.cpp
+++ b/Tests/LibRelay/EngineFleet.cpp
@@ -30,6 +30,20 @@
 
 } // namespace
 
+auto makeRequest(FleetCall const &Call) -> Request {
+  auto content = Request{};
+  content.Method = "POST";
+  content.Target = pathPrefix(Call.Route) + Call.Item;
+  content.Host = "h";
+  content.CallerAddress = Call.CallerAddress;
+  content.TimeLimit = 4s;
+  content.Model = "m";
+  for (auto const &it : Call.Segments)
+    content.PromptTokens += it.Tokens;
+  content.PromptSegments = Call.Segments;
+  return content;
+}
+
 struct EngineFleet::Implementation {
   /// An attempt at an engine.
   struct Run {
@@ -118,7 +132,7 @@
       peers.Peers.push_back({fmt::format("i{}", n), fmt::format("p-i{}", n)});
     feed(Instance, std::move(peers));
     feed(Instance,
-         QuarantineListed{{StoredSegments.begin(), StoredSegments.end()}});
+         QuarantineListed{{StoredSuspects.begin(), StoredSuspects.end()}});
     tick(Instance, node.Incarnation);
   }
 
@@ -300,6 +314,7 @@
     Clock.schedule(EntryLifetime, [=, this] { publish(id, std::nullopt); });
     Clock.schedule(Options.RestartTime, [&Target, this] {
       Target.Description.Id = fmt::format("r{}", ++Restarts);
+      ++Target.Description.StartedAt;
       Addresses[Target.Description.Id] = Target.Description.Address;
       Target.IsUp = true;
       publish(Target.Description.Id, Target.Description);
@@ -320,10 +335,15 @@
   }
 
   auto carryOut(unsigned /*Instance*/, StoreQuarantine &Effect) -> void {
-    StoredSegments.insert(Effect.Segment);
+    auto suspect = Effect.Suspect;
+    // The store does not keep which requests are ambiguous.
+    if (suspect.Kind == SuspectKind::AmbiguousRequest)
+      suspect.Kind = SuspectKind::Request;
+    StoredSuspects.push_back(suspect);
   }
   auto carryOut(unsigned /*Instance*/, DeleteQuarantine &Effect) -> void {
-    StoredSegments.erase(Effect.Segment);
+    std::erase_if(StoredSuspects,
+                  [&](Suspect const &it) { return it.Key == Effect.Key; });
   }
 
   auto carryOut(unsigned Instance, CancelAttempt &Effect) -> void {
@@ -406,7 +426,8 @@
       return;
     auto const route = Calls[*request].Route;
     Record.Requests[*request].IsQuarantined =
-        Effect.Code == ResultCode::PromptQuarantined;
+        Effect.Code == ResultCode::PromptQuarantined ||
+        Effect.Code == ResultCode::RequestQuarantined;
     // Callers repeat other requests only if they did not run.
     if (route == RouteKind::Lookup || route == RouteKind::Stream ||
         impliesNotExecuted(describe(Effect.Code).HttpStatus))
@@ -439,7 +460,7 @@
             Call.CallerAddress == CrashingCall->CallerAddress);
   }
 
-  auto send(FleetCall Call, bool IsCallerRetry) -> void {
+  auto send(FleetCall const &Call, bool IsCallerRetry) -> void {
     auto up = std::vector<unsigned>{};
     for (auto n = 0U; n < Nodes.size(); ++n) {
       if (Nodes[n].IsUp && Nodes[n].CurrentState.isReady() &&
@@ -458,17 +479,8 @@
     auto last = isUneven ? std::min<std::size_t>(up.size(), 2) : up.size();
     auto instance =
         up[std::uniform_int_distribution<std::size_t>(0, last - 1)(Random)];
-    auto content = relay::Request{};
-    content.Method = "POST";
-    content.Target = pathPrefix(Call.Route) + Call.Item;
-    content.Host = "h";
+    auto content = makeRequest(Call);
     content.Id = fmt::format("r{}", request);
-    content.CallerAddress = Call.CallerAddress;
-    content.TimeLimit = 4s;
-    content.Model = "m";
-    for (auto const &it : Call.Segments)
-      content.PromptTokens += it.Tokens;
-    content.PromptSegments = std::move(Call.Segments);
     auto number = ++Nodes[instance].LastNumber;
     Nodes[instance].Callers[number] = request;
     feed(instance,
@@ -505,8 +517,8 @@
   unsigned Restarts = 0;
   std::uint64_t CrashingSegment = 0;
   std::optional<FleetCall> CrashingCall;
-  /// The segments in quarantine that the store has.
-  std::set<SuspectKey> StoredSegments;
+  /// The suspects in quarantine that the store has.
+  std::vector<Suspect> StoredSuspects;
   FleetRecord Record;
   std::vector<FleetCall> Calls;
   std::set<std::uint64_t> Prefilled;
@@ -525,8 +537,8 @@
   Impl->CrashingCall = std::move(Call);
 }
 
-auto EngineFleet::send(FleetCall Call) -> void {
-  Impl->send(std::move(Call), false);
+auto EngineFleet::send(FleetCall const &Call) -> void {
+  Impl->send(Call, false);
 }
 
 auto EngineFleet::crashServer(std::string const &Service) -> void {
--- a/Tests/LibRelay/EngineFleet.h
+++ b/Tests/LibRelay/EngineFleet.h
@@ -42,6 +42,9 @@
   std::string CallerAddress = "10.0.0.1";
 };
 
+/// Returns the request that a caller sends, without an id.
+[[nodiscard]] auto makeRequest(FleetCall const &Call) -> Request;
+
 /// Drives the reducers of all instances, and of the engines and callers around
 /// them. Thread safety: none.
 class EngineFleet {
@@ -61,7 +64,7 @@
 
   /// Sends a request to a random instance now. Its caller repeats it once if it
   /// fails and may be repeated.
-  auto send(FleetCall Call) -> void;
+  auto send(FleetCall const &Call) -> void;
 
   /// Lets a random server of \p Service crash by itself, if one is up.
   auto crashServer(std::string const &Service) -> void;
--- a/Tests/LibRelay/TestCrashingPrompt.cpp
+++ b/Tests/LibRelay/TestCrashingPrompt.cpp
@@ -125,10 +125,10 @@
   forEachSeed(DefaultLimits, [](EngineFleet &Fleet, std::uint64_t Seed) {
     for (auto n = 0U; n < Fleet.size(); ++n) {
       auto const &quarantine = Fleet.state(n).Quarantine;
-      cr_expect(quarantine.size() == 1 &&
-                    quarantine.findQuarantined(keysOf(CrashingSegment)),
+      cr_expect(quarantine.segmentCount() == 1 &&
+                    quarantine.find(keysOf(CrashingSegment)),
                 "seed %lu: instance %u has %zu segments in quarantine", Seed, n,
-                quarantine.size());
+                quarantine.segmentCount());
     }
   });
 }
--- a/Tests/LibRelay/TestCrashingRequest.cpp
+++ b/Tests/LibRelay/TestCrashingRequest.cpp
@@ -51,6 +51,19 @@
               later, record.Crashes.size());
   }
 
+  /// Expects that each instance refuses the crashing request, and no segment.
+  auto expectCauseInQuarantine(RouteKind Route) const -> void {
+    auto const keys =
+        identify(makeRequest(MixedTraffic::crashingCall(Route))).keys();
+    for (auto n = 0U; n < Fleet.size(); ++n) {
+      auto const &quarantine = Fleet.state(n).Quarantine;
+      cr_expect(quarantine.find(keys) && quarantine.segmentCount() == 0,
+                "seed %lu: instance %u has %zu requests and %zu segments in "
+                "quarantine",
+                Seed, n, quarantine.requestCount(), quarantine.segmentCount());
+    }
+  }
+
   std::uint64_t Seed;
   EngineFleet Fleet;
   MixedTraffic Traffic;
@@ -92,6 +105,7 @@
     auto share = record.soundShareBegun(from, fleet.now() - 1s);
     cr_expect(share > 0.9, "seed %lu: %.2f of the sound requests begun",
               Target.Seed, share);
+    Target.expectCauseInQuarantine(Route);
   });
 }
 
--- a/Tests/LibRelay/TestQuarantine.cpp
+++ b/Tests/LibRelay/TestQuarantine.cpp
@@ -1,6 +1,8 @@
 // How an instance treats prompts with a segment in quarantine.
 #include "LibRelay/RelayNode.h"
 
+#include "LibCore/Hash.h"
+
 #include <criterion/criterion.h>
 
 namespace dotterel::relay::test {
@@ -20,9 +22,18 @@
   return sharedSegments(request).at(0);
 }
 
+/// Returns the identity of the lookups that RelayNode sends.
+auto lookupIdentity() -> RequestIdentity {
+  auto request = Request{};
+  request.Method = "POST";
+  request.Target = pathPrefix(RouteKind::Lookup) + "x";
+  request.Host = "h";
+  return identify(request);
+}
+
 auto quarantineReport(std::uint64_t Number) -> PeerReport {
   auto message = report("i1", Number);
-  message.Quarantine.Quarantined = {segmentKey()};
+  message.Quarantine.Quarantined = {{segmentKey(), SuspectKind::Segment}};
   return message;
 }
 
@@ -96,16 +107,16 @@
   auto number = startStream(node);
   node.feed(PeerReported{quarantineReport(1)});
   node.feed(AttemptStreamEnded{node.attemptId(number), ""});
-  cr_assert_eq(node.CurrentState.Quarantine.size(), 0);
+  cr_assert_eq(node.CurrentState.Quarantine.segmentCount(), 0);
   // The peer repeats its report and is told.
   node.feed(PeerReported{quarantineReport(2)});
-  cr_assert_eq(node.CurrentState.Quarantine.size(), 0);
+  cr_assert_eq(node.CurrentState.Quarantine.segmentCount(), 0);
   auto const effects = node.advance(200ms);
   auto const *sent = effect<SendPeerReport>(effects);
-  cr_assert_eq(sent->Report.Quarantine.Completed.at(0).Segment, segmentKey());
+  cr_assert_eq(sent->Report.Quarantine.Cleared.at(0).Key, segmentKey());
   // What the store still lists is out of date.
-  node.feed(QuarantineListed{{segmentKey()}});
-  cr_assert_eq(node.CurrentState.Quarantine.size(), 0);
+  node.feed(QuarantineListed{{{segmentKey(), SuspectKind::Segment}}});
+  cr_assert_eq(node.CurrentState.Quarantine.segmentCount(), 0);
   cr_assert_not_null(effect<DeleteQuarantine>(node.LastEffects));
 }
 
@@ -126,7 +137,7 @@
 Test(RelayQuarantine, IsWrittenAgainInANewEraOfTheStore) {
   auto node = RelayNode();
   node.feed(PeersListed{});
-  node.feed(QuarantineListed{{segmentKey()}});
+  node.feed(QuarantineListed{{{segmentKey(), SuspectKind::Segment}}});
   node.feed(Tick{});
   cr_assert_eq(countEffects<StoreQuarantine>(node.LastEffects), 0);
   auto message = report("i1", 1);
@@ -139,24 +150,180 @@
 Test(RelayQuarantine, EndedQuarantineIsDeletedFromTheStore) {
   auto node = RelayNode();
   node.feed(PeersListed{});
-  node.feed(QuarantineListed{{segmentKey()}});
+  node.feed(QuarantineListed{{{segmentKey(), SuspectKind::Segment}}});
   node.feed(Tick{});
   node.Now += 1h;
   node.feed(Tick{});
   auto const *deleted = effect<DeleteQuarantine>(node.LastEffects);
-  cr_assert(deleted != nullptr && deleted->Segment == segmentKey());
+  cr_assert(deleted != nullptr && deleted->Key == segmentKey());
 }
 
 Test(RelayQuarantine, ReportSurvivesTheDatagram) {
   auto message = report("i1", 1);
-  message.Quarantine = {{{3, 4, {5, 6}}}, {{7, 1500ms}}, {8, 9}};
+  message.Quarantine = {{{3, {14, 10, 11, 4}, {5, 6}}},
+                        {{7, 1500ms}},
+                        {{8, SuspectKind::Segment},
+                         {9, SuspectKind::Segment},
+                         {12, SuspectKind::Request},
+                         {13, SuspectKind::AmbiguousRequest}}};
   auto decoded = decodePeerReport(encodePeerReport(message));
   cr_assert(decoded.has_value());
   auto const &read = decoded->Quarantine;
   cr_assert(read.Interrupted == message.Quarantine.Interrupted);
-  cr_assert_eq(read.Completed.at(0).Segment, 7);
-  cr_assert(read.Completed.at(0).Age == 1500ms);
+  cr_assert_eq(read.Cleared.at(0).Key, 7);
+  cr_assert(read.Cleared.at(0).Age == 1500ms);
   cr_assert(read.Quarantined == message.Quarantine.Quarantined);
 }
 
+Test(RelayQuarantine, RequestWithoutPromptIsRefusedAtOnce) {
+  auto node = RelayNode();
+  auto message = report("i1", 1);
+  message.Quarantine.Quarantined = {
+      {lookupIdentity().Caller, SuspectKind::Request}};
+  auto pending = node.request(RouteKind::Lookup);
+  (void)node.connect(pending);
+  node.feed(PeerReported{message});
+  // The one in progress may have run.
+  auto const *ended = effect<SendErrorResponse>(node.LastEffects);
+  cr_assert(ended != nullptr && ended->Code == ResultCode::AnswerLost);
+  node.request(RouteKind::Lookup);
+  cr_assert_null(effect<ConnectAttempt>(node.LastEffects));
+  auto const *refused = effect<SendErrorResponse>(node.LastEffects);
+  cr_assert(refused->Code == ResultCode::RequestQuarantined);
+  cr_assert(*refused->RetryAfter == 1h);
+  node.request(RouteKind::Booking);
+  cr_assert_not_null(effect<ConnectAttempt>(node.LastEffects));
+}
+
+Test(RelayQuarantine, AnswerReleasesARequest) {
+  auto node = RelayNode();
+  auto number = node.request(RouteKind::Lookup);
+  (void)node.connect(number);
+  auto response = ServerResponse{};
+  response.Status = 200;
+  node.feed(AttemptResponded{node.attemptId(number), response});
+  auto message = report("i1", 1);
+  message.Quarantine.Quarantined = {
+      {lookupIdentity().Exact, SuspectKind::Request}};
+  node.feed(PeerReported{message});
+  cr_assert_eq(node.CurrentState.Quarantine.requestCount(), 0);
+}
+
+// A server that fails requests does not show that they are harmless.
+Test(RelayQuarantine, ErrorOfAServerDoesNotReleaseARequest) {
+  auto node = RelayNode();
+  auto number = node.request(RouteKind::Lookup);
+  (void)node.connect(number);
+  auto response = ServerResponse{};
+  response.Status = 500;
+  node.feed(AttemptResponded{node.attemptId(number), response});
+  auto message = report("i1", 1);
+  message.Quarantine.Quarantined = {
+      {lookupIdentity().Exact, SuspectKind::Request}};
+  node.feed(PeerReported{message});
+  cr_assert_eq(node.CurrentState.Quarantine.requestCount(), 1);
+}
+
+// Only one instance may try it, and only once.
+Test(RelayQuarantine, AmbiguousRequestIsTriedOnce) {
+  auto node = RelayNode();
+  node.feed(PeersListed{});
+  node.advance(2s);
+  auto message = report("i1", 1);
+  message.Quarantine.Quarantined = {
+      {lookupIdentity().Exact, SuspectKind::AmbiguousRequest}};
+  node.feed(PeerReported{message});
+  auto number = node.request(RouteKind::Lookup);
+  auto send = node.connect(number);
+  cr_assert(send.has_value());
+  node.request(RouteKind::Lookup);
+  auto const *refused = effect<SendErrorResponse>(node.LastEffects);
+  cr_assert(refused->Code == ResultCode::RequestQuarantined);
+  cr_assert(*refused->RetryAfter == 1s);
+  node.feed(AttemptInterrupted{node.attemptId(number), "reset"});
+  cr_assert_null(effect<ConnectAttempt>(node.LastEffects));
+  node.request(RouteKind::Lookup);
+  cr_assert_null(effect<ConnectAttempt>(node.LastEffects));
+}
+
+Test(RelayQuarantine, RefusedTrialIsRepeated) {
+  auto node = RelayNode();
+  node.feed(PeersListed{});
+  node.advance(2s);
+  auto message = report("i1", 1);
+  message.Quarantine.Quarantined = {
+      {lookupIdentity().Exact, SuspectKind::AmbiguousRequest}};
+  node.feed(PeerReported{message});
+  auto number = node.request(RouteKind::Lookup);
+  (void)node.connect(number);
+  auto response = ServerResponse{};
+  response.Status = 503;
+  response.IsNotExecuted = true;
+  node.feed(AttemptResponded{node.attemptId(number), response});
+  node.request(RouteKind::Lookup);
+  cr_assert_not_null(effect<ConnectAttempt>(node.LastEffects));
+}
+
+// An instance that does not coordinate the trial refuses the request.
+Test(RelayQuarantine, AmbiguousRequestIsRefusedElsewhere) {
+  auto node = RelayNode();
+  node.feed(PeersListed{});
+  auto key = lookupIdentity().Exact;
+  // A peer with a higher score for the request.
+  auto name = std::string();
+  for (auto n = 0; name.empty(); ++n) {
+    auto const candidate = "other" + std::to_string(n);
+    if (rendezvousScore(key, "p-" + candidate) >
+        rendezvousScore(key, node.CurrentState.Self.PeerAddress))
+      name = candidate;
+  }
+  for (auto n = 1U; n <= 40; ++n) {
+    node.feed(PeerReported{report(name, n)});
+    node.advance(100ms);
+  }
+  auto message = report(name, 41);
+  message.Quarantine.Quarantined = {{key, SuspectKind::AmbiguousRequest}};
+  node.feed(PeerReported{message});
+  node.request(RouteKind::Lookup);
+  cr_assert_null(effect<ConnectAttempt>(node.LastEffects));
+}
+
+// Regression tests: a run of a server that had ended counted only once two
+// instances had failed to connect, or its entry had lapsed.
+Test(RelayQuarantine, ServerWithASuccessorAtItsAddressHasCrashed) {
+  auto node = RelayNode();
+  for (auto n = 0; n < 3; ++n) {
+    auto number = node.request(RouteKind::Lookup);
+    (void)node.connect(number);
+    auto const server = node.currentAttempt(number)->Server;
+    auto successor = node.CurrentState.Servers.find(server)->Description;
+    node.feed(AttemptInterrupted{node.attemptId(number), "reset"});
+    node.feed(CallerDisconnected{number});
+    successor.Id = "next-" + server;
+    successor.StartedAt += 1;
+    successor.Version = atRevision(10 + n);
+    node.feed(ServersUpdated{{{successor.Id, successor.Version, successor}},
+                             successor.Version});
+    node.feed(ServersUpdated{{{server, atRevision(20 + n), std::nullopt}},
+                             atRevision(20 + n)});
+  }
+  node.advance(500ms);
+  cr_assert_eq(node.CurrentState.Quarantine.requestCount(), 1);
+}
+
+Test(RelayQuarantine, AbandonedAttemptCountsIfItsServerCrashed) {
+  auto node = RelayNode();
+  for (auto n = 0; n < 3; ++n) {
+    auto number = node.request(RouteKind::Lookup);
+    (void)node.connect(number);
+    auto const server = node.currentAttempt(number)->Server;
+    // The server loses power: nothing resets the connection.
+    node.feed(ServersUpdated{{{server, atRevision(20 + n), std::nullopt}},
+                             atRevision(20 + n)});
+    node.feed(CallerDisconnected{number});
+  }
+  node.advance(500ms);
+  cr_assert_eq(node.CurrentState.Quarantine.requestCount(), 1);
+}
+
 } // namespace dotterel::relay::test
--- a/Tests/LibRelay/TestSuspectQuarantine.cpp
+++ b/Tests/LibRelay/TestSuspectQuarantine.cpp
@@ -13,6 +13,13 @@
 
 constexpr auto PropagationTime = Duration{100ms};
 
+/// Returns an identity whose keys differ from those of the segments.
+auto identityOf(std::uint64_t Prompt) -> RequestIdentity {
+  constexpr auto First = SuspectKey{1} << 40U;
+  auto const exact = First + 4 * Prompt;
+  return {exact, exact + 1, exact + 2, exact + 3};
+}
+
 /// Collects evidence; time advances by 100 ms with each crash.
 class Evidence {
 public:
@@ -26,8 +33,8 @@
 
   auto interrupt(ServerKey Server, std::uint64_t Prompt,
                  std::vector<SuspectKey> Segments) -> void {
-    Quarantine.recordOwnInterruption({Server, Prompt, std::move(Segments)},
-                                     Now);
+    Quarantine.recordOwnInterruption(
+        {Server, identityOf(Prompt), std::move(Segments)}, Now);
   }
 
   auto complete(std::vector<SuspectKey> const &Segments)
@@ -38,15 +45,31 @@
   /// Returns the segments that are put into quarantine now.
   auto added() -> std::vector<SuspectKey> {
     auto segments = std::vector<SuspectKey>{};
-    for (auto const &it : Quarantine.evaluate(PropagationTime, Now))
-      segments.push_back(it.Segment);
+    for (auto const &it : Quarantine.evaluate(PropagationTime, Now).Added) {
+      if (it.Suspect.Kind == SuspectKind::Segment)
+        segments.push_back(it.Suspect.Key);
+    }
     return segments;
   }
 
+  /// Returns the requests that are put into quarantine now.
+  auto addedRequests() -> std::vector<Suspect> {
+    auto requests = std::vector<Suspect>{};
+    for (auto const &it : Quarantine.evaluate(PropagationTime, Now).Added) {
+      if (it.Suspect.Kind != SuspectKind::Segment)
+        requests.push_back(it.Suspect);
+    }
+    return requests;
+  }
+
   SuspectQuarantine Quarantine{Duration{5s}};
   Instant Now = Instant{} + 1h;
 };
 
+auto segment(SuspectKey Key) -> Suspect { return {Key, SuspectKind::Segment}; }
+
+auto request(SuspectKey Key) -> Suspect { return {Key, SuspectKind::Request}; }
+
 auto only(SuspectKey Segment) -> std::vector<SuspectKey> { return {Segment}; }
 
 } // namespace
@@ -59,8 +82,8 @@
   evidence.complete({Application});
   evidence.crash(3, 13, {Crashing, 9});
   cr_assert(evidence.added() == only(Crashing));
-  cr_assert(evidence.Quarantine.findQuarantined(only(Crashing)).has_value());
-  cr_assert_not(evidence.Quarantine.findQuarantined(only(Subject)).has_value());
+  cr_assert(evidence.Quarantine.find(only(Crashing)).has_value());
+  cr_assert_not(evidence.Quarantine.find(only(Subject)).has_value());
 }
 
 // The same prompt, sent again, does not show which of its segments is the
@@ -71,6 +94,8 @@
     evidence.crash(server, 11, {Subject, Crashing});
   cr_assert(evidence.added().empty());
   evidence.crash(5, 12, {Crashing, 9});
+  // The repeated request is in quarantine, so all reports are awaited.
+  evidence.Now += 1s;
   cr_assert(evidence.added() == only(Crashing));
 }
 
@@ -119,7 +144,7 @@
 // crashes seemed to have another cause.
 Test(SuspectQuarantine, SecondSegmentWaitsForAllReports) {
   auto evidence = Evidence();
-  cr_assert(evidence.Quarantine.quarantine(Crashing, evidence.Now));
+  cr_assert(evidence.Quarantine.quarantine(segment(Crashing), evidence.Now));
   for (auto n = 1U; n <= 3; ++n)
     evidence.crash(n, n, {Subject});
   cr_assert(evidence.added().empty());
@@ -133,12 +158,12 @@
     evidence.crash(n, n, {Subject});
   cr_assert(evidence.added() == only(Subject));
   cr_assert(evidence.complete({Subject}) == only(Subject));
-  cr_assert_eq(evidence.Quarantine.size(), 0);
+  cr_assert_eq(evidence.Quarantine.segmentCount(), 0);
   // A peer that has not heard of it does not bring it back, but is told.
-  cr_assert_not(evidence.Quarantine.quarantine(Subject, evidence.Now));
+  cr_assert_not(evidence.Quarantine.quarantine(segment(Subject), evidence.Now));
   auto report = evidence.Quarantine.makeReport(false, evidence.Now);
-  cr_assert_eq(report.Completed.size(), 1);
-  cr_assert_eq(report.Completed[0].Segment, Subject);
+  cr_assert_eq(report.Cleared.size(), 1);
+  cr_assert_eq(report.Cleared[0].Key, Subject);
 }
 
 // Otherwise instances would renew each other's knowledge of a segment that has
@@ -147,30 +172,32 @@
   auto evidence = Evidence();
   evidence.complete({Subject});
   evidence.Now += 3s;
-  evidence.Quarantine.recordInterruption({1, 11, {Subject}}, evidence.Now);
+  evidence.Quarantine.recordInterruption({1, identityOf(11), {Subject}},
+                                         evidence.Now);
   auto report = evidence.Quarantine.makeReport(false, evidence.Now);
-  cr_assert(report.Completed.at(0).Age == 3s);
+  cr_assert(report.Cleared.at(0).Age == 3s);
   auto peer = SuspectQuarantine(5s);
-  (void)peer.recordCompletedSegment(report.Completed[0], evidence.Now);
-  cr_assert_not(peer.quarantine(Subject, evidence.Now));
-  cr_assert(peer.quarantine(Subject, evidence.Now + 2s));
+  (void)peer.recordCleared(report.Cleared[0], evidence.Now);
+  cr_assert_not(peer.quarantine(segment(Subject), evidence.Now));
+  cr_assert(peer.quarantine(segment(Subject), evidence.Now + 2s));
 }
 
 Test(SuspectQuarantine, EndsAfterAnHour) {
   auto evidence = Evidence();
-  cr_assert(evidence.Quarantine.quarantine(Crashing, evidence.Now));
+  cr_assert(evidence.Quarantine.quarantine(segment(Crashing), evidence.Now));
   cr_assert(evidence.Quarantine.timeLeft(Crashing, evidence.Now) == 1h);
   cr_assert(evidence.Quarantine.expire(evidence.Now + 59min).empty());
   cr_assert(evidence.Quarantine.expire(evidence.Now + 1h) == only(Crashing));
-  cr_assert_eq(evidence.Quarantine.size(), 0);
+  cr_assert_eq(evidence.Quarantine.segmentCount(), 0);
 }
 
 Test(SuspectQuarantine, IsWrittenToTheStoreOnceInEachEra) {
   auto evidence = Evidence();
-  (void)evidence.Quarantine.quarantine(Crashing, evidence.Now);
-  (void)evidence.Quarantine.quarantine(Subject, evidence.Now);
+  (void)evidence.Quarantine.quarantine(segment(Crashing), evidence.Now);
+  (void)evidence.Quarantine.quarantine(segment(Subject), evidence.Now);
   evidence.Quarantine.markStored(Subject);
-  cr_assert(evidence.Quarantine.takeUnstored() == only(Crashing));
+  cr_assert(evidence.Quarantine.takeUnstored() ==
+            std::vector{segment(Crashing)});
   cr_assert(evidence.Quarantine.takeUnstored().empty());
   evidence.Quarantine.markAllUnstored();
   cr_assert_eq(evidence.Quarantine.takeUnstored().size(), 2);
@@ -188,13 +215,13 @@
                        {first + 1, first + 2, first + 3});
     evidence.interrupt(static_cast<ServerKey>(~n), first + 4, {first + 5});
     evidence.complete({first + 5});
-    cr_assert(evidence.Quarantine.quarantine(first + 6, evidence.Now));
+    cr_assert(evidence.Quarantine.quarantine(segment(first + 6), evidence.Now));
   }
   cr_assert(evidence.added().empty());
   auto report = PeerReport{};
   report.Quarantine = evidence.Quarantine.makeReport(true, evidence.Now);
   cr_assert_gt(report.Quarantine.Interrupted.size(), 0);
-  cr_assert_gt(report.Quarantine.Completed.size(), 0);
+  cr_assert_gt(report.Quarantine.Cleared.size(), 0);
   cr_assert_gt(report.Quarantine.Quarantined.size(), 0);
   auto bytes = encodePeerReport(report).size();
   cr_assert_leq(bytes, UnfragmentedBytes, "%zu bytes", bytes);
@@ -239,6 +266,8 @@
   }
   cr_assert(evidence.added().empty());
   evidence.crash(4, 12, {Crashing});
+  // The repeated request is in quarantine, so all reports are awaited.
+  evidence.Now += 1s;
   cr_assert(evidence.added() == only(Crashing));
 }
 
@@ -267,4 +296,162 @@
   cr_assert(evidence.added() == only(Crashing));
 }
 
+// Regression test: requests without a prompt were never quarantined.
+Test(SuspectQuarantine, RequestInProgressAtThreeCrashesIsQuarantined) {
+  auto evidence = Evidence();
+  evidence.crash(1, 11, {});
+  evidence.crash(2, 11, {});
+  evidence.Now += PropagationTime;
+  cr_assert(evidence.addedRequests().empty());
+  evidence.interrupt(3, 12, {});
+  evidence.crash(3, 11, {});
+  evidence.Now += PropagationTime;
+  cr_assert(evidence.addedRequests() ==
+            std::vector{request(identityOf(11).Exact)});
+}
+
+// Regression test: one request that came again was taken for its segment, which
+// sound requests in progress beside it shared.
+Test(SuspectQuarantine, RequestGoesBeforeItsSegments) {
+  auto evidence = Evidence();
+  for (auto n = 1U; n <= 6; ++n) {
+    evidence.interrupt(n, 20 + n, {Application});
+    evidence.crash(n, 11, {Application, Subject});
+    evidence.Now += 1s;
+    cr_assert(evidence.added().empty());
+  }
+  cr_assert_eq(evidence.Quarantine.requestCount(), 1);
+  cr_assert_eq(evidence.Quarantine.segmentCount(), 0);
+}
+
+Test(SuspectQuarantine, CallersOfOneContentAreToldApart) {
+  auto other = identityOf(11);
+  other.Caller += 100;
+  other.Exact += 100;
+  auto evidence = Evidence();
+  for (auto n = 1U; n <= 3; ++n)
+    evidence.crash(n, 11, {});
+  auto const keys = other.keys();
+  cr_assert(evidence.complete({keys.begin(), keys.end()}).empty());
+  evidence.Now += PropagationTime;
+  cr_assert(evidence.addedRequests() ==
+            std::vector{request(identityOf(11).Exact)});
+  cr_assert_not(evidence.Quarantine.find(keys).has_value());
+}
+
+// The caller's address differs each time.
+Test(SuspectQuarantine, ContentIsQuarantinedIfCallersDiffer) {
+  auto evidence = Evidence();
+  for (auto n = 1U; n <= 3; ++n) {
+    auto identity = identityOf(11);
+    identity.Caller += 100 * n;
+    identity.Exact += 100 * n;
+    identity.Fields += 100 * n;
+    evidence.Quarantine.recordOwnInterruption({n, identity, {}}, evidence.Now);
+    evidence.Quarantine.recordCrash(n, evidence.Now);
+  }
+  evidence.Now += PropagationTime;
+  cr_assert(evidence.addedRequests() ==
+            std::vector{request(identityOf(11).Content)});
+}
+
+Test(SuspectQuarantine, RequestsInProgressAtTheSameCrashesAreAmbiguous) {
+  auto evidence = Evidence();
+  for (auto n = 1U; n <= 3; ++n) {
+    evidence.interrupt(n, 12, {});
+    evidence.crash(n, 11, {});
+  }
+  evidence.Now += PropagationTime;
+  cr_assert_eq(evidence.addedRequests().size(), 2);
+  auto const cause = identityOf(11).Exact;
+  auto const other = identityOf(12).Exact;
+  // Regression test: they were cleared when further evidence arrived.
+  evidence.interrupt(9, 19, {});
+  cr_assert(evidence.Quarantine.evaluate(PropagationTime, evidence.Now)
+                .Cleared.empty());
+  for (auto it : {cause, other}) {
+    cr_assert(evidence.Quarantine.find({&it, 1})->Kind ==
+              SuspectKind::AmbiguousRequest);
+    cr_assert(evidence.Quarantine.startTrial(it));
+    cr_assert_not(evidence.Quarantine.startTrial(it));
+  }
+  // The trial of one of them crashes another server.
+  evidence.crash(4, 11, {});
+  evidence.Now += 1s;
+  auto const changes =
+      evidence.Quarantine.evaluate(PropagationTime, evidence.Now);
+  cr_assert_eq(changes.Added.size(), 1);
+  cr_assert(changes.Added[0].Suspect == request(cause));
+  cr_assert(changes.Cleared == only(other));
+  cr_assert_not(evidence.Quarantine.find({&other, 1}).has_value());
+  // The peers are told.
+  auto const report = evidence.Quarantine.makeReport(false, evidence.Now);
+  cr_assert_eq(report.Cleared.size(), 1);
+  cr_assert_eq(report.Cleared[0].Key, other);
+}
+
+Test(SuspectQuarantine, CompletedTrialLeavesTheOtherRequestAsTheCause) {
+  auto evidence = Evidence();
+  for (auto n = 1U; n <= 3; ++n) {
+    evidence.interrupt(n, 12, {});
+    evidence.crash(n, 11, {});
+  }
+  evidence.Now += PropagationTime;
+  cr_assert_eq(evidence.addedRequests().size(), 2);
+  auto const keys = identityOf(12).keys();
+  cr_assert(evidence.complete({keys.begin(), keys.end()}) ==
+            only(identityOf(12).Exact));
+  evidence.Now += 1s;
+  cr_assert(evidence.addedRequests() ==
+            std::vector{request(identityOf(11).Exact)});
+}
+
+Test(SuspectQuarantine, TrialWithoutAnInterruptionIsRepeated) {
+  auto evidence = Evidence();
+  auto const ambiguous = Suspect{7, SuspectKind::AmbiguousRequest};
+  cr_assert(evidence.Quarantine.quarantine(ambiguous, evidence.Now));
+  cr_assert(evidence.Quarantine.startTrial(7));
+  evidence.Quarantine.repeatTrial(7);
+  cr_assert(evidence.Quarantine.startTrial(7));
+  cr_assert_not(evidence.Quarantine.startTrial(8));
+}
+
+// Load: all servers of a service lose power while a popular request is in
+// progress at each of them.
+Test(SuspectQuarantine, RequestCompletedShortlyBeforeIsNotQuarantined) {
+  auto evidence = Evidence();
+  auto const keys = identityOf(11).keys();
+  evidence.complete({keys.begin(), keys.end()});
+  for (auto n = 1U; n <= 6; ++n)
+    evidence.crash(n, 11, {});
+  evidence.Now += 1s;
+  cr_assert(evidence.addedRequests().empty());
+}
+
+Test(SuspectQuarantine, NewSuspectsAreReportedBeforeKnownOnes) {
+  constexpr auto Known = SuspectKey{100};
+  auto evidence = Evidence();
+  for (auto n = SuspectKey{1}; n <= Known; ++n)
+    cr_assert(evidence.Quarantine.quarantine(request(n), evidence.Now));
+  evidence.Now += 2s;
+  cr_assert(evidence.Quarantine.quarantine(request(Known + 1), evidence.Now));
+  auto const report = evidence.Quarantine.makeReport(true, evidence.Now);
+  cr_assert(report.Quarantined.at(0) == request(Known + 1));
+  cr_assert_gt(report.Quarantined.size(), 1);
+}
+
+// Regression test: sound requests that were tried again at most of the engines
+// were taken for the cause instead of the segment.
+Test(SuspectQuarantine, SegmentAtMoreCrashesGoesBeforeRequests) {
+  auto evidence = Evidence();
+  for (auto n = 1U; n <= 5; ++n) {
+    if (n <= 4)
+      evidence.interrupt(n, 11, {Subject});
+    evidence.crash(n, 20 + n, {Crashing});
+  }
+  evidence.Now += PropagationTime;
+  cr_assert(evidence.added() == only(Crashing));
+  cr_assert_eq(evidence.Quarantine.requestCount(), 0);
+}
+
 } // namespace dotterel::relay::test
