LibRelay: Report each cleared suspect to the peers

A segment of a third of all prompts was quarantined for three crashes 8 s apart, although prompts with it had been completed in between: reports name 16 of the cleared suspects, always the first ones by key, and since identities are cleared as well there are more. Waiting longer for the reports (four intervals instead of two) did not help and was not kept. They are now reported in turn, as interrupted requests are.

--- a/Libraries/LibRelay/SuspectQuarantine.cpp
+++ b/Libraries/LibRelay/SuspectQuarantine.cpp
@@ -73,7 +73,7 @@
 }
 
 auto SuspectQuarantine::reportCleared(SuspectKey Key, Instant Now) -> void {
-  PendingCleared[Key] = Now + ReportPeriod;
+  PendingCleared[Key].Until = Now + ReportPeriod;
 }
 
 auto SuspectQuarantine::forgetOldestCleared() -> void {
@@ -240,7 +240,7 @@
   Evidence.expire(QuarantineTime, Now);
   std::erase_if(PendingReports, [&](auto const &it) { return Now > it.Until; });
   std::erase_if(PendingCleared,
-                [&](auto const &it) { return Now > it.second; });
+                [&](auto const &it) { return Now > it.second.Until; });
   auto ended = std::vector<SuspectKey>{};
   for (auto const &it : Quarantined) {
     if (Now >= it.second.Until)
@@ -292,10 +292,18 @@
     ++it.Repetitions;
     report.Interrupted.push_back(it.Interrupted);
   }
-  for (auto const &it : PendingCleared) {
-    if (isHarmless(it.first, Now) &&
-        report.Cleared.size() < MaximumSuspectsPerReport)
-      report.Cleared.push_back({it.first, Now - ClearedAt.at(it.first)});
+  auto cleared = std::vector<std::pair<SuspectKey, PendingClearance *>>{};
+  for (auto &it : PendingCleared) {
+    if (isHarmless(it.first, Now))
+      cleared.emplace_back(it.first, &it.second);
+  }
+  std::ranges::stable_sort(
+      cleared, {}, [](auto const &it) { return it.second->Repetitions; });
+  if (cleared.size() > MaximumSuspectsPerReport)
+    cleared.resize(MaximumSuspectsPerReport);
+  for (auto &it : cleared) {
+    ++it.second->Repetitions;
+    report.Cleared.push_back({it.first, Now - ClearedAt.at(it.first)});
   }
   // New ones first: the peers do not know them yet.
   for (auto isNew : {true, false}) {
--- a/Libraries/LibRelay/SuspectQuarantine.h
+++ b/Libraries/LibRelay/SuspectQuarantine.h
@@ -137,6 +137,12 @@
     std::uint32_t Repetitions = 0;
   };
 
+  /// A harmless suspect to report to the peers.
+  struct PendingClearance {
+    Instant Until;
+    std::uint32_t Repetitions = 0;
+  };
+
   struct Entry {
     SuspectKind Kind = SuspectKind::Segment;
     Instant Until;
@@ -175,8 +181,7 @@
   std::unordered_map<SuspectKey, Instant> ClearedAt;
   std::deque<std::pair<SuspectKey, Instant>> ClearedOrder;
   std::vector<PendingReport> PendingReports;
-  /// Harmless suspects to report to the peers, and until when.
-  std::map<SuspectKey, Instant> PendingCleared;
+  std::map<SuspectKey, PendingClearance> PendingCleared;
 };
 
 } // namespace dotterel::relay
--- a/Tests/LibRelay/TestSuspectQuarantine.cpp
+++ b/Tests/LibRelay/TestSuspectQuarantine.cpp
@@ -1,6 +1,8 @@
 #include "LibRelay/Peers.h"
 #include "LibRelay/SuspectQuarantine.h"
 
+#include <set>
+
 #include <criterion/criterion.h>
 
 namespace dotterel::relay::test {
@@ -454,4 +456,24 @@
   cr_assert_eq(evidence.Quarantine.requestCount(), 0);
 }
 
+// Regression test: of many suspects that were cleared at once, some were never
+// reported, so the peers took popular segments for the cause of later crashes.
+Test(SuspectQuarantine, EachClearedSuspectIsReported) {
+  constexpr auto Count = SuspectKey{60};
+  auto evidence = Evidence();
+  auto segments = std::vector<SuspectKey>{};
+  for (auto n = SuspectKey{1}; n <= Count; ++n)
+    segments.push_back(n);
+  evidence.interrupt(1, 11, segments);
+  evidence.complete(segments);
+  auto reported = std::set<SuspectKey>{};
+  for (auto n = 0; n < 5; ++n) {
+    for (auto const &it :
+         evidence.Quarantine.makeReport(false, evidence.Now).Cleared)
+      reported.insert(it.Key);
+    evidence.Now += 100ms;
+  }
+  cr_assert_eq(reported.size(), Count);
+}
+
 } // namespace dotterel::relay::test
