LibRelay: Count crashes after a completion against a request

A completion now clears a request of the crashes until then only; reports carry the age of an interruption and of the last crash. Servers that crash at the same moment count once for a request that was completed shortly before, because popular requests are in progress at all of them. Crashes count after four report intervals instead of two, since clearing takes two reports. A caller that leaves counts as an interruption.

--- a/Libraries/LibRelay/AttemptReducer.cpp
+++ b/Libraries/LibRelay/AttemptReducer.cpp
@@ -237,8 +237,9 @@
       toMilliseconds(Response.Notice.Pause.value_or(Duration{})),
       server == nullptr ? 0 : server->load().Requests);
   if (server != nullptr) {
+    // This request was not in progress when that run of the server ended.
     if (Response.IsMisdirected && !server->isLeaving())
-      QuarantineReducer(CurrentState, Output).observeCrash(server->Key);
+      CurrentState.Quarantine.recordCrash(server->Key, now());
     server->HasStaleAddress = server->HasStaleAddress || Response.IsMisdirected;
     // A pause that the server asked for says nothing about its health.
     if (!Response.Notice.Pause) {
--- a/Libraries/LibRelay/CrashEvidence.cpp
+++ b/Libraries/LibRelay/CrashEvidence.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// Servers that lose power together break their connections within this time,
+/// as instances observe it.
+constexpr auto SimultaneityWindow = Duration{20ms};
 /// Limits on the memory.
 constexpr auto MaximumCrashes = std::size_t{64};
 constexpr auto MaximumInterruptionsPerCrash = std::size_t{256};
@@ -28,11 +31,25 @@
   return Suspects;
 }
 
+/// Returns the number of \p Moments that are not part of the same event.
+/// Precondition: they are in ascending order.
+auto countMoments(std::span<Instant const> Moments) -> std::size_t {
+  auto count = std::size_t{0};
+  auto first = Instant::min();
+  for (auto it : Moments) {
+    if (count > 0 && it - first <= SimultaneityWindow)
+      continue;
+    ++count;
+    first = it;
+  }
+  return count;
+}
+
 /// Returns the keys of \p Identities at position \p Rank that most crashes have
 /// in common. \p Counts holds the number of crashes of each key.
 auto keysOfRank(std::vector<RequestIdentity> const &Identities,
                 std::size_t Rank,
-                std::map<SuspectKey, std::size_t> const &Counts)
+                std::map<SuspectKey, SuspectCrashes> const &Counts)
     -> std::vector<SuspectCrashes> {
   auto keys = std::set<SuspectKey>{};
   for (auto const &it : Identities)
@@ -41,8 +58,7 @@
   for (auto key : keys) {
     auto const it = Counts.find(key);
     if (it != Counts.end())
-      suspects.push_back(
-          {{key, SuspectKind::Request}, it->second, 1, it->second});
+      suspects.push_back(it->second);
   }
   return keepMostFrequent(std::move(suspects));
 }
@@ -90,14 +106,17 @@
     ++Occurrences[it];
 }
 
+auto CrashEvidence::discount(SuspectKey Removed) -> void {
+  auto it = Occurrences.find(Removed);
+  if (--it->second == 0)
+    Occurrences.erase(it);
+}
+
 auto CrashEvidence::discount(Interruption const &Removed) -> void {
-  auto remove = [this](SuspectKey Key) {
-    auto it = Occurrences.find(Key);
-    if (--it->second == 0)
-      Occurrences.erase(it);
-  };
-  std::ranges::for_each(Removed.RequestKeys, remove);
-  std::ranges::for_each(Removed.Segments, remove);
+  for (auto it : Removed.RequestKeys)
+    discount(it);
+  for (auto it : Removed.Segments)
+    discount(it);
 }
 
 auto CrashEvidence::crashOf(ServerKey Server, Instant Now) -> Crash & {
@@ -131,7 +150,7 @@
   auto interruption = Interruption{Interrupted.Identity,
                                    {keys.begin(), keys.end()},
                                    std::move(Interrupted.Segments),
-                                   Now};
+                                   Now - Interrupted.Age};
   // Instances of earlier versions do not report all keys.
   std::erase(interruption.RequestKeys, SuspectKey{0});
   count(interruption);
@@ -151,13 +170,16 @@
   });
 }
 
-auto CrashEvidence::remove(SuspectKey Key) -> void {
-  if (Occurrences.erase(Key) == 0)
+auto CrashEvidence::remove(SuspectKey Key, Instant At) -> void {
+  if (!contains(Key))
     return;
   for (auto &crash : Crashes) {
     for (auto &it : crash.second.Interruptions) {
-      std::erase(it.RequestKeys, Key);
-      std::erase(it.Segments, Key);
+      auto removed = std::erase(it.Segments, Key);
+      if (it.At <= At)
+        removed += std::erase(it.RequestKeys, Key);
+      for (; removed > 0; --removed)
+        discount(Key);
     }
   }
 }
@@ -217,22 +239,34 @@
   return keepMostFrequent(std::move(segments));
 }
 
-auto CrashEvidence::mostFrequentRequests(Instant Known,
-                                         Explanation const &Explain) const
+auto CrashEvidence::requests(Instant Known, Explanation const &Explain) const
     -> std::vector<SuspectCrashes> {
-  auto counts = std::map<SuspectKey, std::size_t>{};
+  auto times = std::map<SuspectKey, std::vector<Instant>>{};
   auto contents = std::map<SuspectKey, std::vector<RequestIdentity>>{};
   for (auto const &[server, crash] : Crashes) {
     if (!crash.ConfirmedAt || *crash.ConfirmedAt > Known ||
         crash.explain(Explain))
       continue;
-    auto keys = std::set<SuspectKey>{};
-    for (auto const &it : crash.Interruptions) {
-      keys.insert(it.RequestKeys.begin(), it.RequestKeys.end());
-      contents[it.Identity.Content].push_back(it.Identity);
+    auto firstAt = std::map<SuspectKey, Instant>{};
+    for (auto const &request : crash.Interruptions) {
+      for (auto key : request.RequestKeys) {
+        auto &at = firstAt.try_emplace(key, request.At).first->second;
+        at = std::min(at, request.At);
+      }
+      contents[request.Identity.Content].push_back(request.Identity);
     }
-    for (auto it : keys)
-      ++counts[it];
+    for (auto const &[key, at] : firstAt)
+      times[key].push_back(at);
+  }
+  auto counts = std::map<SuspectKey, SuspectCrashes>{};
+  for (auto &[key, moments] : times) {
+    std::ranges::sort(moments);
+    counts[key] = {{key, SuspectKind::Request},
+                   moments.size(),
+                   1,
+                   moments.size(),
+                   moments.back(),
+                   countMoments(moments)};
   }
   auto requests = std::vector<SuspectCrashes>{};
   for (auto const &[content, identities] : contents) {
@@ -246,7 +280,8 @@
     }
     requests.insert(requests.end(), specific.begin(), specific.end());
   }
-  return keepMostFrequent(std::move(requests));
+  std::ranges::sort(requests, std::greater{}, &SuspectCrashes::Crashes);
+  return requests;
 }
 
 auto CrashEvidence::crashesOf(SuspectKey Key, Explanation const &Explain) const
--- a/Libraries/LibRelay/CrashEvidence.h
+++ b/Libraries/LibRelay/CrashEvidence.h
@@ -31,6 +31,8 @@
   RequestIdentity Identity;
   /// Segments of its prompt, except for the last.
   std::vector<SuspectKey> Segments;
+  /// Time since the connection broke.
+  Duration Age{};
 
   auto operator==(InterruptedRequest const &) const -> bool = default;
 };
@@ -44,6 +46,10 @@
   std::size_t Requests = 0;
   /// Crashes among them that no suspect in quarantine explains.
   std::size_t Unexplained = 0;
+  /// Time of the last one.
+  Instant LastAt{};
+  /// Moments at which servers crashed, if several crashed together.
+  std::size_t Moments = 0;
 };
 
 /// The crashes that an instance knows of, and the requests that were in
@@ -61,8 +67,9 @@
   /// Records that the run of a server ended without notice.
   auto recordCrash(ServerKey Server, Instant Now) -> void;
 
-  /// Removes a suspect from all requests.
-  auto remove(SuspectKey Key) -> void;
+  /// Removes a suspect that was shown at \p At to be harmless: a segment from
+  /// all requests, a request from the crashes until then.
+  auto remove(SuspectKey Key, Instant At) -> void;
 
   /// Forgets crashes that are older than \p Lifetime.
   auto expire(Duration Lifetime, Instant Now) -> void;
@@ -84,10 +91,10 @@
                                           Explanation const &Explain) const
       -> std::vector<SuspectCrashes>;
 
-  /// Returns the same for requests, of each the most specific key. Crashes that
-  /// a segment or a request explains do not count.
-  [[nodiscard]] auto mostFrequentRequests(Instant Known,
-                                          Explanation const &Explain) const
+  /// Returns the requests that were in progress during crashes that were known
+  /// at \p Known, those with most crashes first, of each the most specific key.
+  /// Crashes that a segment or a request explains do not count.
+  [[nodiscard]] auto requests(Instant Known, Explanation const &Explain) const
       -> std::vector<SuspectCrashes>;
 
   /// Returns the crashes during which a request with \p Key was in progress.
@@ -117,6 +124,7 @@
 
   auto crashOf(ServerKey Server, Instant Now) -> Crash &;
   auto count(Interruption const &Added) -> void;
+  auto discount(SuspectKey Removed) -> void;
   auto discount(Interruption const &Removed) -> void;
 
   Duration ConfirmationTime;
--- a/Libraries/LibRelay/Peers.cpp
+++ b/Libraries/LibRelay/Peers.cpp
@@ -29,7 +29,7 @@
   for (auto const &it : Report.Interrupted)
     interrupted.push_back({it.Server, it.Identity.Content, it.Segments,
                            it.Identity.Caller, it.Identity.Fields,
-                           it.Identity.Exact});
+                           it.Identity.Exact, toMilliseconds(it.Age)});
   auto cleared = json::array();
   for (auto const &it : Report.Cleared) {
     cleared.push_back(it.Key);
@@ -39,12 +39,13 @@
   auto segments = json::array();
   auto requests = json::array();
   for (auto const &it : Report.Quarantined) {
-    if (it.Kind == SuspectKind::Segment) {
-      segments.push_back(it.Key);
+    if (it.Suspect.Kind == SuspectKind::Segment) {
+      segments.push_back(it.Suspect.Key);
       continue;
     }
-    requests.push_back(it.Key);
-    requests.push_back(it.Kind == SuspectKind::AmbiguousRequest);
+    requests.push_back(it.Suspect.Key);
+    requests.push_back(it.Suspect.Kind == SuspectKind::AmbiguousRequest);
+    requests.push_back(toMilliseconds(it.CrashAge));
   }
   return json::array({std::move(interrupted), std::move(cleared),
                       std::move(segments), std::move(requests)});
@@ -62,6 +63,8 @@
       interrupted.Identity.Caller = it.at(3).get<SuspectKey>();
       interrupted.Identity.Fields = it.at(4).get<SuspectKey>();
       interrupted.Identity.Exact = it.at(5).get<SuspectKey>();
+      interrupted.Age =
+          std::chrono::milliseconds(it.at(6).get<std::uint32_t>());
     }
     report.Interrupted.push_back(std::move(interrupted));
   }
@@ -71,16 +74,20 @@
         {cleared[n].get<SuspectKey>(),
          std::chrono::milliseconds(cleared[n + 1].get<std::uint32_t>())});
   for (auto const &it : Source.at(2))
-    report.Quarantined.push_back({it.get<SuspectKey>(), SuspectKind::Segment});
+    report.Quarantined.push_back(
+        {{it.get<SuspectKey>(), SuspectKind::Segment}, Duration{}});
   constexpr auto RequestsIndex = std::size_t{3};
   if (Source.size() <= RequestsIndex)
     return report;
   auto const &requests = Source[RequestsIndex];
-  for (auto n = std::size_t{0}; n + 1 < requests.size(); n += 2)
+  for (auto n = std::size_t{0}; n + 2 < requests.size(); n += 3) {
+    auto const kind = requests[n + 1].get<bool>()
+                          ? SuspectKind::AmbiguousRequest
+                          : SuspectKind::Request;
     report.Quarantined.push_back(
-        {requests[n].get<SuspectKey>(), requests[n + 1].get<bool>()
-                                            ? SuspectKind::AmbiguousRequest
-                                            : SuspectKind::Request});
+        {{requests[n].get<SuspectKey>(), kind},
+         std::chrono::milliseconds(requests[n + 2].get<std::uint32_t>())});
+  }
   return report;
 }
 
--- a/Libraries/LibRelay/QuarantineReducer.cpp
+++ b/Libraries/LibRelay/QuarantineReducer.cpp
@@ -10,8 +10,9 @@
 namespace {
 
 /// Report intervals until the peers' reports of a crash have arrived. One
-/// report may be lost.
-constexpr auto PropagationIntervals = 2;
+/// report tells of an interruption, one clears its suspects; one of each may be
+/// lost.
+constexpr auto PropagationIntervals = 4;
 /// Time after which to come back with an ambiguous request; the trial of the
 /// cause usually clears the others within seconds.
 constexpr auto RetryAfterAmbiguity = Duration{1s};
@@ -23,7 +24,7 @@
   auto const &attempt = *Request.CurrentAttempt;
   if (attempt.IsSent)
     CurrentState.Quarantine.recordOwnInterruption(
-        {attempt.Key, Request.Identity, Request.SharedSegments}, now());
+        {attempt.Key, Request.Identity, Request.SharedSegments, {}}, now());
 }
 
 auto QuarantineReducer::observeCompletion(InFlightRequest const &Request)
@@ -80,14 +81,14 @@
   for (auto const &it : report.Interrupted)
     quarantine.recordInterruption(it, now());
   for (auto const &it : report.Quarantined) {
-    if (quarantine.quarantine(it, now()))
-      apply(it, Event.Report.PeerAddress, 0, 0);
+    if (quarantine.quarantine(it.Suspect, now() - it.CrashAge, now()))
+      apply(it.Suspect, Event.Report.PeerAddress, 0, 0);
   }
 }
 
 auto QuarantineReducer::on(QuarantineListed const &Event) -> void {
   for (auto const &it : Event.Suspects) {
-    if (CurrentState.Quarantine.quarantine(it, now()))
+    if (CurrentState.Quarantine.quarantine(it, CurrentState.StartedAt, now()))
       apply(it, "store", 0, 0);
     CurrentState.Quarantine.markStored(it.Key);
     // It was shown to be harmless recently.
--- a/Libraries/LibRelay/RequestReducer.cpp
+++ b/Libraries/LibRelay/RequestReducer.cpp
@@ -393,8 +393,13 @@
 }
 
 auto RequestReducer::on(CallerDisconnected const &Event) -> void {
-  if (find(Event.Number) != nullptr)
-    finish(Event.Number, ResultCode::CallerDisconnected, 0);
+  auto const *request = find(Event.Number);
+  if (request == nullptr)
+    return;
+  // The server may crash on it before it learns that the caller has left.
+  if (request->CurrentAttempt)
+    QuarantineReducer(CurrentState, Output).observeInterruption(*request);
+  finish(Event.Number, ResultCode::CallerDisconnected, 0);
 }
 
 auto RequestReducer::on(Tick const & /*Event*/) -> void {
--- a/Libraries/LibRelay/SuspectQuarantine.cpp
+++ b/Libraries/LibRelay/SuspectQuarantine.cpp
@@ -30,11 +30,7 @@
 auto SuspectQuarantine::recordOwnInterruption(InterruptedRequest Interrupted,
                                               Instant Now) -> void {
   removeHarmlessSegments(Interrupted, Now);
-  auto isHarmlessKey = [&](SuspectKey it) { return isHarmless(it, Now); };
-  if (Interrupted.Segments.empty() &&
-      std::ranges::all_of(Interrupted.Identity.keys(), isHarmlessKey))
-    return;
-  PendingReports.push_back({Interrupted, Now + ReportPeriod});
+  PendingReports.push_back({Interrupted, Now});
   recordInterruption(std::move(Interrupted), Now);
 }
 
@@ -51,7 +47,7 @@
   Evidence.recordInterruption(std::move(Interrupted), Now);
   for (auto it : keys) {
     if (isHarmless(it, Now))
-      Evidence.remove(it);
+      Evidence.remove(it, ClearedAt.at(it));
   }
   HasNewEvidence = true;
 }
@@ -66,6 +62,12 @@
   return it != ClearedAt.end() && Now - it->second < ConfirmationTime;
 }
 
+auto SuspectQuarantine::isClearedSince(SuspectKey Key, Instant Since) const
+    -> bool {
+  auto it = ClearedAt.find(Key);
+  return it != ClearedAt.end() && it->second >= Since;
+}
+
 auto SuspectQuarantine::removeHarmlessSegments(InterruptedRequest &Interrupted,
                                                Instant Now) const -> void {
   std::erase_if(Interrupted.Segments,
@@ -97,10 +99,15 @@
   if (ClearedOrder.size() > MaximumCleared)
     forgetOldestCleared();
   if (Evidence.contains(Cleared.Key)) {
-    Evidence.remove(Cleared.Key);
+    Evidence.remove(Cleared.Key, at);
     HasNewEvidence = true;
   }
-  return Quarantined.erase(Cleared.Key) > 0;
+  auto it = Quarantined.find(Cleared.Key);
+  if (it == Quarantined.end() ||
+      (it->second.Kind != SuspectKind::Segment && at < it->second.CrashAt))
+    return false;
+  Quarantined.erase(it);
+  return true;
 }
 
 auto SuspectQuarantine::recordCompletion(std::span<SuspectKey const> Keys,
@@ -116,8 +123,11 @@
   return released;
 }
 
-auto SuspectQuarantine::quarantine(Suspect const &Target, Instant Now) -> bool {
-  if (isHarmless(Target.Key, Now)) {
+auto SuspectQuarantine::quarantine(Suspect const &Target, Instant CrashAt,
+                                   Instant Now) -> bool {
+  if (Target.Kind == SuspectKind::Segment
+          ? isHarmless(Target.Key, Now)
+          : isClearedSince(Target.Key, CrashAt)) {
     reportCleared(Target.Key, Now);
     return false;
   }
@@ -125,11 +135,13 @@
   if (it == Quarantined.end()) {
     if (Quarantined.size() >= MaximumQuarantined)
       return false;
-    Quarantined.emplace(Target.Key, Entry{Target.Kind, Now + QuarantineTime,
-                                          Now + ReportPeriod});
+    Quarantined.emplace(
+        Target.Key,
+        Entry{Target.Kind, CrashAt, Now + QuarantineTime, Now + ReportPeriod});
     return true;
   }
   auto &entry = it->second;
+  entry.CrashAt = std::max(entry.CrashAt, CrashAt);
   if (entry.Kind != SuspectKind::AmbiguousRequest ||
       Target.Kind != SuspectKind::Request)
     return false;
@@ -141,27 +153,27 @@
 auto SuspectQuarantine::explain(SuspectKey Key) const
     -> std::optional<SuspectKind> {
   auto it = Quarantined.find(Key);
-  return it == Quarantined.end() ? std::nullopt
-                                 : std::optional(it->second.Kind);
-}
-
-auto SuspectQuarantine::explainWithCertainty(SuspectKey Key) const
-    -> std::optional<SuspectKind> {
-  auto kind = explain(Key);
-  return kind == SuspectKind::AmbiguousRequest ? std::nullopt : kind;
+  if (it == Quarantined.end() ||
+      it->second.Kind == SuspectKind::AmbiguousRequest)
+    return std::nullopt;
+  return it->second.Kind;
 }
 
 auto SuspectQuarantine::findRequests(Instant Known) const
     -> std::vector<SuspectCrashes> {
-  auto requests = Evidence.mostFrequentRequests(
-      Known, [this](SuspectKey it) { return explainWithCertainty(it); });
-  std::erase_if(requests, [](SuspectCrashes const &it) {
-    return it.Crashes < MinimumCrashes;
+  auto requests =
+      Evidence.requests(Known, [this](SuspectKey it) { return explain(it); });
+  std::erase_if(requests, [this](SuspectCrashes const &it) {
+    auto const isPopular = ClearedAt.contains(it.Suspect.Key);
+    return (isPopular ? it.Moments : it.Crashes) < MinimumCrashes;
   });
-  if (requests.size() > 1) {
-    for (auto &it : requests)
-      it.Suspect.Kind = SuspectKind::AmbiguousRequest;
-  }
+  if (requests.size() < 2)
+    return requests;
+  // Its crashes may account for those of the others.
+  if (requests[0].Crashes > requests[1].Crashes)
+    return {requests.front()};
+  for (auto &it : requests)
+    it.Suspect.Kind = SuspectKind::AmbiguousRequest;
   return requests;
 }
 
@@ -184,8 +196,8 @@
   for (auto const &[key, entry] : Quarantined) {
     if (entry.Kind != SuspectKind::AmbiguousRequest)
       continue;
-    auto const crashes = Evidence.crashesOf(
-        key, [this](SuspectKey it) { return explainWithCertainty(it); });
+    auto const crashes =
+        Evidence.crashesOf(key, [this](SuspectKey it) { return explain(it); });
     if (crashes.Unexplained < crashes.Crashes &&
         crashes.Unexplained < MinimumCrashes)
       cleared.push_back(key);
@@ -211,7 +223,7 @@
   auto add = [&](std::vector<SuspectCrashes> const &Found) {
     auto isProgress = false;
     for (auto const &it : Found) {
-      if (!quarantine(it.Suspect, Now))
+      if (!quarantine(it.Suspect, it.LastAt, Now))
         continue;
       changes.Added.push_back(it);
       isProgress = true;
@@ -223,11 +235,10 @@
     auto const segments = findSegments(known);
     // The most frequent suspect is the likely cause, or the most specific one
     // of equally frequent ones.
-    auto isSegmentLikely =
-        !segments.empty() && (requests.empty() || segments.front().Crashes >
-                                                      requests.front().Crashes);
-    isProgress = isSegmentLikely ? add(segments) || add(requests)
-                                 : add(requests) || add(segments);
+    auto isSegment = !segments.empty() &&
+                     (requests.empty() ||
+                      segments.front().Crashes > requests.front().Crashes);
+    isProgress = add(isSegment ? segments : requests);
   }
   changes.Cleared = clearOthers(Now);
   return changes;
@@ -238,7 +249,8 @@
          Now - ClearedOrder.front().second >= ConfirmationTime)
     forgetOldestCleared();
   Evidence.expire(QuarantineTime, Now);
-  std::erase_if(PendingReports, [&](auto const &it) { return Now > it.Until; });
+  std::erase_if(PendingReports,
+                [&](auto const &it) { return Now > it.At + ReportPeriod; });
   std::erase_if(PendingCleared,
                 [&](auto const &it) { return Now > it.second.Until; });
   auto ended = std::vector<SuspectKey>{};
@@ -291,6 +303,7 @@
   for (auto &it : std::span(PendingReports).first(count)) {
     ++it.Repetitions;
     report.Interrupted.push_back(it.Interrupted);
+    report.Interrupted.back().Age = Now - it.At;
   }
   auto cleared = std::vector<std::pair<SuspectKey, PendingClearance *>>{};
   for (auto &it : PendingCleared) {
@@ -310,7 +323,8 @@
     for (auto const &it : Quarantined) {
       if ((isNew || IsFull) && isNew == (Now < it.second.ReportUntil) &&
           report.Quarantined.size() < MaximumSuspectsPerReport)
-        report.Quarantined.push_back({it.first, it.second.Kind});
+        report.Quarantined.push_back(
+            {{it.first, it.second.Kind}, Now - it.second.CrashAt});
     }
   }
   return report;
--- a/Libraries/LibRelay/SuspectQuarantine.h
+++ b/Libraries/LibRelay/SuspectQuarantine.h
@@ -22,13 +22,22 @@
   Duration Age{};
 };
 
+/// A suspect in quarantine, as reported to the peers.
+struct QuarantinedSuspect {
+  relay::Suspect Suspect;
+  /// Time since it was in progress at a crash.
+  Duration CrashAge{};
+
+  auto operator==(QuarantinedSuspect const &) const -> bool = default;
+};
+
 /// What an instance reports to its peers.
 struct QuarantineReport {
   std::vector<InterruptedRequest> Interrupted;
   /// Suspects that were shown to be harmless although requests with them were
   /// interrupted, or they were in quarantine.
   std::vector<ClearedSuspect> Cleared;
-  std::vector<Suspect> Quarantined;
+  std::vector<QuarantinedSuspect> Quarantined;
 
   [[nodiscard]] auto isEmpty() const -> bool {
     return Interrupted.empty() && Cleared.empty() && Quarantined.empty();
@@ -53,8 +62,11 @@
 /// requests in progress whose prompts contain it. A request that explains the
 /// crashes goes before its segments.
 ///
-/// A completed request shows that neither it nor its segments caused a crash
-/// until then, nor shortly after it. A crash that a suspect in quarantine
+/// A completed request shows that it caused no crash until then, and that its
+/// segments caused none until shortly after it. Servers that crash at the same
+/// moment are no evidence against one that was completed shortly before: they
+/// lost power together, and popular requests are in progress at all of them. A
+/// crash that a suspect in quarantine
 /// explains counts against no other one. Thread safety: none.
 class SuspectQuarantine {
 public:
@@ -83,9 +95,10 @@
   /// peer. Returns whether it was released from quarantine.
   auto recordCleared(ClearedSuspect const &Cleared, Instant Now) -> bool;
 
-  /// Puts a suspect into quarantine that a peer or the store names. Returns
-  /// false if that changes nothing, or if it was shown to be harmless recently.
-  auto quarantine(Suspect const &Target, Instant Now) -> bool;
+  /// Puts a suspect into quarantine that was in progress at a crash at
+  /// \p CrashAt. Returns false if that changes nothing, or if it was shown to
+  /// be harmless since, or recently if it is a segment.
+  auto quarantine(Suspect const &Target, Instant CrashAt, Instant Now) -> bool;
 
   /// Puts the suspects into quarantine for which there is enough evidence. A
   /// crash counts \p PropagationTime after it is known, or later, when the
@@ -133,7 +146,7 @@
   /// An interrupted request to report to the peers.
   struct PendingReport {
     InterruptedRequest Interrupted;
-    Instant Until;
+    Instant At;
     std::uint32_t Repetitions = 0;
   };
 
@@ -145,6 +158,7 @@
 
   struct Entry {
     SuspectKind Kind = SuspectKind::Segment;
+    Instant CrashAt;
     Instant Until;
     Instant ReportUntil;
     bool IsStored = false;
@@ -157,16 +171,17 @@
       -> std::vector<SuspectCrashes>;
   [[nodiscard]] auto findSegments(Instant Known) const
       -> std::vector<SuspectCrashes>;
-  /// Explains a crash by everything in quarantine, or only by what is certain.
+  /// Explains a crash by what is in quarantine and not ambiguous.
   [[nodiscard]] auto explain(SuspectKey Key) const
       -> std::optional<SuspectKind>;
-  [[nodiscard]] auto explainWithCertainty(SuspectKey Key) const
-      -> std::optional<SuspectKind>;
   /// Clears the ambiguous requests most of whose crashes another suspect
   /// explains, and returns them.
   auto clearOthers(Instant Now) -> std::vector<SuspectKey>;
   /// Returns whether a suspect was shown to be harmless recently.
   [[nodiscard]] auto isHarmless(SuspectKey Key, Instant Now) const -> bool;
+  /// Returns whether a suspect was shown to be harmless at \p Since or later.
+  [[nodiscard]] auto isClearedSince(SuspectKey Key, Instant Since) const
+      -> bool;
   auto removeHarmlessSegments(InterruptedRequest &Interrupted,
                               Instant Now) const -> void;
   auto forgetOldestCleared() -> void;
--- a/Tests/LibRelay/TestCrashingRequest.cpp
+++ b/Tests/LibRelay/TestCrashingRequest.cpp
@@ -205,6 +205,21 @@
   });
 }
 
+// Regression test: completions before the first crash hid the crashes of the
+// next seconds.
+Test(RelayCrashingRequest, RequestThatWasSoundBeforeReachesNoFurtherServers) {
+  for (auto route : {RouteKind::Lookup, RouteKind::Stream}) {
+    forEachSeed([route](SeededFleet &Target) {
+      auto &fleet = Target.Fleet;
+      Target.Traffic.startCrashing(route, 200ms);
+      fleet.run(3s);
+      fleet.setCrashingCall(MixedTraffic::crashingCall(route));
+      fleet.run(15s);
+      Target.expectFewLaterArrivals();
+    });
+  }
+}
+
 // Regression test: while engines that decode are gone, prompts were prefilled
 // again without charging the retry budget.
 Test(RelayCrashingRequest, RepeatsStayWithinTheRetryBudget) {
--- a/Tests/LibRelay/TestQuarantine.cpp
+++ b/Tests/LibRelay/TestQuarantine.cpp
@@ -33,7 +33,7 @@
 
 auto quarantineReport(std::uint64_t Number) -> PeerReport {
   auto message = report("i1", Number);
-  message.Quarantine.Quarantined = {{segmentKey(), SuspectKind::Segment}};
+  message.Quarantine.Quarantined = {{{segmentKey(), SuspectKind::Segment}, {}}};
   return message;
 }
 
@@ -160,12 +160,12 @@
 
 Test(RelayQuarantine, ReportSurvivesTheDatagram) {
   auto message = report("i1", 1);
-  message.Quarantine = {{{3, {14, 10, 11, 4}, {5, 6}}},
+  message.Quarantine = {{{3, {14, 10, 11, 4}, {5, 6}, 20ms}},
                         {{7, 1500ms}},
-                        {{8, SuspectKind::Segment},
-                         {9, SuspectKind::Segment},
-                         {12, SuspectKind::Request},
-                         {13, SuspectKind::AmbiguousRequest}}};
+                        {{{8, SuspectKind::Segment}, {}},
+                         {{9, SuspectKind::Segment}, {}},
+                         {{12, SuspectKind::Request}, 30ms},
+                         {{13, SuspectKind::AmbiguousRequest}, 40ms}}};
   auto decoded = decodePeerReport(encodePeerReport(message));
   cr_assert(decoded.has_value());
   auto const &read = decoded->Quarantine;
@@ -179,7 +179,7 @@
   auto node = RelayNode();
   auto message = report("i1", 1);
   message.Quarantine.Quarantined = {
-      {lookupIdentity().Caller, SuspectKind::Request}};
+      {{lookupIdentity().Caller, SuspectKind::Request}, {}}};
   auto pending = node.request(RouteKind::Lookup);
   (void)node.connect(pending);
   node.feed(PeerReported{message});
@@ -204,7 +204,7 @@
   node.feed(AttemptResponded{node.attemptId(number), response});
   auto message = report("i1", 1);
   message.Quarantine.Quarantined = {
-      {lookupIdentity().Exact, SuspectKind::Request}};
+      {{lookupIdentity().Exact, SuspectKind::Request}, {}}};
   node.feed(PeerReported{message});
   cr_assert_eq(node.CurrentState.Quarantine.requestCount(), 0);
 }
@@ -219,7 +219,7 @@
   node.feed(AttemptResponded{node.attemptId(number), response});
   auto message = report("i1", 1);
   message.Quarantine.Quarantined = {
-      {lookupIdentity().Exact, SuspectKind::Request}};
+      {{lookupIdentity().Exact, SuspectKind::Request}, {}}};
   node.feed(PeerReported{message});
   cr_assert_eq(node.CurrentState.Quarantine.requestCount(), 1);
 }
@@ -231,7 +231,7 @@
   node.advance(2s);
   auto message = report("i1", 1);
   message.Quarantine.Quarantined = {
-      {lookupIdentity().Exact, SuspectKind::AmbiguousRequest}};
+      {{lookupIdentity().Exact, SuspectKind::AmbiguousRequest}, {}}};
   node.feed(PeerReported{message});
   auto number = node.request(RouteKind::Lookup);
   auto send = node.connect(number);
@@ -252,7 +252,7 @@
   node.advance(2s);
   auto message = report("i1", 1);
   message.Quarantine.Quarantined = {
-      {lookupIdentity().Exact, SuspectKind::AmbiguousRequest}};
+      {{lookupIdentity().Exact, SuspectKind::AmbiguousRequest}, {}}};
   node.feed(PeerReported{message});
   auto number = node.request(RouteKind::Lookup);
   (void)node.connect(number);
@@ -282,7 +282,7 @@
     node.advance(100ms);
   }
   auto message = report(name, 41);
-  message.Quarantine.Quarantined = {{key, SuspectKind::AmbiguousRequest}};
+  message.Quarantine.Quarantined = {{{key, SuspectKind::AmbiguousRequest}, {}}};
   node.feed(PeerReported{message});
   node.request(RouteKind::Lookup);
   cr_assert_null(effect<ConnectAttempt>(node.LastEffects));
@@ -326,4 +326,21 @@
   cr_assert_eq(node.CurrentState.Quarantine.requestCount(), 1);
 }
 
+// Regression test: a request that another server at the address refused counted
+// as in progress when the expected server crashed.
+Test(RelayQuarantine, MisdirectedRequestWasNotInProgress) {
+  auto node = RelayNode();
+  for (auto n = 0; n < 3; ++n) {
+    auto number = node.request(RouteKind::Lookup);
+    (void)node.connect(number);
+    auto response = ServerResponse{};
+    response.Status = 421;
+    response.IsMisdirected = true;
+    node.feed(AttemptResponded{node.attemptId(number), response});
+    node.feed(CallerDisconnected{number});
+  }
+  node.advance(500ms);
+  cr_assert_eq(node.CurrentState.Quarantine.requestCount(), 0);
+}
+
 } // namespace dotterel::relay::test
--- a/Tests/LibRelay/TestSuspectQuarantine.cpp
+++ b/Tests/LibRelay/TestSuspectQuarantine.cpp
@@ -36,7 +36,7 @@
   auto interrupt(ServerKey Server, std::uint64_t Prompt,
                  std::vector<SuspectKey> Segments) -> void {
     Quarantine.recordOwnInterruption(
-        {Server, identityOf(Prompt), std::move(Segments)}, Now);
+        {Server, identityOf(Prompt), std::move(Segments), {}}, Now);
   }
 
   auto complete(std::vector<SuspectKey> const &Segments)
@@ -146,7 +146,8 @@
 // crashes seemed to have another cause.
 Test(SuspectQuarantine, SecondSegmentWaitsForAllReports) {
   auto evidence = Evidence();
-  cr_assert(evidence.Quarantine.quarantine(segment(Crashing), evidence.Now));
+  cr_assert(evidence.Quarantine.quarantine(segment(Crashing), evidence.Now,
+                                           evidence.Now));
   for (auto n = 1U; n <= 3; ++n)
     evidence.crash(n, n, {Subject});
   cr_assert(evidence.added().empty());
@@ -162,7 +163,8 @@
   cr_assert(evidence.complete({Subject}) == only(Subject));
   cr_assert_eq(evidence.Quarantine.segmentCount(), 0);
   // A peer that has not heard of it does not bring it back, but is told.
-  cr_assert_not(evidence.Quarantine.quarantine(segment(Subject), evidence.Now));
+  cr_assert_not(evidence.Quarantine.quarantine(segment(Subject), evidence.Now,
+                                               evidence.Now));
   auto report = evidence.Quarantine.makeReport(false, evidence.Now);
   cr_assert_eq(report.Cleared.size(), 1);
   cr_assert_eq(report.Cleared[0].Key, Subject);
@@ -174,19 +176,21 @@
   auto evidence = Evidence();
   evidence.complete({Subject});
   evidence.Now += 3s;
-  evidence.Quarantine.recordInterruption({1, identityOf(11), {Subject}},
+  evidence.Quarantine.recordInterruption({1, identityOf(11), {Subject}, {}},
                                          evidence.Now);
   auto report = evidence.Quarantine.makeReport(false, evidence.Now);
   cr_assert(report.Cleared.at(0).Age == 3s);
   auto peer = SuspectQuarantine(5s);
   (void)peer.recordCleared(report.Cleared[0], evidence.Now);
-  cr_assert_not(peer.quarantine(segment(Subject), evidence.Now));
-  cr_assert(peer.quarantine(segment(Subject), evidence.Now + 2s));
+  cr_assert_not(peer.quarantine(segment(Subject), evidence.Now, evidence.Now));
+  cr_assert(
+      peer.quarantine(segment(Subject), evidence.Now + 2s, evidence.Now + 2s));
 }
 
 Test(SuspectQuarantine, EndsAfterAnHour) {
   auto evidence = Evidence();
-  cr_assert(evidence.Quarantine.quarantine(segment(Crashing), evidence.Now));
+  cr_assert(evidence.Quarantine.quarantine(segment(Crashing), evidence.Now,
+                                           evidence.Now));
   cr_assert(evidence.Quarantine.timeLeft(Crashing, evidence.Now) == 1h);
   cr_assert(evidence.Quarantine.expire(evidence.Now + 59min).empty());
   cr_assert(evidence.Quarantine.expire(evidence.Now + 1h) == only(Crashing));
@@ -195,8 +199,10 @@
 
 Test(SuspectQuarantine, IsWrittenToTheStoreOnceInEachEra) {
   auto evidence = Evidence();
-  (void)evidence.Quarantine.quarantine(segment(Crashing), evidence.Now);
-  (void)evidence.Quarantine.quarantine(segment(Subject), evidence.Now);
+  (void)evidence.Quarantine.quarantine(segment(Crashing), evidence.Now,
+                                       evidence.Now);
+  (void)evidence.Quarantine.quarantine(segment(Subject), evidence.Now,
+                                       evidence.Now);
   evidence.Quarantine.markStored(Subject);
   cr_assert(evidence.Quarantine.takeUnstored() ==
             std::vector{segment(Crashing)});
@@ -217,7 +223,8 @@
                        {first + 1, first + 2, first + 3});
     evidence.interrupt(static_cast<ServerKey>(~n), first + 4, {first + 5});
     evidence.complete({first + 5});
-    cr_assert(evidence.Quarantine.quarantine(segment(first + 6), evidence.Now));
+    cr_assert(evidence.Quarantine.quarantine(segment(first + 6), evidence.Now,
+                                             evidence.Now));
   }
   cr_assert(evidence.added().empty());
   auto report = PeerReport{};
@@ -349,7 +356,8 @@
     identity.Caller += 100 * n;
     identity.Exact += 100 * n;
     identity.Fields += 100 * n;
-    evidence.Quarantine.recordOwnInterruption({n, identity, {}}, evidence.Now);
+    evidence.Quarantine.recordOwnInterruption({n, identity, {}, {}},
+                                              evidence.Now);
     evidence.Quarantine.recordCrash(n, evidence.Now);
   }
   evidence.Now += PropagationTime;
@@ -411,7 +419,8 @@
 Test(SuspectQuarantine, TrialWithoutAnInterruptionIsRepeated) {
   auto evidence = Evidence();
   auto const ambiguous = Suspect{7, SuspectKind::AmbiguousRequest};
-  cr_assert(evidence.Quarantine.quarantine(ambiguous, evidence.Now));
+  cr_assert(
+      evidence.Quarantine.quarantine(ambiguous, evidence.Now, evidence.Now));
   cr_assert(evidence.Quarantine.startTrial(7));
   evidence.Quarantine.repeatTrial(7);
   cr_assert(evidence.Quarantine.startTrial(7));
@@ -420,25 +429,50 @@
 
 // Load: all servers of a service lose power while a popular request is in
 // progress at each of them.
-Test(SuspectQuarantine, RequestCompletedShortlyBeforeIsNotQuarantined) {
+Test(SuspectQuarantine, PopularRequestIsNotTheCauseOfACommonPowerLoss) {
   auto evidence = Evidence();
   auto const keys = identityOf(11).keys();
   evidence.complete({keys.begin(), keys.end()});
+  evidence.Now += 10ms;
   for (auto n = 1U; n <= 6; ++n)
-    evidence.crash(n, 11, {});
+    evidence.interrupt(n, 11, {});
+  for (auto n = 1U; n <= 6; ++n)
+    evidence.Quarantine.recordCrash(n, evidence.Now);
   evidence.Now += 1s;
   cr_assert(evidence.addedRequests().empty());
 }
 
+// Regression test: a request was held to be harmless for seconds after it had
+// been completed, and its completion before the crashes released it.
+Test(SuspectQuarantine, RequestThatWasCompletedBeforeTheCrashesIsQuarantined) {
+  auto evidence = Evidence();
+  auto const keys = identityOf(11).keys();
+  evidence.complete({keys.begin(), keys.end()});
+  evidence.Now += 10ms;
+  for (auto n = 1U; n <= 3; ++n)
+    evidence.crash(n, 11, {});
+  evidence.Now += PropagationTime;
+  cr_assert(evidence.addedRequests() ==
+            std::vector{request(identityOf(11).Exact)});
+  // A peer tells of an earlier completion.
+  auto const exact = identityOf(11).Exact;
+  cr_assert_not(
+      evidence.Quarantine.recordCleared({exact, 450ms}, evidence.Now));
+  cr_assert(evidence.Quarantine.find({&exact, 1}).has_value());
+  cr_assert(evidence.Quarantine.recordCleared({exact, 10ms}, evidence.Now));
+}
+
 Test(SuspectQuarantine, NewSuspectsAreReportedBeforeKnownOnes) {
   constexpr auto Known = SuspectKey{100};
   auto evidence = Evidence();
   for (auto n = SuspectKey{1}; n <= Known; ++n)
-    cr_assert(evidence.Quarantine.quarantine(request(n), evidence.Now));
+    cr_assert(
+        evidence.Quarantine.quarantine(request(n), evidence.Now, evidence.Now));
   evidence.Now += 2s;
-  cr_assert(evidence.Quarantine.quarantine(request(Known + 1), evidence.Now));
+  cr_assert(evidence.Quarantine.quarantine(request(Known + 1), evidence.Now,
+                                           evidence.Now));
   auto const report = evidence.Quarantine.makeReport(true, evidence.Now);
-  cr_assert(report.Quarantined.at(0) == request(Known + 1));
+  cr_assert(report.Quarantined.at(0).Suspect == request(Known + 1));
   cr_assert_gt(report.Quarantined.size(), 1);
 }
 
@@ -476,4 +510,20 @@
   cr_assert_eq(reported.size(), Count);
 }
 
+// Regression test: the cause was in progress at fewer of the crashes than sound
+// requests that had been tried again, and was not refused.
+Test(SuspectQuarantine, LessFrequentRequestIsAmbiguousToo) {
+  auto evidence = Evidence();
+  for (auto n = 1U; n <= 4; ++n) {
+    evidence.interrupt(n, 12, {});
+    evidence.crash(n, 13, {});
+    if (n > 1)
+      evidence.interrupt(n, 11, {});
+  }
+  evidence.Now += PropagationTime;
+  cr_assert_eq(evidence.addedRequests().size(), 3);
+  auto const cause = identityOf(11).Exact;
+  cr_assert(evidence.Quarantine.find({&cause, 1}).has_value());
+}
+
 } // namespace dotterel::relay::test
