LibRelay, platform: Keep ambiguous requests ambiguous until a trial decides

An instance that started read all ambiguous requests from the store as causes and told its peers; sound ones then explained the crashes of the cause, which was released. The store now keeps which ones are ambiguous. More crashes no longer decide between requests, only crashes during which none of the others was in progress, as in a trial; a trial that reached a server is the only one.

The simulated callers' retries read a request from a vector that grew meanwhile (since the reference to a call was introduced); they copy it now.

--- a/Libraries/LibGateway/QuarantineStore.cpp
+++ b/Libraries/LibGateway/QuarantineStore.cpp
@@ -84,14 +84,13 @@
   auto remove(relay::DeleteQuarantine Effect) -> Awaitable<void> {
     static constexpr auto Done =
         std::to_array<unsigned>({StoreOk, StoreNotFound});
-    auto request = HttpRequest{
-        "DELETE",
-        platform::objectPath(platform::QuarantineKind,
-                             platform::quarantineName(Effect.Key)),
-        "",
-        {},
-        ""};
-    co_await callUntilDone(std::move(request), "", Done);
+    for (auto kind :
+         {relay::SuspectKind::Request, relay::SuspectKind::AmbiguousRequest}) {
+      auto const path =
+          platform::objectPath(platform::QuarantineKind,
+                               platform::quarantineName({Effect.Key, kind}));
+      co_await callUntilDone({"DELETE", path, "", {}, ""}, "", Done);
+    }
   }
 
   asio::io_context &Context; // NOLINT: outlives the tasks
--- a/Libraries/LibRelay/CrashEvidence.cpp
+++ b/Libraries/LibRelay/CrashEvidence.cpp
@@ -284,6 +284,28 @@
   return requests;
 }
 
+auto CrashEvidence::countAlone(std::span<SuspectCrashes> Requests,
+                               Instant Known, Explanation const &Explain) const
+    -> void {
+  for (auto const &[server, crash] : Crashes) {
+    if (!crash.ConfirmedAt || *crash.ConfirmedAt > Known ||
+        crash.explain(Explain))
+      continue;
+    auto isInProgress = [&interruptions =
+                             crash.Interruptions](SuspectCrashes const &it) {
+      return std::ranges::any_of(
+          interruptions, [&](Interruption const &Target) {
+            auto const keys = Target.Identity.keys();
+            return std::ranges::find(keys, it.Suspect.Key) != keys.end();
+          });
+    };
+    auto const first = std::ranges::find_if(Requests, isInProgress);
+    if (first != Requests.end() &&
+        std::none_of(std::next(first), Requests.end(), isInProgress))
+      ++first->Alone;
+  }
+}
+
 auto CrashEvidence::crashesOf(SuspectKey Key, Explanation const &Explain) const
     -> SuspectCrashes {
   auto crashes = SuspectCrashes{{Key, SuspectKind::Request}, 0, 1, 0};
--- a/Libraries/LibRelay/CrashEvidence.h
+++ b/Libraries/LibRelay/CrashEvidence.h
@@ -50,6 +50,9 @@
   Instant LastAt{};
   /// Moments at which servers crashed, if several crashed together.
   std::size_t Moments = 0;
+  /// Crashes during which none of the suspects that it is compared with was in
+  /// progress.
+  std::size_t Alone = 0;
 };
 
 /// The crashes that an instance knows of, and the requests that were in
@@ -97,6 +100,11 @@
   [[nodiscard]] auto requests(Instant Known, Explanation const &Explain) const
       -> std::vector<SuspectCrashes>;
 
+  /// Counts the crashes that each of \p Requests was in progress at alone. One
+  /// that was cleared of a crash still was in progress at it.
+  auto countAlone(std::span<SuspectCrashes> Requests, Instant Known,
+                  Explanation const &Explain) const -> void;
+
   /// Returns the crashes during which a request with \p Key was in progress.
   [[nodiscard]] auto crashesOf(SuspectKey Key, Explanation const &Explain) const
       -> SuspectCrashes;
--- a/Libraries/LibRelay/Effect.h
+++ b/Libraries/LibRelay/Effect.h
@@ -131,7 +131,8 @@
   relay::Suspect Suspect;
 };
 
-/// Deletes a suspect from the store that is no longer in quarantine.
+/// Deletes a suspect of any kind from the store that is no longer in
+/// quarantine.
 struct DeleteQuarantine {
   SuspectKey Key = 0;
 };
--- a/Libraries/LibRelay/QuarantineReducer.cpp
+++ b/Libraries/LibRelay/QuarantineReducer.cpp
@@ -53,10 +53,9 @@
   return true;
 }
 
-auto QuarantineReducer::endTrial(InFlightRequest const &Request,
-                                 bool IsAnswered) -> void {
-  if (Request.TrialOf && (IsAnswered || !Request.MayHaveRun))
-    CurrentState.Quarantine.repeatTrial(*Request.TrialOf);
+auto QuarantineReducer::endTrial(InFlightRequest const &Request) -> void {
+  if (Request.TrialOf && Request.PrefillsSent + Request.DecodesSent == 0)
+    CurrentState.Quarantine.withdrawTrial(*Request.TrialOf);
 }
 
 auto QuarantineReducer::refusal(Suspect const &Target) const -> Refusal {
--- a/Libraries/LibRelay/QuarantineReducer.h
+++ b/Libraries/LibRelay/QuarantineReducer.h
@@ -26,11 +26,10 @@
   auto observeCrash(ServerKey Key) -> void;
 
   /// Returns whether a request with a suspect in quarantine is admitted
-  /// nevertheless, as the one trial of an ambiguous request.
+  /// nevertheless, as a trial of an ambiguous request.
   [[nodiscard]] auto admitTrial(Suspect const &Target) -> bool;
-  /// Records the end of a request. \p IsAnswered tells whether a server
-  /// responded to it.
-  auto endTrial(InFlightRequest const &Request, bool IsAnswered) -> void;
+  /// Records the end of a request, which may be a trial.
+  auto endTrial(InFlightRequest const &Request) -> void;
 
   /// Returns the response to requests with a suspect in quarantine: the result
   /// code, and the time after which callers may come back.
--- a/Libraries/LibRelay/RequestReducer.cpp
+++ b/Libraries/LibRelay/RequestReducer.cpp
@@ -368,8 +368,7 @@
                             unsigned Status) -> void {
   auto node = CurrentState.Requests.extract(Number);
   auto &request = node.mapped();
-  QuarantineReducer(CurrentState, Output)
-      .endTrial(request, Code == ResultCode::Completed);
+  QuarantineReducer(CurrentState, Output).endTrial(request);
   auto const *attempt =
       request.CurrentAttempt ? &*request.CurrentAttempt : nullptr;
   log(LogLevel::Info, "request-finished",
--- a/Libraries/LibRelay/SuspectQuarantine.cpp
+++ b/Libraries/LibRelay/SuspectQuarantine.cpp
@@ -146,6 +146,7 @@
       Target.Kind != SuspectKind::Request)
     return false;
   entry.Kind = SuspectKind::Request;
+  entry.IsStored = false;
   entry.ReportUntil = Now + ReportPeriod;
   return true;
 }
@@ -169,8 +170,12 @@
   });
   if (requests.size() < 2)
     return requests;
-  // Its crashes may account for those of the others.
-  if (requests[0].Crashes > requests[1].Crashes)
+  // More crashes alone do not show it: another one may have been cleared of
+  // some of them.
+  Evidence.countAlone(requests, Known,
+                      [this](SuspectKey it) { return explain(it); });
+  std::ranges::sort(requests, std::greater{}, &SuspectCrashes::Alone);
+  if (requests[0].Alone > requests[1].Alone)
     return {requests.front()};
   for (auto &it : requests)
     it.Suspect.Kind = SuspectKind::AmbiguousRequest;
@@ -235,9 +240,11 @@
     auto const segments = findSegments(known);
     // The most frequent suspect is the likely cause, or the most specific one
     // of equally frequent ones.
-    auto isSegment = !segments.empty() &&
-                     (requests.empty() ||
-                      segments.front().Crashes > requests.front().Crashes);
+    auto isLessFrequent = [&](SuspectCrashes const &it) {
+      return it.Crashes < segments.front().Crashes;
+    };
+    auto isSegment =
+        !segments.empty() && std::ranges::all_of(requests, isLessFrequent);
     isProgress = add(isSegment ? segments : requests);
   }
   changes.Cleared = clearOthers(Now);
@@ -285,7 +292,7 @@
          std::exchange(it->second.HasTrial, false);
 }
 
-auto SuspectQuarantine::repeatTrial(SuspectKey Key) -> void {
+auto SuspectQuarantine::withdrawTrial(SuspectKey Key) -> void {
   auto it = Quarantined.find(Key);
   if (it != Quarantined.end())
     it->second.HasTrial = true;
--- a/Libraries/LibRelay/SuspectQuarantine.h
+++ b/Libraries/LibRelay/SuspectQuarantine.h
@@ -55,7 +55,7 @@
 ///
 /// A request is put into quarantine after several servers crashed with it in
 /// progress. If several requests were in progress at the same crashes, all of
-/// them are, as ambiguous ones: one of each may be tried once more, and once
+/// them are, as ambiguous ones: each may be tried again, and once
 /// the cause is known, the others are cleared.
 ///
 /// A segment is put into quarantine after several servers crashed with several
@@ -117,11 +117,11 @@
   /// in quarantine.
   [[nodiscard]] auto timeLeft(SuspectKey Key, Instant Now) const -> Duration;
 
-  /// Starts the one trial of an ambiguous request at this instance. Returns
-  /// false if it is not ambiguous or has had its trial.
+  /// Starts the trial of an ambiguous request at this instance. Returns false
+  /// if it is not ambiguous or has had its trial.
   auto startTrial(SuspectKey Key) -> bool;
-  /// Permits another trial, because the last one ended without an interruption.
-  auto repeatTrial(SuspectKey Key) -> void;
+  /// Takes a trial back that reached no server.
+  auto withdrawTrial(SuspectKey Key) -> void;
 
   /// Returns the next report to the peers. A full one names all suspects in
   /// quarantine.
--- a/Meta/code-mutations.sh
+++ b/Meta/code-mutations.sh
@@ -81,21 +81,27 @@
   mutate 'an unused prefill is released' RequestReducer.cpp \
     's/if \(attempt.IsSent\)\n    return std::nullopt;/return std::nullopt;/'
   mutate 'a broken connection counts as a crash' CrashEvidence.cpp \
-    's/if \(!confirmedAt \|\| \*confirmedAt > Known\)/if (false)/'
+    's/!crash.ConfirmedAt \|\| \*crash.ConfirmedAt > Known/false/g'
   mutate 'one prompt is enough evidence' SuspectQuarantine.cpp \
-    's/MinimumPrompts = std::size_t\{2\}/MinimumPrompts = std::size_t{1}/'
+    's/MinimumRequests = std::size_t\{2\}/MinimumRequests = std::size_t{1}/'
   mutate 'an explained crash counts against other segments' SuspectQuarantine.cpp \
-    's/return Quarantined.contains\(it\); \}\);/return false; });/'
+    's/return it->second.Kind;/return std::nullopt;/'
   mutate 'a completed prompt shows nothing' SuspectQuarantine.cpp \
     's/Now - it->second < ConfirmationTime/false/'
   mutate 'a reported completion loses its age' SuspectQuarantine.cpp \
-    's/Now - CompletedAt.at\(it.first\)\}/Duration{}}/'
+    's/Now - ClearedAt.at\(it.first\)\}/Duration{}}/'
   mutate 'a peer does not learn of a quarantine' QuarantineReducer.cpp \
-    's/if \(quarantine.quarantine\(it, now\(\)\)\)/if (false)/'
+    's/if \(quarantine.quarantine\(it.Suspect, now\(\) - it.CrashAge, now\(\)\)\)/if (false)/'
   mutate 'prompts in progress are not ended' QuarantineReducer.cpp \
     's/affected.push_back\(it.first\);/;/'
   mutate 'a quarantined prompt is retried' AttemptReducer.cpp \
-    's/if \(CurrentState.Quarantine.findQuarantined\(request.SharedSegments\)\)/if (false)/'
+    's/if \(CurrentState.Quarantine.find\(request.suspectKeys\(\)\)\)/if (false)/'
+  mutate 'callers of one content are not told apart' RequestIdentity.cpp \
+    's/combine\(content, Source.CallerAddress\)/content/'
+  mutate 'an earlier completion releases a request' SuspectQuarantine.cpp \
+    's/ && at < it->second.CrashAt\)/ \&\& false)/'
+  mutate 'each instance tries an ambiguous request' QuarantineReducer.cpp \
+    's/findCoordinator\(CurrentState, Target.Key\) !=\n\s+CurrentState.Self.PeerAddress/false/'
   mutate 'a quarantine is lost when the store is restored' StoreWatchReducer.cpp \
     's/CurrentState.Quarantine.markAllUnstored\(\);//'
   [ $survivors -eq 0 ] || { echo "$survivors mutations survived"; exit 1; }
--- a/Tests/LibGateway/TestStoredQuarantine.cpp
+++ b/Tests/LibGateway/TestStoredQuarantine.cpp
@@ -19,7 +19,7 @@
   auto request = relay::Request{};
   request.Model = "m";
   request.PromptSegments = {{hashText(Id), 100}, {1, 1}};
-  return platform::quarantineName(relay::sharedSegments(request).at(0));
+  return platform::quarantineName({relay::sharedSegments(request).at(0)});
 }
 
 auto promptFields(std::string const &Id) -> std::vector<HttpField> {
--- a/Tests/LibRelay/EngineFleet.cpp
+++ b/Tests/LibRelay/EngineFleet.cpp
@@ -335,11 +335,7 @@
   }
 
   auto carryOut(unsigned /*Instance*/, StoreQuarantine &Effect) -> void {
-    auto suspect = Effect.Suspect;
-    // The store does not keep which requests are ambiguous.
-    if (suspect.Kind == SuspectKind::AmbiguousRequest)
-      suspect.Kind = SuspectKind::Request;
-    StoredSuspects.push_back(suspect);
+    StoredSuspects.push_back(Effect.Suspect);
   }
   auto carryOut(unsigned /*Instance*/, DeleteQuarantine &Effect) -> void {
     std::erase_if(StoredSuspects,
@@ -447,7 +443,7 @@
       return;
     // Callers honour a time up to a third of what they have left.
     Clock.schedule(std::min<Duration>(After, 1s) + NetworkDelay,
-                   [=, this] { send(Calls[Request], true); });
+                   [=, this] { send(FleetCall(Calls[Request]), true); });
   }
 
   [[nodiscard]] auto isCrashing(FleetCall const &Call) const -> bool {
--- a/Tests/LibRelay/FleetTraffic.cpp
+++ b/Tests/LibRelay/FleetTraffic.cpp
@@ -91,7 +91,7 @@
     call.Item = "item-" + std::to_string(++UniqueItems);
   if (kind >= 6)
     call.Route = RouteKind::Booking;
-  Fleet.send(std::move(call));
+  Fleet.send(call);
   Fleet.schedule(varied(Interval), [this] { sendPlain(); });
 }
 
--- a/Tests/LibRelay/TestQuarantine.cpp
+++ b/Tests/LibRelay/TestQuarantine.cpp
@@ -224,7 +224,8 @@
   cr_assert_eq(node.CurrentState.Quarantine.requestCount(), 1);
 }
 
-// Only one instance may try it, and only once.
+// A trial is not sent to a second server; what comes after two of them is
+// refused.
 Test(RelayQuarantine, AmbiguousRequestIsTriedOnce) {
   auto node = RelayNode();
   node.feed(PeersListed{});
@@ -234,19 +235,17 @@
       {{lookupIdentity().Exact, SuspectKind::AmbiguousRequest}, {}}};
   node.feed(PeerReported{message});
   auto number = node.request(RouteKind::Lookup);
-  auto send = node.connect(number);
-  cr_assert(send.has_value());
+  cr_assert(node.connect(number).has_value());
+  node.feed(AttemptInterrupted{node.attemptId(number), "reset"});
+  cr_assert_null(effect<ConnectAttempt>(node.LastEffects));
   node.request(RouteKind::Lookup);
   auto const *refused = effect<SendErrorResponse>(node.LastEffects);
   cr_assert(refused->Code == ResultCode::RequestQuarantined);
   cr_assert(*refused->RetryAfter == 1s);
-  node.feed(AttemptInterrupted{node.attemptId(number), "reset"});
-  cr_assert_null(effect<ConnectAttempt>(node.LastEffects));
-  node.request(RouteKind::Lookup);
-  cr_assert_null(effect<ConnectAttempt>(node.LastEffects));
 }
 
-Test(RelayQuarantine, RefusedTrialIsRepeated) {
+// A trial that reaches no server does not count.
+Test(RelayQuarantine, UnsentTrialIsRepeated) {
   auto node = RelayNode();
   node.feed(PeersListed{});
   node.advance(2s);
@@ -254,14 +253,11 @@
   message.Quarantine.Quarantined = {
       {{lookupIdentity().Exact, SuspectKind::AmbiguousRequest}, {}}};
   node.feed(PeerReported{message});
-  auto number = node.request(RouteKind::Lookup);
-  (void)node.connect(number);
-  auto response = ServerResponse{};
-  response.Status = 503;
-  response.IsNotExecuted = true;
-  node.feed(AttemptResponded{node.attemptId(number), response});
-  node.request(RouteKind::Lookup);
-  cr_assert_not_null(effect<ConnectAttempt>(node.LastEffects));
+  for (auto n = 0; n < 4; ++n) {
+    auto number = node.request(RouteKind::Lookup);
+    cr_assert_not_null(effect<ConnectAttempt>(node.LastEffects));
+    node.feed(CallerDisconnected{number});
+  }
 }
 
 // An instance that does not coordinate the trial refuses the request.
--- a/Tests/LibRelay/TestSuspectQuarantine.cpp
+++ b/Tests/LibRelay/TestSuspectQuarantine.cpp
@@ -351,14 +351,14 @@
 // The caller's address differs each time.
 Test(SuspectQuarantine, ContentIsQuarantinedIfCallersDiffer) {
   auto evidence = Evidence();
-  for (auto n = 1U; n <= 3; ++n) {
+  for (auto n = SuspectKey{1}; n <= 3; ++n) {
     auto identity = identityOf(11);
     identity.Caller += 100 * n;
     identity.Exact += 100 * n;
     identity.Fields += 100 * n;
-    evidence.Quarantine.recordOwnInterruption({n, identity, {}, {}},
-                                              evidence.Now);
-    evidence.Quarantine.recordCrash(n, evidence.Now);
+    evidence.Quarantine.recordOwnInterruption(
+        {static_cast<ServerKey>(n), identity, {}, {}}, evidence.Now);
+    evidence.Quarantine.recordCrash(static_cast<ServerKey>(n), evidence.Now);
   }
   evidence.Now += PropagationTime;
   cr_assert(evidence.addedRequests() ==
@@ -383,7 +383,6 @@
     cr_assert(evidence.Quarantine.find({&it, 1})->Kind ==
               SuspectKind::AmbiguousRequest);
     cr_assert(evidence.Quarantine.startTrial(it));
-    cr_assert_not(evidence.Quarantine.startTrial(it));
   }
   // The trial of one of them crashes another server.
   evidence.crash(4, 11, {});
@@ -416,17 +415,31 @@
             std::vector{request(identityOf(11).Exact)});
 }
 
-Test(SuspectQuarantine, TrialWithoutAnInterruptionIsRepeated) {
+Test(SuspectQuarantine, AmbiguousRequestHasOneTrialThatReachesAServer) {
   auto evidence = Evidence();
   auto const ambiguous = Suspect{7, SuspectKind::AmbiguousRequest};
   cr_assert(
       evidence.Quarantine.quarantine(ambiguous, evidence.Now, evidence.Now));
   cr_assert(evidence.Quarantine.startTrial(7));
-  evidence.Quarantine.repeatTrial(7);
+  evidence.Quarantine.withdrawTrial(7);
   cr_assert(evidence.Quarantine.startTrial(7));
+  cr_assert_not(evidence.Quarantine.startTrial(7));
   cr_assert_not(evidence.Quarantine.startTrial(8));
 }
 
+// Regression test: an instance that started took all ambiguous requests in the
+// store for causes, and told its peers.
+Test(SuspectQuarantine, CauseIsWrittenToTheStoreAgain) {
+  auto evidence = Evidence();
+  auto const ambiguous = Suspect{7, SuspectKind::AmbiguousRequest};
+  cr_assert(
+      evidence.Quarantine.quarantine(ambiguous, evidence.Now, evidence.Now));
+  cr_assert(evidence.Quarantine.takeUnstored() == std::vector{ambiguous});
+  cr_assert(
+      evidence.Quarantine.quarantine(request(7), evidence.Now, evidence.Now));
+  cr_assert(evidence.Quarantine.takeUnstored() == std::vector{request(7)});
+}
+
 // Load: all servers of a service lose power while a popular request is in
 // progress at each of them.
 Test(SuspectQuarantine, PopularRequestIsNotTheCauseOfACommonPowerLoss) {
@@ -526,4 +539,24 @@
   cr_assert(evidence.Quarantine.find({&cause, 1}).has_value());
 }
 
+// Regression test: the cause was cleared of its first crash, so a sound request
+// that had been tried again beside it was taken for the cause.
+Test(SuspectQuarantine, CauseThatWasClearedOfACrashStaysAmbiguous) {
+  auto evidence = Evidence();
+  for (auto n = 1U; n <= 4; ++n) {
+    evidence.interrupt(n, 12, {});
+    evidence.crash(n, 11, {});
+    if (n > 1)
+      continue;
+    auto const keys = identityOf(11).keys();
+    evidence.complete({keys.begin(), keys.end()});
+    evidence.Now += 10ms;
+  }
+  evidence.Now += PropagationTime;
+  cr_assert_eq(evidence.addedRequests().size(), 2);
+  auto const cause = identityOf(11).Exact;
+  cr_assert(evidence.Quarantine.find({&cause, 1})->Kind ==
+            SuspectKind::AmbiguousRequest);
+}
+
 } // namespace dotterel::relay::test
--- a/Tests/Platform/TestStoreFormat.cpp
+++ b/Tests/Platform/TestStoreFormat.cpp
@@ -154,6 +154,22 @@
   cr_assert_not(readLease("torn", 3).IsRead);
 }
 
+Test(PlatformStore, SuspectsInQuarantineKeepTheirKind) {
+  using relay::SuspectKind;
+  for (auto kind : {SuspectKind::Segment, SuspectKind::Request,
+                    SuspectKind::AmbiguousRequest}) {
+    auto const suspect = relay::Suspect{0xabcd, kind};
+    auto const body = json::parse(writeQuarantine(suspect));
+    auto const name = body["metadata"]["name"].get<std::string>();
+    cr_assert(name == quarantineName(suspect));
+    cr_assert(readQuarantine(object(name, body["spec"].dump())) == suspect);
+  }
+  // The cause and the ambiguous request may both be listed.
+  cr_assert(quarantineName({1, SuspectKind::Request}) !=
+            quarantineName({1, SuspectKind::AmbiguousRequest}));
+  cr_assert_not(readQuarantine(object("-ambiguous", "{}")).has_value());
+}
+
 Test(PlatformStore, SteeringContainsAddressesAndLifetime) {
   auto body = json::parse(writeSteering({"10.1.0.38:8149"}, 2s));
   cr_assert_eq(body["addrs"][0].get<std::string>(), "10.1.0.38:8149");
