LibRelay: Recognise requests that come again with another query

The users say that the request has the same path, caller and body; the keys contained the query, which some lookups of their callers carry.

Two keys without the query are added, with and without the caller's address. They are used only if no more specific key is common to as many crashes, and sound requests with the same path, caller and body clear them. RequestWithAnotherQueryReachesNoFurtherServers and PathIsQuarantinedIfQueriesDiffer pass; they were not run on the code before.

--- a/Libraries/LibRelay/CrashEvidence.cpp
+++ b/Libraries/LibRelay/CrashEvidence.cpp
@@ -242,7 +242,7 @@
 auto CrashEvidence::requests(Instant Known, Explanation const &Explain) const
     -> std::vector<SuspectCrashes> {
   auto times = std::map<SuspectKey, std::vector<Instant>>{};
-  auto contents = std::map<SuspectKey, std::vector<RequestIdentity>>{};
+  auto paths = std::map<SuspectKey, std::vector<RequestIdentity>>{};
   for (auto const &[server, crash] : Crashes) {
     if (!crash.ConfirmedAt || *crash.ConfirmedAt > Known ||
         crash.explain(Explain))
@@ -253,7 +253,7 @@
         auto &at = firstAt.try_emplace(key, request.At).first->second;
         at = std::min(at, request.At);
       }
-      contents[request.Identity.Content].push_back(request.Identity);
+      paths[request.Identity.Path].push_back(request.Identity);
     }
     for (auto const &[key, at] : firstAt)
       times[key].push_back(at);
@@ -269,7 +269,7 @@
                    countMoments(moments)};
   }
   auto requests = std::vector<SuspectCrashes>{};
-  for (auto const &[content, identities] : contents) {
+  for (auto const &[path, identities] : paths) {
     auto specific = std::vector<SuspectCrashes>{};
     for (auto rank = std::size_t{0}; rank < RequestIdentity{}.keys().size();
          ++rank) {
--- a/Libraries/LibRelay/Peers.cpp
+++ b/Libraries/LibRelay/Peers.cpp
@@ -29,7 +29,8 @@
   for (auto const &it : Report.Interrupted)
     interrupted.push_back({it.Server, it.Identity.Content, it.Segments,
                            it.Identity.Caller, it.Identity.Fields,
-                           it.Identity.Exact, toMilliseconds(it.Age)});
+                           it.Identity.Exact, it.Identity.CallerPath,
+                           it.Identity.Path, toMilliseconds(it.Age)});
   auto cleared = json::array();
   for (auto const &it : Report.Cleared) {
     cleared.push_back(it.Key);
@@ -63,8 +64,10 @@
       interrupted.Identity.Caller = it.at(3).get<SuspectKey>();
       interrupted.Identity.Fields = it.at(4).get<SuspectKey>();
       interrupted.Identity.Exact = it.at(5).get<SuspectKey>();
+      interrupted.Identity.CallerPath = it.at(6).get<SuspectKey>();
+      interrupted.Identity.Path = it.at(7).get<SuspectKey>();
       interrupted.Age =
-          std::chrono::milliseconds(it.at(6).get<std::uint32_t>());
+          std::chrono::milliseconds(it.at(8).get<std::uint32_t>());
     }
     report.Interrupted.push_back(std::move(interrupted));
   }
--- a/Libraries/LibRelay/RequestIdentity.cpp
+++ b/Libraries/LibRelay/RequestIdentity.cpp
@@ -22,10 +22,11 @@
 
 auto identify(Request const &Source) -> RequestIdentity {
   auto identity = RequestIdentity{};
-  auto content = hashText(Source.Method);
-  content = combine(content, Source.Host);
-  content = combine(content, Source.Target);
-  content = combine(content, Source.Body);
+  identity.Path = combine(hashText(Source.Method), Source.Host);
+  identity.Path = combine(identity.Path, Source.path());
+  identity.Path = combine(identity.Path, Source.Body);
+  identity.CallerPath = combine(identity.Path, Source.CallerAddress);
+  auto content = combine(identity.Path, Source.Target);
   content = combine(content, Source.Model);
   for (auto const &it : Source.PromptSegments)
     content = combine(content, it.Hash);
@@ -56,8 +57,10 @@
 }
 
 auto toString(RequestIdentity const &Identity) -> std::string {
-  return fmt::format("{:016x},{:016x},{:016x},{:016x}", Identity.Exact,
-                     Identity.Fields, Identity.Caller, Identity.Content);
+  auto text = std::string{};
+  for (auto it : Identity.keys())
+    text += fmt::format("{}{:016x}", text.empty() ? "" : ",", it);
+  return text;
 }
 
 } // namespace dotterel::relay
--- a/Libraries/LibRelay/RequestIdentity.h
+++ b/Libraries/LibRelay/RequestIdentity.h
@@ -26,12 +26,16 @@
   SuspectKey Caller = 0;
   /// Method, host, path with query, body, model and prompt.
   SuspectKey Content = 0;
+  /// Method, host, path without query, body and address of the caller.
+  SuspectKey CallerPath = 0;
+  /// Method, host, path without query and body.
+  SuspectKey Path = 0;
 
   auto operator==(RequestIdentity const &) const -> bool = default;
 
   /// Returns the keys, the most specific one first.
-  [[nodiscard]] auto keys() const -> std::array<SuspectKey, 4> {
-    return {Exact, Fields, Caller, Content};
+  [[nodiscard]] auto keys() const -> std::array<SuspectKey, 6> {
+    return {Exact, Fields, Caller, Content, CallerPath, Path};
   }
 };
 
--- a/Libraries/LibRelay/SuspectQuarantine.cpp
+++ b/Libraries/LibRelay/SuspectQuarantine.cpp
@@ -22,7 +22,7 @@
 constexpr auto MaximumCleared = std::size_t{16384};
 constexpr auto MaximumQuarantined = std::size_t{1024};
 /// Limits on the size of one report.
-constexpr auto MaximumInterruptedPerReport = std::size_t{12};
+constexpr auto MaximumInterruptedPerReport = std::size_t{10};
 constexpr auto MaximumSuspectsPerReport = std::size_t{16};
 
 } // namespace
--- a/Tests/LibRelay/EngineFleet.cpp
+++ b/Tests/LibRelay/EngineFleet.cpp
@@ -33,7 +33,7 @@
 auto makeRequest(FleetCall const &Call) -> Request {
   auto content = Request{};
   content.Method = "POST";
-  content.Target = pathPrefix(Call.Route) + Call.Item;
+  content.Target = pathPrefix(Call.Route) + Call.Item + Call.Query;
   content.Host = "h";
   content.CallerAddress = Call.CallerAddress;
   content.TimeLimit = 4s;
--- a/Tests/LibRelay/EngineFleet.h
+++ b/Tests/LibRelay/EngineFleet.h
@@ -38,6 +38,8 @@
   RouteKind Route = RouteKind::Stream;
   /// Last part of the path; requests with the same one are identical.
   std::string Item = "x";
+  /// Query, with its question mark.
+  std::string Query;
   std::vector<PromptSegment> Segments;
   std::string CallerAddress = "10.0.0.1";
 };
--- a/Tests/LibRelay/FleetTraffic.cpp
+++ b/Tests/LibRelay/FleetTraffic.cpp
@@ -53,7 +53,7 @@
 }
 
 auto MixedTraffic::crashingCall(RouteKind Route) -> FleetCall {
-  auto call = FleetCall{Route, "bad", {}, "10.0.0.66"};
+  auto call = FleetCall{Route, "bad", "", {}, "10.0.0.66"};
   if (Route == RouteKind::Stream || Route == RouteKind::PlainStream)
     call.Segments = {{1, 2000}, {60, 800}, {CrashingSegment, 300}};
   return call;
@@ -86,7 +86,7 @@
 auto MixedTraffic::sendPlain() -> void {
   constexpr auto Interval = Duration{26ms};
   auto kind = draw(0, 9);
-  auto call = FleetCall{RouteKind::Lookup, "popular", {}, drawCaller()};
+  auto call = FleetCall{RouteKind::Lookup, "popular", "", {}, drawCaller()};
   if (kind >= 3)
     call.Item = "item-" + std::to_string(++UniqueItems);
   if (kind >= 6)
--- a/Tests/LibRelay/TestCrashingRequest.cpp
+++ b/Tests/LibRelay/TestCrashingRequest.cpp
@@ -192,7 +192,7 @@
 Test(RelayCrashingRequest, OtherCallersOfTheSameContentGoOn) {
   forEachSeed([](SeededFleet &Target) {
     auto &fleet = Target.Fleet;
-    auto const sound = FleetCall{RouteKind::Lookup, "bad", {}, "10.0.0.5"};
+    auto const sound = FleetCall{RouteKind::Lookup, "bad", "", {}, "10.0.0.5"};
     for (auto after = Duration{}; after < 20s; after += 300ms)
       fleet.schedule(after, [&fleet, sound] { fleet.send(sound); });
     Target.startCrashing(RouteKind::Lookup);
@@ -205,6 +205,25 @@
   });
 }
 
+// Regression test: the request came with the same path, caller and body, and
+// another query each time.
+Test(RelayCrashingRequest, RequestWithAnotherQueryReachesNoFurtherServers) {
+  forEachSeed([](SeededFleet &Target) {
+    auto &fleet = Target.Fleet;
+    auto call = MixedTraffic::crashingCall(RouteKind::Lookup);
+    fleet.setCrashingCall(call);
+    for (auto n = 0; n < 100; ++n) {
+      call.Query = "?page=" + std::to_string(n);
+      fleet.schedule(n * Duration{200ms}, [&fleet, call] { fleet.send(call); });
+    }
+    fleet.run(20s);
+    Target.expectFewLaterArrivals();
+    auto const quarantined = fleet.record().soundRequestsQuarantined(Instant{});
+    cr_expect_eq(quarantined, 0, "seed %lu: %u sound requests in quarantine",
+                 Target.Seed, quarantined);
+  });
+}
+
 // Regression test: completions before the first crash hid the crashes of the
 // next seconds.
 Test(RelayCrashingRequest, RequestThatWasSoundBeforeReachesNoFurtherServers) {
--- a/Tests/LibRelay/TestQuarantine.cpp
+++ b/Tests/LibRelay/TestQuarantine.cpp
@@ -160,7 +160,7 @@
 
 Test(RelayQuarantine, ReportSurvivesTheDatagram) {
   auto message = report("i1", 1);
-  message.Quarantine = {{{3, {14, 10, 11, 4}, {5, 6}, 20ms}},
+  message.Quarantine = {{{3, {14, 10, 11, 4, 15, 16}, {5, 6}, 20ms}},
                         {{7, 1500ms}},
                         {{{8, SuspectKind::Segment}, {}},
                          {{9, SuspectKind::Segment}, {}},
--- a/Tests/LibRelay/TestRequestIdentity.cpp
+++ b/Tests/LibRelay/TestRequestIdentity.cpp
@@ -55,6 +55,19 @@
   cr_assert_neq(identify(other).Fields, identity.Fields);
 }
 
+Test(RequestIdentity, PathIsRecognisedWithAnotherQuery) {
+  auto other = makeRequest();
+  other.Target = "/look/x?q=2";
+  auto const identity = identify(makeRequest());
+  cr_assert_eq(identify(other).CallerPath, identity.CallerPath);
+  cr_assert_eq(identify(other).Path, identity.Path);
+  other.CallerAddress = "10.0.0.2";
+  cr_assert_neq(identify(other).CallerPath, identity.CallerPath);
+  cr_assert_eq(identify(other).Path, identity.Path);
+  other.Body = "b";
+  cr_assert_neq(identify(other).Path, identity.Path);
+}
+
 // The text of one part must not move into the next one.
 Test(RequestIdentity, PartsAreNotConfused) {
   auto left = makeRequest();
--- a/Tests/LibRelay/TestSuspectQuarantine.cpp
+++ b/Tests/LibRelay/TestSuspectQuarantine.cpp
@@ -18,8 +18,8 @@
 /// Returns an identity whose keys differ from those of the segments.
 auto identityOf(std::uint64_t Prompt) -> RequestIdentity {
   constexpr auto First = SuspectKey{1} << 40U;
-  auto const exact = First + 4 * Prompt;
-  return {exact, exact + 1, exact + 2, exact + 3};
+  auto const exact = First + 6 * Prompt;
+  return {exact, exact + 1, exact + 2, exact + 3, exact + 4, exact + 5};
 }
 
 /// Collects evidence; time advances by 100 ms with each crash.
@@ -337,6 +337,7 @@
   auto other = identityOf(11);
   other.Caller += 100;
   other.Exact += 100;
+  other.CallerPath += 100;
   auto evidence = Evidence();
   for (auto n = 1U; n <= 3; ++n)
     evidence.crash(n, 11, {});
@@ -348,6 +349,24 @@
   cr_assert_not(evidence.Quarantine.find(keys).has_value());
 }
 
+// Regression test: a request came with another query each time.
+Test(SuspectQuarantine, PathIsQuarantinedIfQueriesDiffer) {
+  auto evidence = Evidence();
+  for (auto n = SuspectKey{1}; n <= 3; ++n) {
+    auto identity = identityOf(11);
+    identity.Exact += 100 * n;
+    identity.Fields += 100 * n;
+    identity.Caller += 100 * n;
+    identity.Content += 100 * n;
+    evidence.Quarantine.recordOwnInterruption(
+        {static_cast<ServerKey>(n), identity, {}, {}}, evidence.Now);
+    evidence.Quarantine.recordCrash(static_cast<ServerKey>(n), evidence.Now);
+  }
+  evidence.Now += PropagationTime;
+  cr_assert(evidence.addedRequests() ==
+            std::vector{request(identityOf(11).CallerPath)});
+}
+
 // The caller's address differs each time.
 Test(SuspectQuarantine, ContentIsQuarantinedIfCallersDiffer) {
   auto evidence = Evidence();
@@ -356,6 +375,7 @@
     identity.Caller += 100 * n;
     identity.Exact += 100 * n;
     identity.Fields += 100 * n;
+    identity.CallerPath += 100 * n;
     evidence.Quarantine.recordOwnInterruption(
         {static_cast<ServerKey>(n), identity, {}, {}}, evidence.Now);
     evidence.Quarantine.recordCrash(static_cast<ServerKey>(n), evidence.Now);
