--- a/Libraries/LibRelay/SuspectQuarantine.h
+++ b/Libraries/LibRelay/SuspectQuarantine.h
@@ -55,8 +55,8 @@
 ///
 /// A request is put into quarantine after several servers crashed with it in
 /// progress. If several requests were in progress at the same crashes, all of
-/// them are, as ambiguous ones: each may be tried again, and once
-/// the cause is known, the others are cleared.
+/// them are, as ambiguous ones: each may be tried once more, and once the cause
+/// is known, the others are cleared.
 ///
 /// A segment is put into quarantine after several servers crashed with several
 /// requests in progress whose prompts contain it. A request that explains the
@@ -66,8 +66,8 @@
 /// segments caused none until shortly after it. Servers that crash at the same
 /// moment are no evidence against one that was completed shortly before: they
 /// lost power together, and popular requests are in progress at all of them. A
-/// crash that a suspect in quarantine
-/// explains counts against no other one. Thread safety: none.
+/// crash that a suspect in quarantine explains counts against no other one.
+/// Thread safety: none.
 class SuspectQuarantine {
 public:
   /// \p ConfirmationTime is the longest time from a broken connection until it
