LibRelay: Try no ambiguous request shortly after the start

After the loss of all instances each takes itself for the coordinator from 1.3 to 2 s after its start, because it knows no peer well yet, and tries the ambiguous requests that the store lists.

--- a/Libraries/LibRelay/QuarantineReducer.cpp
+++ b/Libraries/LibRelay/QuarantineReducer.cpp
@@ -44,7 +44,10 @@
 }
 
 auto QuarantineReducer::admitTrial(Suspect const &Target) -> bool {
+  // Until it knows its peers well, each instance takes itself for the
+  // coordinator.
   if (Target.Kind != SuspectKind::AmbiguousRequest ||
+      now() - CurrentState.StartedAt < PeerListTimeout ||
       findCoordinator(CurrentState, Target.Key) !=
           CurrentState.Self.PeerAddress ||
       !CurrentState.Quarantine.startTrial(Target.Key))
