Meta: Build with Clang 16

Seven tests of LibGateway ended with a signal, among them AnswersAPeerThatAsksForAPermit and StoredQuarantineIsApplied; the same sources had passed on another architecture.

Cause: the compiler. In StoreFollower::follow, the resume function stores the fields of a log line on the stack and passes a pointer and a size that it loads from the coroutine's frame, where nothing stored them (disassembly at the failing call). Ruled out, one file rebuilt with each: inlining (-fno-inline), vectorisation, stack coloring, lifetime markers, -O1, and Clang 15, all fail; -O0 and Clang 16 pass. Moving single statements out of coroutines repaired one place and left the others. Formatter and linter stay those of Clang 14.

--- a/Meta/build.sh
+++ b/Meta/build.sh
@@ -3,5 +3,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 Meta/install.sh
-CXX=clang++-14 cmake -S . -B build -G Ninja >/dev/null
+CXX=clang++-16 cmake -S . -B build -G Ninja >/dev/null
 ninja -C build
--- a/Meta/code-mutations.sh
+++ b/Meta/code-mutations.sh
@@ -7,7 +7,7 @@
 scratch=$(mktemp -d)
 trap 'rm -rf "$scratch"' EXIT
 cp -r CMakeLists.txt Libraries Programs Tests platform "$scratch"
-CXX=clang++-14 cmake -S "$scratch" -B "$scratch/build" -G Ninja >/dev/null
+CXX=clang++-16 cmake -S "$scratch" -B "$scratch/build" -G Ninja >/dev/null
 name=${1:-LibControl}
 library=$scratch/Libraries/$name
 survivors=0
--- a/Meta/fuzz.sh
+++ b/Meta/fuzz.sh
@@ -15,7 +15,7 @@
   esac
   shift
 done
-CXX=clang++-14 cmake -S . -B build-sanitize -G Ninja -DDOTTEREL_SANITIZE=ON \
+CXX=clang++-16 cmake -S . -B build-sanitize -G Ninja -DDOTTEREL_SANITIZE=ON \
   -DCMAKE_BUILD_TYPE=Release >/dev/null
 
 if [ -n "$inputs" ]; then
--- a/Meta/install.sh
+++ b/Meta/install.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 
 packages=(
-  clang-14 clang-format-14 clang-tidy-14 libclang-rt-14-dev cmake ninja-build
+  clang-16 clang-format-14 clang-tidy-14 libclang-rt-16-dev cmake ninja-build
   pkg-config curl spin gcc
   libboost-dev libwebsocketpp-dev prometheus-cpp-dev libtclap-dev libfmt-dev
   libcriterion-dev nlohmann-json3-dev libvalijson-dev librapidcheck-dev
