LibRelay: Recognise a repeat that carries a query only at times

A request was recognised by the most specific key that its first three crashes have in common. If none of these repeats had a query, that key contained the missing query, and each other query needed three crashes of its own.

The same request with another query or prompt is now ambiguous as soon as one with the same query is in quarantine: its coordinator tries it once. A crash that a request in quarantine explains still counts against the other keys of that request, so one crash of the trial is enough; a completed trial clears the other queries. A request with a certain key in quarantine is refused even if another of its keys is ambiguous.

--- a/Libraries/LibRelay/CrashEvidence.cpp
+++ b/Libraries/LibRelay/CrashEvidence.cpp
@@ -45,20 +45,32 @@
   return count;
 }
 
+/// Returns the key under which the request with the key at position \p Rank is
+/// also recognised with another query and prompt, or 0 if that key is it.
+auto generalKey(RequestIdentity const &Identity, std::size_t Rank)
+    -> SuspectKey {
+  auto const key = Identity.keys()[Rank];
+  if (key == Identity.Exact || key == Identity.Caller)
+    return Identity.CallerPath;
+  return key == Identity.CallerPath || key == Identity.Path ? 0 : Identity.Path;
+}
+
 /// Returns the keys of \p Identities at position \p Rank that most crashes have
 /// in common. \p Counts holds the number of crashes of each key.
 auto keysOfRank(std::vector<RequestIdentity> const &Identities,
                 std::size_t Rank,
                 std::map<SuspectKey, SuspectCrashes> const &Counts)
     -> std::vector<SuspectCrashes> {
-  auto keys = std::set<SuspectKey>{};
+  auto keys = std::map<SuspectKey, SuspectKey>{};
   for (auto const &it : Identities)
-    keys.insert(it.keys()[Rank]);
+    keys.emplace(it.keys()[Rank], generalKey(it, Rank));
   auto suspects = std::vector<SuspectCrashes>{};
-  for (auto key : keys) {
+  for (auto const &[key, general] : keys) {
     auto const it = Counts.find(key);
-    if (it != Counts.end())
-      suspects.push_back(it->second);
+    if (it == Counts.end())
+      continue;
+    suspects.push_back(it->second);
+    suspects.back().GeneralKey = general;
   }
   return keepMostFrequent(std::move(suspects));
 }
@@ -99,6 +111,18 @@
   return explanation;
 }
 
+auto CrashEvidence::Crash::isExplainedWithout(SuspectKey Key,
+                                              Explanation const &Explain) const
+    -> bool {
+  auto isCause = [&](SuspectKey it) { return Explain(it).has_value(); };
+  return std::ranges::any_of(Interruptions, [&](Interruption const &Target) {
+    auto const keys = Target.Identity.keys();
+    return std::ranges::find(keys, Key) == keys.end() &&
+           (std::ranges::any_of(Target.RequestKeys, isCause) ||
+            std::ranges::any_of(Target.Segments, isCause));
+  });
+}
+
 auto CrashEvidence::count(Interruption const &Added) -> void {
   for (auto it : Added.RequestKeys)
     ++Occurrences[it];
@@ -188,9 +212,10 @@
   std::erase_if(Crashes, [&](auto const &it) {
     auto lifetime = it.second.ConfirmedAt ? Lifetime : ConfirmationTime;
     auto isOld = Now - it.second.LastAt > lifetime;
-    if (isOld)
-      std::ranges::for_each(it.second.Interruptions,
-                            [this](auto const &Old) { discount(Old); });
+    if (isOld) {
+      for (auto const &interruption : it.second.Interruptions)
+        discount(interruption);
+    }
     return isOld;
   });
 }
@@ -244,11 +269,18 @@
   auto times = std::map<SuspectKey, std::vector<Instant>>{};
   auto paths = std::map<SuspectKey, std::vector<RequestIdentity>>{};
   for (auto const &[server, crash] : Crashes) {
-    if (!crash.ConfirmedAt || *crash.ConfirmedAt > Known ||
-        crash.explain(Explain))
+    if (!crash.ConfirmedAt || *crash.ConfirmedAt > Known)
+      continue;
+    auto const explanation = crash.explain(Explain);
+    if (explanation == SuspectKind::Segment)
       continue;
+    auto isCause = [&](SuspectKey it) { return Explain(it).has_value(); };
     auto firstAt = std::map<SuspectKey, Instant>{};
     for (auto const &request : crash.Interruptions) {
+      // The request that explains the crash may be quarantined under a key that
+      // is too specific.
+      if (explanation && std::ranges::none_of(request.RequestKeys, isCause))
+        continue;
       for (auto key : request.RequestKeys) {
         auto &at = firstAt.try_emplace(key, request.At).first->second;
         at = std::min(at, request.At);
@@ -317,7 +349,7 @@
     if (!crash.ConfirmedAt || std::ranges::none_of(crash.Interruptions, isWith))
       continue;
     ++crashes.Crashes;
-    crashes.Unexplained += crash.explain(Explain) ? 0 : 1;
+    crashes.Unexplained += crash.isExplainedWithout(Key, Explain) ? 0 : 1;
   }
   return crashes;
 }
--- a/Libraries/LibRelay/CrashEvidence.h
+++ b/Libraries/LibRelay/CrashEvidence.h
@@ -53,6 +53,9 @@
   /// Crashes during which none of the suspects that it is compared with was in
   /// progress.
   std::size_t Alone = 0;
+  /// Key of the same request with any query and prompt, or 0 if \ref Suspect
+  /// has it.
+  SuspectKey GeneralKey = 0;
 };
 
 /// The crashes that an instance knows of, and the requests that were in
@@ -96,7 +99,7 @@
 
   /// Returns the requests that were in progress during crashes that were known
   /// at \p Known, those with most crashes first, of each the most specific key.
-  /// Crashes that a segment or a request explains do not count.
+  /// Crashes that a segment or another request explains do not count.
   [[nodiscard]] auto requests(Instant Known, Explanation const &Explain) const
       -> std::vector<SuspectCrashes>;
 
@@ -106,6 +109,8 @@
                   Explanation const &Explain) const -> void;
 
   /// Returns the crashes during which a request with \p Key was in progress.
+  /// Those that another request explains are not \ref
+  /// SuspectCrashes::Unexplained.
   [[nodiscard]] auto crashesOf(SuspectKey Key, Explanation const &Explain) const
       -> SuspectCrashes;
 
@@ -128,6 +133,10 @@
 
     [[nodiscard]] auto explain(Explanation const &Explain) const
         -> std::optional<SuspectKind>;
+    /// Returns whether a request without \p Key explains the crash.
+    [[nodiscard]] auto isExplainedWithout(SuspectKey Key,
+                                          Explanation const &Explain) const
+        -> bool;
   };
 
   auto crashOf(ServerKey Server, Instant Now) -> Crash &;
--- a/Libraries/LibRelay/RequestIdentity.cpp
+++ b/Libraries/LibRelay/RequestIdentity.cpp
@@ -3,6 +3,7 @@
 #include "LibCore/Hash.h"
 
 #include <fmt/format.h>
+#include <span>
 
 namespace dotterel::relay {
 
@@ -18,18 +19,26 @@
                                         sizeof Value));
 }
 
+auto combine(std::uint64_t Hash, std::span<PromptSegment const> Prompt)
+    -> std::uint64_t {
+  for (auto const &it : Prompt)
+    Hash = combine(Hash, it.Hash);
+  return Hash;
+}
+
 } // namespace
 
 auto identify(Request const &Source) -> RequestIdentity {
   auto identity = RequestIdentity{};
   identity.Path = combine(hashText(Source.Method), Source.Host);
   identity.Path = combine(identity.Path, Source.path());
-  identity.Path = combine(identity.Path, Source.Body);
+  identity.Path = Source.Body.empty()
+                      ? combine(identity.Path, Source.PromptSegments)
+                      : combine(identity.Path, Source.Body);
   identity.CallerPath = combine(identity.Path, Source.CallerAddress);
   auto content = combine(identity.Path, Source.Target);
   content = combine(content, Source.Model);
-  for (auto const &it : Source.PromptSegments)
-    content = combine(content, it.Hash);
+  content = combine(content, Source.PromptSegments);
   identity.Content = content;
   identity.Caller = combine(content, Source.CallerAddress);
   auto fields = combine(content, "fields");
--- a/Libraries/LibRelay/RequestIdentity.h
+++ b/Libraries/LibRelay/RequestIdentity.h
@@ -26,9 +26,10 @@
   SuspectKey Caller = 0;
   /// Method, host, path with query, body, model and prompt.
   SuspectKey Content = 0;
-  /// Method, host, path without query, body and address of the caller.
+  /// The fields of \ref Path and the address of the caller.
   SuspectKey CallerPath = 0;
-  /// Method, host, path without query and body.
+  /// Method, host, path without query, and the body, or the prompt if there is
+  /// no body.
   SuspectKey Path = 0;
 
   auto operator==(RequestIdentity const &) const -> bool = default;
--- a/Libraries/LibRelay/SuspectQuarantine.cpp
+++ b/Libraries/LibRelay/SuspectQuarantine.cpp
@@ -166,7 +166,8 @@
       Evidence.requests(Known, [this](SuspectKey it) { return explain(it); });
   std::erase_if(requests, [this](SuspectCrashes const &it) {
     auto const isPopular = ClearedAt.contains(it.Suspect.Key);
-    return (isPopular ? it.Moments : it.Crashes) < MinimumCrashes;
+    return explain(it.Suspect.Key).has_value() ||
+           (isPopular ? it.Moments : it.Crashes) < MinimumCrashes;
   });
   if (requests.size() < 2)
     return requests;
@@ -227,11 +228,18 @@
   HasNewEvidence = Evidence.hasCrashAfter(known);
   auto add = [&](std::vector<SuspectCrashes> const &Found) {
     auto isProgress = false;
-    for (auto const &it : Found) {
+    auto addOne = [&](SuspectCrashes const &it) {
       if (!quarantine(it.Suspect, it.LastAt, Now))
-        continue;
+        return;
       changes.Added.push_back(it);
       isProgress = true;
+    };
+    for (auto it : Found) {
+      addOne(it);
+      // Only a trial shows whether the query or the prompt matters.
+      it.Suspect = {it.GeneralKey, SuspectKind::AmbiguousRequest};
+      if (it.GeneralKey != 0)
+        addOne(it);
     }
     return isProgress;
   };
@@ -272,12 +280,18 @@
 
 auto SuspectQuarantine::find(std::span<SuspectKey const> Keys) const
     -> std::optional<Suspect> {
+  auto found = std::optional<Suspect>{};
   for (auto key : Keys) {
     auto it = Quarantined.find(key);
-    if (it != Quarantined.end())
-      return Suspect{key, it->second.Kind};
+    if (it == Quarantined.end())
+      continue;
+    auto const suspect = Suspect{key, it->second.Kind};
+    if (suspect.Kind != SuspectKind::AmbiguousRequest)
+      return suspect;
+    if (!found)
+      found = suspect;
   }
-  return std::nullopt;
+  return found;
 }
 
 auto SuspectQuarantine::timeLeft(SuspectKey Key, Instant Now) const
--- a/Libraries/LibRelay/SuspectQuarantine.h
+++ b/Libraries/LibRelay/SuspectQuarantine.h
@@ -56,7 +56,9 @@
 /// A request is put into quarantine after several servers crashed with it in
 /// progress. If several requests were in progress at the same crashes, all of
 /// them are, as ambiguous ones: each may be tried once more, and once the cause
-/// is known, the others are cleared.
+/// is known, the others are cleared. The same request with another query or
+/// prompt is ambiguous too: a trial that is completed clears it, one that
+/// crashes a server shows that they do not matter.
 ///
 /// A segment is put into quarantine after several servers crashed with several
 /// requests in progress whose prompts contain it. A request that explains the
@@ -109,7 +111,8 @@
   /// Forgets old evidence. Returns the suspects whose quarantine has ended.
   auto expire(Instant Now) -> std::vector<SuspectKey>;
 
-  /// Returns the first of \p Keys that is in quarantine.
+  /// Returns the first of \p Keys that is in quarantine, an ambiguous request
+  /// only if no other one is.
   [[nodiscard]] auto find(std::span<SuspectKey const> Keys) const
       -> std::optional<Suspect>;
 
--- a/Tests/LibRelay/TestQuarantine.cpp
+++ b/Tests/LibRelay/TestQuarantine.cpp
@@ -304,7 +304,8 @@
                              atRevision(20 + n)});
   }
   node.advance(500ms);
-  cr_assert_eq(node.CurrentState.Quarantine.requestCount(), 1);
+  // The request, and the same one with another query.
+  cr_assert_eq(node.CurrentState.Quarantine.requestCount(), 2);
 }
 
 Test(RelayQuarantine, AbandonedAttemptCountsIfItsServerCrashed) {
@@ -319,7 +320,8 @@
     node.feed(CallerDisconnected{number});
   }
   node.advance(500ms);
-  cr_assert_eq(node.CurrentState.Quarantine.requestCount(), 1);
+  // The request, and the same one with another query.
+  cr_assert_eq(node.CurrentState.Quarantine.requestCount(), 2);
 }
 
 // Regression test: a request that another server at the address refused counted
--- a/Tests/LibRelay/TestRequestIdentity.cpp
+++ b/Tests/LibRelay/TestRequestIdentity.cpp
@@ -69,6 +69,19 @@
 }
 
 // The text of one part must not move into the next one.
+// Prompts that are sent in header fields alone differ in nothing else.
+Test(RequestIdentity, PromptCountsForThePathIfThereIsNoBody) {
+  auto request = makeRequest();
+  request.Body = "text";
+  request.PromptSegments = {{1, 10}, {2, 10}};
+  auto other = request;
+  other.PromptSegments.back().Hash = 3;
+  cr_assert_eq(identify(other).Path, identify(request).Path);
+  request.Body.clear();
+  other.Body.clear();
+  cr_assert_neq(identify(other).Path, identify(request).Path);
+}
+
 Test(RequestIdentity, PartsAreNotConfused) {
   auto left = makeRequest();
   left.Target = "/a";
--- a/Tests/LibRelay/TestSuspectQuarantine.cpp
+++ b/Tests/LibRelay/TestSuspectQuarantine.cpp
@@ -33,6 +33,13 @@
     Now += 100ms;
   }
 
+  /// A server crashes with one request without a prompt in progress.
+  auto crash(ServerKey Server, RequestIdentity const &Identity) -> void {
+    Quarantine.recordOwnInterruption({Server, Identity, {}, {}}, Now);
+    Quarantine.recordCrash(Server, Now);
+    Now += 100ms;
+  }
+
   auto interrupt(ServerKey Server, std::uint64_t Prompt,
                  std::vector<SuspectKey> Segments) -> void {
     Quarantine.recordOwnInterruption(
@@ -72,8 +79,27 @@
 
 auto request(SuspectKey Key) -> Suspect { return {Key, SuspectKind::Request}; }
 
+auto ambiguous(SuspectKey Key) -> Suspect {
+  return {Key, SuspectKind::AmbiguousRequest};
+}
+
 auto only(SuspectKey Segment) -> std::vector<SuspectKey> { return {Segment}; }
 
+/// Returns the suspects if the requests with \p Identity are the cause and it
+/// is not known whether their query and prompt matter.
+auto causeAndVariants(RequestIdentity const &Identity) -> std::vector<Suspect> {
+  return {request(Identity.Exact), ambiguous(Identity.CallerPath)};
+}
+
+/// Returns the same request with another query.
+auto withQuery(RequestIdentity Identity, SuspectKey Query) -> RequestIdentity {
+  Identity.Exact += 100 * Query;
+  Identity.Fields += 100 * Query;
+  Identity.Caller += 100 * Query;
+  Identity.Content += 100 * Query;
+  return Identity;
+}
+
 } // namespace
 
 Test(SuspectQuarantine, SegmentCommonToAllCrashesIsQuarantined) {
@@ -315,8 +341,7 @@
   evidence.interrupt(3, 12, {});
   evidence.crash(3, 11, {});
   evidence.Now += PropagationTime;
-  cr_assert(evidence.addedRequests() ==
-            std::vector{request(identityOf(11).Exact)});
+  cr_assert(evidence.addedRequests() == causeAndVariants(identityOf(11)));
 }
 
 // Regression test: one request that came again was taken for its segment, which
@@ -329,7 +354,7 @@
     evidence.Now += 1s;
     cr_assert(evidence.added().empty());
   }
-  cr_assert_eq(evidence.Quarantine.requestCount(), 1);
+  cr_assert_eq(evidence.Quarantine.requestCount(), 2);
   cr_assert_eq(evidence.Quarantine.segmentCount(), 0);
 }
 
@@ -344,29 +369,68 @@
   auto const keys = other.keys();
   cr_assert(evidence.complete({keys.begin(), keys.end()}).empty());
   evidence.Now += PropagationTime;
-  cr_assert(evidence.addedRequests() ==
-            std::vector{request(identityOf(11).Exact)});
+  cr_assert(evidence.addedRequests() == causeAndVariants(identityOf(11)));
   cr_assert_not(evidence.Quarantine.find(keys).has_value());
 }
 
 // Regression test: a request came with another query each time.
 Test(SuspectQuarantine, PathIsQuarantinedIfQueriesDiffer) {
   auto evidence = Evidence();
-  for (auto n = SuspectKey{1}; n <= 3; ++n) {
-    auto identity = identityOf(11);
-    identity.Exact += 100 * n;
-    identity.Fields += 100 * n;
-    identity.Caller += 100 * n;
-    identity.Content += 100 * n;
-    evidence.Quarantine.recordOwnInterruption(
-        {static_cast<ServerKey>(n), identity, {}, {}}, evidence.Now);
-    evidence.Quarantine.recordCrash(static_cast<ServerKey>(n), evidence.Now);
-  }
+  for (auto n = SuspectKey{1}; n <= 3; ++n)
+    evidence.crash(n, withQuery(identityOf(11), n));
   evidence.Now += PropagationTime;
   cr_assert(evidence.addedRequests() ==
             std::vector{request(identityOf(11).CallerPath)});
 }
 
+// Regression test: the request was recognised with its query only, so each
+// other query needed three crashes again.
+Test(SuspectQuarantine, TrialThatCrashesShowsThatTheQueryDoesNotMatter) {
+  auto evidence = Evidence();
+  for (auto n = 1U; n <= 3; ++n)
+    evidence.crash(n, identityOf(11));
+  evidence.Now += PropagationTime;
+  cr_assert(evidence.addedRequests() == causeAndVariants(identityOf(11)));
+  auto const variant = withQuery(identityOf(11), 1);
+  auto const general = identityOf(11).CallerPath;
+  cr_assert(evidence.Quarantine.find(variant.keys()) == ambiguous(general));
+  cr_assert(evidence.Quarantine.startTrial(general));
+  evidence.crash(4, variant);
+  evidence.Now += 1s;
+  cr_assert(evidence.addedRequests() == std::vector{request(general)});
+  auto const another = withQuery(identityOf(11), 2);
+  cr_assert(evidence.Quarantine.find(another.keys()) == request(general));
+}
+
+Test(SuspectQuarantine, CompletedTrialShowsThatTheQueryMatters) {
+  auto evidence = Evidence();
+  for (auto n = 1U; n <= 3; ++n)
+    evidence.crash(n, identityOf(11));
+  evidence.Now += PropagationTime;
+  cr_assert(evidence.addedRequests() == causeAndVariants(identityOf(11)));
+  auto const keys = withQuery(identityOf(11), 1).keys();
+  cr_assert(evidence.complete({keys.begin(), keys.end()}) ==
+            only(identityOf(11).CallerPath));
+  evidence.Now += 1s;
+  cr_assert(evidence.addedRequests().empty());
+  cr_assert_not(evidence.Quarantine.find(keys).has_value());
+  cr_assert(evidence.Quarantine.find(identityOf(11).keys()) ==
+            request(identityOf(11).Exact));
+}
+
+// A cause is refused without a trial under each of its keys.
+Test(SuspectQuarantine, CauseGoesBeforeAmbiguousRequests) {
+  auto evidence = Evidence();
+  auto const identity = identityOf(11);
+  auto const now = evidence.Now;
+  cr_assert(
+      evidence.Quarantine.quarantine(ambiguous(identity.Exact), now, now));
+  cr_assert(
+      evidence.Quarantine.quarantine(request(identity.CallerPath), now, now));
+  cr_assert(evidence.Quarantine.find(identity.keys()) ==
+            request(identity.CallerPath));
+}
+
 // The caller's address differs each time.
 Test(SuspectQuarantine, ContentIsQuarantinedIfCallersDiffer) {
   auto evidence = Evidence();
@@ -381,8 +445,9 @@
     evidence.Quarantine.recordCrash(static_cast<ServerKey>(n), evidence.Now);
   }
   evidence.Now += PropagationTime;
-  cr_assert(evidence.addedRequests() ==
-            std::vector{request(identityOf(11).Content)});
+  auto const expected = std::vector{request(identityOf(11).Content),
+                                    ambiguous(identityOf(11).Path)};
+  cr_assert(evidence.addedRequests() == expected);
 }
 
 Test(SuspectQuarantine, RequestsInProgressAtTheSameCrashesAreAmbiguous) {
@@ -392,7 +457,7 @@
     evidence.crash(n, 11, {});
   }
   evidence.Now += PropagationTime;
-  cr_assert_eq(evidence.addedRequests().size(), 2);
+  cr_assert_eq(evidence.addedRequests().size(), 4);
   auto const cause = identityOf(11).Exact;
   auto const other = identityOf(12).Exact;
   // Regression test: they were cleared when further evidence arrived.
@@ -411,12 +476,14 @@
       evidence.Quarantine.evaluate(PropagationTime, evidence.Now);
   cr_assert_eq(changes.Added.size(), 1);
   cr_assert(changes.Added[0].Suspect == request(cause));
-  cr_assert(changes.Cleared == only(other));
-  cr_assert_not(evidence.Quarantine.find({&other, 1}).has_value());
+  auto const cleared = std::vector{other, identityOf(12).CallerPath};
+  cr_assert(changes.Cleared == cleared);
+  cr_assert_not(evidence.Quarantine.find(identityOf(12).keys()).has_value());
   // The peers are told.
   auto const report = evidence.Quarantine.makeReport(false, evidence.Now);
-  cr_assert_eq(report.Cleared.size(), 1);
+  cr_assert_eq(report.Cleared.size(), 2);
   cr_assert_eq(report.Cleared[0].Key, other);
+  cr_assert_eq(report.Cleared[1].Key, identityOf(12).CallerPath);
 }
 
 Test(SuspectQuarantine, CompletedTrialLeavesTheOtherRequestAsTheCause) {
@@ -426,10 +493,11 @@
     evidence.crash(n, 11, {});
   }
   evidence.Now += PropagationTime;
-  cr_assert_eq(evidence.addedRequests().size(), 2);
+  cr_assert_eq(evidence.addedRequests().size(), 4);
   auto const keys = identityOf(12).keys();
-  cr_assert(evidence.complete({keys.begin(), keys.end()}) ==
-            only(identityOf(12).Exact));
+  auto const released =
+      std::vector{identityOf(12).Exact, identityOf(12).CallerPath};
+  cr_assert(evidence.complete({keys.begin(), keys.end()}) == released);
   evidence.Now += 1s;
   cr_assert(evidence.addedRequests() ==
             std::vector{request(identityOf(11).Exact)});
@@ -437,9 +505,9 @@
 
 Test(SuspectQuarantine, AmbiguousRequestHasOneTrialThatReachesAServer) {
   auto evidence = Evidence();
-  auto const ambiguous = Suspect{7, SuspectKind::AmbiguousRequest};
+  auto const suspect = ambiguous(7);
   cr_assert(
-      evidence.Quarantine.quarantine(ambiguous, evidence.Now, evidence.Now));
+      evidence.Quarantine.quarantine(suspect, evidence.Now, evidence.Now));
   cr_assert(evidence.Quarantine.startTrial(7));
   evidence.Quarantine.withdrawTrial(7);
   cr_assert(evidence.Quarantine.startTrial(7));
@@ -451,10 +519,10 @@
 // store for causes, and told its peers.
 Test(SuspectQuarantine, CauseIsWrittenToTheStoreAgain) {
   auto evidence = Evidence();
-  auto const ambiguous = Suspect{7, SuspectKind::AmbiguousRequest};
+  auto const suspect = ambiguous(7);
   cr_assert(
-      evidence.Quarantine.quarantine(ambiguous, evidence.Now, evidence.Now));
-  cr_assert(evidence.Quarantine.takeUnstored() == std::vector{ambiguous});
+      evidence.Quarantine.quarantine(suspect, evidence.Now, evidence.Now));
+  cr_assert(evidence.Quarantine.takeUnstored() == std::vector{suspect});
   cr_assert(
       evidence.Quarantine.quarantine(request(7), evidence.Now, evidence.Now));
   cr_assert(evidence.Quarantine.takeUnstored() == std::vector{request(7)});
@@ -485,8 +553,7 @@
   for (auto n = 1U; n <= 3; ++n)
     evidence.crash(n, 11, {});
   evidence.Now += PropagationTime;
-  cr_assert(evidence.addedRequests() ==
-            std::vector{request(identityOf(11).Exact)});
+  cr_assert(evidence.addedRequests() == causeAndVariants(identityOf(11)));
   // A peer tells of an earlier completion.
   auto const exact = identityOf(11).Exact;
   cr_assert_not(
@@ -554,7 +621,7 @@
       evidence.interrupt(n, 11, {});
   }
   evidence.Now += PropagationTime;
-  cr_assert_eq(evidence.addedRequests().size(), 3);
+  cr_assert_eq(evidence.addedRequests().size(), 6);
   auto const cause = identityOf(11).Exact;
   cr_assert(evidence.Quarantine.find({&cause, 1}).has_value());
 }
@@ -573,7 +640,7 @@
     evidence.Now += 10ms;
   }
   evidence.Now += PropagationTime;
-  cr_assert_eq(evidence.addedRequests().size(), 2);
+  cr_assert_eq(evidence.addedRequests().size(), 4);
   auto const cause = identityOf(11).Exact;
   cr_assert(evidence.Quarantine.find({&cause, 1})->Kind ==
             SuspectKind::AmbiguousRequest);
