--- a/Tests/LibRelay/TestCrashingRequest.cpp
+++ b/Tests/LibRelay/TestCrashingRequest.cpp
@@ -40,6 +40,24 @@
     Traffic.startCrashing(Route, std::chrono::milliseconds(125 << (Seed % 4)));
   }
 
+  /// The crashing request begins to come, a third of the times with a query.
+  auto startCrashingWithQueries(RouteKind Route) -> void {
+    constexpr auto Repeats = 100;
+    auto const call = MixedTraffic::crashingCall(Route);
+    Fleet.setCrashingCall(call);
+    auto random = std::mt19937_64(Seed);
+    auto draw = [&random](unsigned To) {
+      return std::uniform_int_distribution<unsigned>(1, To)(random);
+    };
+    for (auto n = 0; n < Repeats; ++n) {
+      auto repeat = call;
+      if (draw(3) == 1)
+        repeat.Query = "?page=" + std::to_string(draw(20)) + "&sort=new";
+      Fleet.schedule(n * Duration{200ms},
+                     [this, repeat] { Fleet.send(repeat); });
+    }
+  }
+
   auto expectFewLaterArrivals() const -> void {
     auto const &record = Fleet.record();
     cr_expect(record.Crashes.size() >= MinimumCrashes,
@@ -227,27 +245,19 @@
 // Regression test: the request was recognised by its query, which only a third
 // of the repeats carry.
 Test(RelayCrashingRequest, RequestWithAQueryAtTimesReachesNoFurtherServers) {
-  forEachSeed([](SeededFleet &Target) {
-    auto &fleet = Target.Fleet;
-    auto const call = MixedTraffic::crashingCall(RouteKind::Lookup);
-    fleet.setCrashingCall(call);
-    auto random = std::mt19937_64(Target.Seed);
-    auto draw = [&random](unsigned To) {
-      return std::uniform_int_distribution<unsigned>(1, To)(random);
-    };
-    for (auto n = 0; n < 100; ++n) {
-      auto repeat = call;
-      if (draw(3) == 1)
-        repeat.Query = "?page=" + std::to_string(draw(20)) + "&sort=new";
-      fleet.schedule(n * Duration{200ms},
-                     [&fleet, repeat] { fleet.send(repeat); });
-    }
-    fleet.run(20s);
-    Target.expectFewLaterArrivals();
-    auto const quarantined = fleet.record().soundRequestsQuarantined(Instant{});
-    cr_expect_eq(quarantined, 0, "seed %lu: %u sound requests in quarantine",
-                 Target.Seed, quarantined);
-  });
+  for (auto route : {RouteKind::Lookup, RouteKind::Booking, RouteKind::Stream,
+                     RouteKind::PlainStream}) {
+    forEachSeed([route](SeededFleet &Target) {
+      auto &fleet = Target.Fleet;
+      Target.startCrashingWithQueries(route);
+      fleet.run(20s);
+      Target.expectFewLaterArrivals();
+      auto const quarantined =
+          fleet.record().soundRequestsQuarantined(Instant{});
+      cr_expect_eq(quarantined, 0, "seed %lu: %u sound requests in quarantine",
+                   Target.Seed, quarantined);
+    });
+  }
 }
 
 // Regression test: completions before the first crash hid the crashes of the
