LibRelay: Try a stream at one engine only

It now goes to an engine that decodes, which prefills the prompt itself. TrialOfAStreamReachesOneEngine fails on the code before.

--- a/Libraries/LibRelay/Placement.cpp
+++ b/Libraries/LibRelay/Placement.cpp
@@ -234,10 +234,12 @@
     -> std::optional<Choice> {
   auto const &service = *Request.Config->findService(Request.Service);
   // The first separate prefill does not count towards MaximumServers. Another
-  // one does, and so will the engine that decodes.
+  // one does, and so will the engine that decodes. A trial reaches one engine
+  // only.
   auto mayPrefill =
-      Request.PrefillsMade == 0 ||
-      Request.ServersUsed + 2 <= Request.MatchedRoute->MaximumServers;
+      !Request.TrialOf &&
+      (Request.PrefillsMade == 0 ||
+       Request.ServersUsed + 2 <= Request.MatchedRoute->MaximumServers);
   auto const *assigned = assignedEngine(Request);
   return cheapest(
       Number, Request, [&](Server &Engine) -> std::optional<Candidate> {
--- a/Tests/LibRelay/TestQuarantine.cpp
+++ b/Tests/LibRelay/TestQuarantine.cpp
@@ -245,6 +245,24 @@
 }
 
 // A trial that reaches no server does not count.
+// Regression test: the trial was sent to one engine for the prefill and to
+// another one to decode.
+Test(RelayQuarantine, TrialOfAStreamReachesOneEngine) {
+  auto node = RelayNode();
+  node.feed(PeersListed{});
+  node.advance(2s);
+  auto const segments = prompt(1, 1000, 500);
+  auto number = node.request(RouteKind::Stream, segments);
+  cr_assert(node.currentAttempt(number)->IsPrefill);
+  auto const key = node.CurrentState.Requests.at(number).Identity.Exact;
+  node.feed(CallerDisconnected{number});
+  auto message = report("i1", 1);
+  message.Quarantine.Quarantined = {{{key, SuspectKind::AmbiguousRequest}, {}}};
+  node.feed(PeerReported{message});
+  number = node.request(RouteKind::Stream, segments);
+  cr_assert_not(node.currentAttempt(number)->IsPrefill);
+}
+
 Test(RelayQuarantine, UnsentTrialIsRepeated) {
   auto node = RelayNode();
   node.feed(PeersListed{});
