LibRelay: Repeat the first reports to a new peer at once

The first five reports to a new peer now go out at the usual interval; after these a silent one hears every 2 s as before. FirstReportsToANewPeerAreRepeatedAtOnce fails without it.

--- a/Libraries/LibRelay/Peers.cpp
+++ b/Libraries/LibRelay/Peers.cpp
@@ -23,6 +23,9 @@
 /// are removed.
 constexpr auto SilentPeerReportInterval = Duration{2s};
 constexpr auto SilentPeerLifetime = Duration{60s};
+/// Reports that a new peer gets without a pause between them: it acts on behalf
+/// of others unless it hears of them, and some reports are lost.
+constexpr auto FirstReports = std::uint64_t{5};
 
 auto encodeQuarantine(QuarantineReport const &Report) -> json {
   auto interrupted = json::array();
@@ -377,9 +380,11 @@
   for (auto &it : Peers) {
     auto &peer = it.second;
     auto const isSilent = !isAlive(peer, Now);
-    if (isSilent && Now - peer.LastSentAt <= SilentPeerReportInterval)
+    if (isSilent && peer.ReportsSent >= FirstReports &&
+        Now - peer.LastSentAt <= SilentPeerReportInterval)
       continue;
     peer.LastSentAt = Now;
+    ++peer.ReportsSent;
     recipients.Addresses.push_back(peer.PeerAddress);
     recipients.HasSilent = recipients.HasSilent || isSilent;
   }
--- a/Libraries/LibRelay/Peers.h
+++ b/Libraries/LibRelay/Peers.h
@@ -96,6 +96,8 @@
   /// Time of the first report of this incarnation after the peer was silent.
   Instant HeardSince;
   Instant LastSentAt;
+  /// Reports sent to the peer since it was discovered.
+  std::uint64_t ReportsSent = 0;
 };
 
 /// The peers that a report is sent to.
--- a/Tests/LibRelay/TestFleet.cpp
+++ b/Tests/LibRelay/TestFleet.cpp
@@ -68,6 +68,19 @@
   cr_assert(sent->Report.Unreachable == std::vector{key});
 }
 
+// Regression test: an instance whose first report was lost was not known to its
+// peer for two seconds, and both issued permits for the same servers.
+Test(RelayFleet, FirstReportsToANewPeerAreRepeatedAtOnce) {
+  auto node = RelayNode();
+  node.feed(PeersListed{{{"i1", "p-i1"}}});
+  auto reports = 0;
+  for (auto const &it : node.advance(700ms)) {
+    auto const *sent = std::get_if<SendPeerReport>(&it);
+    reports += sent != nullptr && !sent->Addresses.empty() ? 1 : 0;
+  }
+  cr_assert_geq(reports, 5);
+}
+
 // Regression test: two instances that had lost each other's first reports sent
 // each other partial ones, which both ignored.
 Test(RelayFleet, ReportToASilentPeerIsFull) {
