--- a/Libraries/LibRelay/CrashEvidence.cpp
+++ b/Libraries/LibRelay/CrashEvidence.cpp
@@ -45,8 +45,8 @@
   return count;
 }
 
-/// Returns the key under which the request with the key at position \p Rank is
-/// also recognised with another query and prompt, or 0 if that key is it.
+/// Returns the key that \p Identity shares with the same request with another
+/// query and prompt, or 0 if the key at position \p Rank is such a key.
 auto generalKey(RequestIdentity const &Identity, std::size_t Rank)
     -> SuspectKey {
   auto const key = Identity.keys()[Rank];
--- a/Libraries/LibRelay/Peers.cpp
+++ b/Libraries/LibRelay/Peers.cpp
@@ -23,8 +23,8 @@
 /// are removed.
 constexpr auto SilentPeerReportInterval = Duration{2s};
 constexpr auto SilentPeerLifetime = Duration{60s};
-/// Reports that a new peer gets without a pause between them: it acts on behalf
-/// of others unless it hears of them, and some reports are lost.
+/// Reports that a new peer gets at the usual interval even if it is silent. One
+/// may be lost, and a peer that hears of no other instance issues permits.
 constexpr auto FirstReports = std::uint64_t{5};
 
 auto encodeQuarantine(QuarantineReport const &Report) -> json {
