--- a/Tests/LibGateway/FakePlatform.cpp
+++ b/Tests/LibGateway/FakePlatform.cpp
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <fmt/format.h>
+#include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <thread>
@@ -43,6 +44,12 @@
 
 } // namespace
 
+auto objectText(std::string_view Name, std::string_view Spec) -> std::string {
+  return fmt::format(
+      R"({{"metadata":{{"name":"{}","revision":@REVISION}},"spec":{}}})", Name,
+      Spec);
+}
+
 struct FakePlatform::Implementation {
   explicit Implementation(std::string AnnouncedAddress)
       : AnnouncedAddress(AnnouncedAddress.empty()
@@ -54,6 +61,7 @@
         Server(
             Context, address(ServerPort), HttpLimits{},
             [this](HttpExchange &it) { return serve(it); }, refuse) {
+    writeInitialObjects();
     Store.start();
     Server.start();
     Thread = std::thread([this] { Context.run(); });
@@ -68,45 +76,83 @@
     return {describe(Code).HttpStatus, "", {}, ""};
   }
 
-  auto serverObject() -> json {
-    return {{"metadata", {{"name", "i-1"}, {"revision", Revision.load()}}},
-            {"spec",
-             {{"service", "s1"},
-              {"address", AnnouncedAddress},
-              {"zone", "z1"},
-              {"slots", 6},
-              {"state", IsDraining ? "draining" : "ready"},
-              {"born", 1000}}}};
+  /// An object as the store sends it, and the revision of its last change.
+  struct StoredText {
+    std::string Text;
+    std::uint64_t Revision = 0;
+  };
+
+  /// Writes the objects that the store holds at the start.
+  auto writeInitialObjects() -> void {
+    constexpr auto InitialObjects = 2;
+    Revision = FirstRevision - InitialObjects;
+    putObject("config", "main", objectText("main", configuration().dump()));
+    putObject("servers", "i-1", objectText("i-1", serverSpec("ready")));
+  }
+
+  auto serverSpec(std::string const &State) const -> std::string {
+    return json{{"service", "s1"}, {"address", AnnouncedAddress},
+                {"zone", "z1"},    {"slots", 6},
+                {"state", State},  {"born", 1000}}
+        .dump();
+  }
+
+  auto putObject(std::string const &Kind, std::string const &Name,
+                 std::string Text) -> void {
+    auto lock = std::lock_guard(Mutex);
+    auto const revision = Revision + 1;
+    constexpr auto Placeholder = std::string_view{"@REVISION"};
+    if (auto at = Text.find(Placeholder); at != std::string::npos)
+      Text.replace(at, Placeholder.size(), std::to_string(revision));
+    Objects[Kind][Name] = {std::move(Text), revision};
+    Revision = revision;
+  }
+
+  /// Returns the body of a page of \p Kind.
+  auto pageText(std::string const &Kind, std::string const &After)
+      -> std::string {
+    auto lock = std::lock_guard(Mutex);
+    auto const &objects = Objects[Kind];
+    auto items = std::vector<std::string>{};
+    auto it = objects.upper_bound(After);
+    for (; it != objects.end() && items.size() < PageSize; ++it)
+      items.push_back(it->second.Text);
+    return fmt::format(R"({{"as_of":{},"items":[{}],"more_pages":{}}})",
+                       Revision.load(), fmt::join(items, ","),
+                       it != objects.end());
+  }
+
+  /// Returns the body of a watch's response.
+  auto changesText(std::string const &Kind, std::uint64_t Known)
+      -> std::string {
+    auto lock = std::lock_guard(Mutex);
+    auto events = std::vector<std::string>{};
+    for (auto const &it : Objects[Kind]) {
+      if (it.second.Revision > Known)
+        events.push_back(
+            fmt::format(R"({{"deleted":false,"object":{}}})", it.second.Text));
+    }
+    return fmt::format(R"({{"as_of":{},"events":[{}]}})", Revision.load(),
+                       fmt::join(events, ","));
   }
 
   auto serveStore(HttpExchange &Exchange) -> Awaitable<void> {
     auto path = std::string(Exchange.path());
     auto watched = Exchange.query("watch");
-    if (path == "/-/objects/quarantine")
+    constexpr auto Prefix = std::string_view{"/-/objects/"};
+    auto const kind = path.substr(std::min(path.size(), Prefix.size()));
+    if (kind == "quarantine")
       co_return co_await serveQuarantine(Exchange);
     if (Exchange.method() != "GET")
       ++Registrations;
-    auto items = json::array();
-    if (path == "/-/objects/servers")
-      items.push_back(serverObject());
-    if (path == "/-/objects/config")
-      items.push_back({{"metadata", {{"name", "main"}, {"revision", 2}}},
-                       {"spec", configuration()}});
-    auto body = json{{"as_of", Revision.load()}};
-    if (watched.empty()) {
-      body["items"] = items;
-      body["more_pages"] = false;
-    } else {
-      co_await waitForNewer(std::stoull(watched));
-      if (std::stoull(watched) > Revision)
-        co_return co_await respondFromStore(Exchange, 410, "");
-      body["as_of"] = Revision.load();
-      body["events"] = json::array();
-      if (path == "/-/objects/servers" && Revision > std::stoull(watched))
-        body["events"].push_back(
-            {{"deleted", false}, {"object", serverObject()}});
-    }
-    co_await respondFromStore(Exchange, 200, body.dump());
+    if (watched.empty())
+      co_return co_await respondFromStore(
+          Exchange, 200, pageText(kind, Exchange.query("after")));
+    auto const known = std::stoull(watched);
+    co_await waitForNewer(known);
+    if (known > Revision)
+      co_return co_await respondFromStore(Exchange, 410, "");
+    co_await respondFromStore(Exchange, 200, changesText(kind, known));
   }
 
   auto serveQuarantine(HttpExchange &Exchange) -> Awaitable<void> {
@@ -212,7 +258,6 @@
   std::string AnnouncedAddress;
   asio::io_context Context{1};
   std::atomic<ServerMode> Mode = ServerMode::Echo;
-  std::atomic<bool> IsDraining = false;
   std::atomic<std::uint64_t> Revision = FirstRevision;
   std::atomic<std::uint64_t> Era = 0;
   std::atomic<unsigned> Registrations = 0;
@@ -220,6 +265,8 @@
   std::mutex Mutex;
   std::string LastFields;
   std::set<std::string> Quarantine;
+  std::map<std::string, std::map<std::string, StoredText>> Objects;
+  std::atomic<std::size_t> PageSize = 500;
   HttpServer Store;
   HttpServer Server;
   std::thread Thread;
@@ -233,20 +280,29 @@
 auto FakePlatform::setMode(ServerMode Mode) -> void { Impl->Mode = Mode; }
 
 auto FakePlatform::drainServer() -> void {
-  Impl->IsDraining = true;
-  ++Impl->Revision;
+  Impl->putObject("servers", "i-1",
+                  objectText("i-1", Impl->serverSpec("draining")));
 }
 
 auto FakePlatform::restoreStore() -> void {
-  Impl->IsDraining = false;
-  Impl->Revision = FirstRevision;
   {
     auto lock = std::lock_guard(Impl->Mutex);
     Impl->Quarantine.clear();
+    Impl->Objects.clear();
   }
+  Impl->writeInitialObjects();
   ++Impl->Era;
 }
 
+auto FakePlatform::putObject(std::string const &Kind, std::string const &Name,
+                             std::string Text) -> void {
+  Impl->putObject(Kind, Name, std::move(Text));
+}
+
+auto FakePlatform::setPageSize(std::size_t Objects) -> void {
+  Impl->PageSize = Objects;
+}
+
 auto FakePlatform::addQuarantine(std::string const &Name) -> void {
   auto lock = std::lock_guard(Impl->Mutex);
   Impl->Quarantine.insert(Name);
--- a/Tests/LibGateway/FakePlatform.h
+++ b/Tests/LibGateway/FakePlatform.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace dotterel::test {
 
@@ -29,6 +30,11 @@
   Limit,
 };
 
+/// Returns the text of an object of the store. Its revision is filled in when
+/// it is put. \p Name and \p Spec are inserted as they are.
+[[nodiscard]] auto objectText(std::string_view Name, std::string_view Spec)
+    -> std::string;
+
 /// Runs the store and the server on a thread of their own until destroyed.
 class FakePlatform {
 public:
@@ -45,6 +51,12 @@
   /// by one, and revisions are assigned again.
   auto restoreStore() -> void;
 
+  /// Creates or replaces the object \p Name; the store sends \p Text as it is.
+  auto putObject(std::string const &Kind, std::string const &Name,
+                 std::string Text) -> void;
+  /// Sets the number of objects in one page of a list.
+  auto setPageSize(std::size_t Objects) -> void;
+
   /// Adds an object of the kind that names segments in quarantine.
   auto addQuarantine(std::string const &Name) -> void;
   /// Returns the names of the objects of that kind.
--- a/Tests/LibGateway/RunningGateway.cpp
+++ b/Tests/LibGateway/RunningGateway.cpp
@@ -32,8 +32,12 @@
   return call(Port, {"GET", std::move(Path), "", {}, ""});
 }
 
-RunningGateway::RunningGateway(std::string ServerAddress)
+RunningGateway::RunningGateway(
+    std::string ServerAddress,
+    std::function<void(FakePlatform &)> const &Prepare)
     : Platform(std::move(ServerAddress)) {
+  if (Prepare)
+    Prepare(Platform);
   auto text = fmt::format(
       R"({{"instance":"i0","failureDomain":"z1","host":"127.0.0.1",
              "callerAddress":"{}","readinessAddress":"{}",
--- a/Tests/LibGateway/RunningGateway.h
+++ b/Tests/LibGateway/RunningGateway.h
@@ -6,6 +6,7 @@
 #include "LibGateway/Gateway.h"
 #include "LibNet/HttpClient.h"
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <thread>
@@ -35,7 +36,10 @@
 public:
   /// Starts the gateway. Its backend server is at \p ServerAddress, or that of
   /// the fake platform if it is empty.
-  explicit RunningGateway(std::string ServerAddress = {});
+  /// \p Prepare is called before the gateway starts.
+  explicit RunningGateway(
+      std::string ServerAddress = {},
+      std::function<void(FakePlatform &)> const &Prepare = {});
   ~RunningGateway();
   RunningGateway(RunningGateway const &) = delete;
   auto operator=(RunningGateway const &) -> RunningGateway & = delete;
