LibNet, LibCore, LibGateway: Log an exception that leaves a task and go on

Now such an exception is logged (task-failed) and ends its task alone; tasks that run as long as the process start again; the reducer loop goes on after an event that throws, which left it busy for ever; a connection that ends by an exception is no longer counted; an exchange that throws is a failed attempt. Connecting to an invalid address fails with a log line.

--- a/Libraries/LibCore/Error.h
+++ b/Libraries/LibCore/Error.h
@@ -4,6 +4,7 @@
 
 #include "LibCore/ResultCode.h"
 
+#include <exception>
 #include <stdexcept>
 #include <string>
 
@@ -21,4 +22,9 @@
   ResultCode Code;
 };
 
+/// Returns what \p Exception says. Precondition: it is not null.
+/// Thread safety: any thread.
+[[nodiscard]] auto describeException(std::exception_ptr const &Exception)
+    -> std::string;
+
 } // namespace dotterel
--- a/Libraries/LibCore/Log.cpp
+++ b/Libraries/LibCore/Log.cpp
@@ -2,6 +2,8 @@
 
 #include "LibCore/Error.h"
 
+#include <algorithm>
+#include <cctype>
 #include <chrono>
 #include <poll.h>
 #include <unistd.h>
@@ -48,9 +50,8 @@
   auto target = pollfd{STDOUT_FILENO, POLLOUT, 0};
   if (::poll(&target, 1, 0) != 1 || (target.revents & POLLOUT) == 0)
     return false;
-  auto bytes = Line.substr(0, MaximumLineBytes);
-  return ::write(STDOUT_FILENO, bytes.data(), bytes.size()) ==
-         static_cast<ssize_t>(bytes.size());
+  return ::write(STDOUT_FILENO, Line.data(), Line.size()) ==
+         static_cast<ssize_t>(Line.size());
 }
 
 auto levelName(LogLevel Level) -> std::string_view {
@@ -67,6 +68,12 @@
   return "error";
 }
 
+auto needsQuotes(char Character) -> bool {
+  constexpr auto Special = std::string_view{" \"=\\"};
+  return Special.find(Character) != std::string_view::npos ||
+         std::iscntrl(static_cast<unsigned char>(Character)) != 0;
+}
+
 } // namespace
 
 auto setLogLevel(LogLevel Lowest) -> void { LowestLevel = Lowest; }
@@ -82,14 +89,13 @@
 }
 
 auto quoteLogValue(std::string_view Value) -> std::string {
-  if (!Value.empty() &&
-      Value.find_first_of(" \"=\n\r\t\\") == std::string_view::npos)
+  if (!Value.empty() && std::ranges::none_of(Value, needsQuotes))
     return std::string(Value);
   auto quoted = std::string{"\""};
   for (auto c : Value) {
     if (c == '"' || c == '\\')
       quoted += '\\';
-    if (c == '\n' || c == '\r' || c == '\t') {
+    if (std::iscntrl(static_cast<unsigned char>(c)) != 0) {
       quoted += ' ';
       continue;
     }
@@ -128,6 +134,10 @@
       fmt::format("time_ms={} level={} event={}{}{}\n",
                   std::chrono::floor<std::chrono::milliseconds>(now).count(),
                   levelName(Level), Event, Pairs.empty() ? "" : " ", Pairs);
+  if (line.size() > MaximumLineBytes) {
+    line.resize(MaximumLineBytes);
+    line.back() = '\n';
+  }
   if (!writeWithoutBlocking(line))
     ++DroppedLines;
 }
--- a/Libraries/LibCore/ReducerLoop.h
+++ b/Libraries/LibCore/ReducerLoop.h
@@ -2,6 +2,8 @@
 /// Applies events to a reducer, one at a time, and has its effects carried out.
 #pragma once
 
+#include "LibCore/Error.h"
+#include "LibCore/Log.h"
 #include "LibCore/Time.h"
 
 #include <deque>
@@ -13,7 +15,8 @@
 
 /// A reducer with its state. \p Reduce is called with the state and an event
 /// with its timestamp, and returns the effects, which are passed to the effect
-/// handler. Events that are fed while effects are carried out are queued.
+/// handler. Events that are fed while effects are carried out are queued. An
+/// exception of an event or an effect is logged and ends that one alone.
 /// Thread safety: none.
 template <typename StateType, typename EventType, typename EffectType,
           auto Reduce>
@@ -39,8 +42,10 @@
       auto event =
           EventType{std::chrono::steady_clock::now(), std::move(Queue.front())};
       Queue.pop_front();
-      for (auto &it : Reduce(CurrentState, event))
-        HandleEffect(it);
+      guard("event", [&] {
+        for (auto &it : Reduce(CurrentState, event))
+          guard("effect", [&] { HandleEffect(it); });
+      });
     }
     IsBusy = false;
   }
@@ -48,6 +53,16 @@
   [[nodiscard]] auto state() const -> StateType const & { return CurrentState; }
 
 private:
+  template <typename Callable>
+  static auto guard(std::string_view Kind, Callable Body) -> void {
+    try {
+      Body();
+    } catch (std::exception const &error) {
+      log(LogLevel::Error, "reducer-failed",
+          {{"kind", Kind}, {"error", error.what()}});
+    }
+  }
+
   StateType CurrentState;
   EffectHandler HandleEffect;
   std::deque<decltype(EventType::Body)> Queue;
--- a/Libraries/LibGateway/CallerServer.cpp
+++ b/Libraries/LibGateway/CallerServer.cpp
@@ -119,8 +119,15 @@
     auto number = ++LastRequest;
     auto session = open(number);
     Loop.feed(relay::SteeringRequested{number});
-    co_await writeAll(Exchange, *session);
+    auto exception = std::exception_ptr{};
+    try {
+      co_await writeAll(Exchange, *session);
+    } catch (...) {
+      exception = std::current_exception();
+    }
     Sessions.erase(number);
+    if (exception)
+      std::rethrow_exception(exception);
   }
 
   auto open(RequestNumber Number) -> std::shared_ptr<Session> {
@@ -143,7 +150,7 @@
     auto exception = std::exception_ptr{};
     try {
       co_await writeAll(Exchange, *session);
-    } catch (boost::system::system_error const &) {
+    } catch (...) {
       exception = std::current_exception();
     }
     Sessions.erase(number);
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -9,6 +9,7 @@
 #include "LibGateway/RelayMetrics.h"
 #include "LibGateway/ServerClient.h"
 #include "LibGateway/StoreFollower.h"
+#include "LibNet/Task.h"
 
 #include <csignal>
 #include <fmt/format.h>
@@ -93,7 +94,7 @@
       auto next = GatewaySettings::load(SettingsPath);
       setLogLevel(parseLogLevel(next.LogLevel));
       log(LogLevel::Info, "settings-reloaded", {{"log_level", next.LogLevel}});
-    } catch (Error const &error) {
+    } catch (std::exception const &error) {
       log(LogLevel::Error, "settings-invalid", {{"error", error.what()}});
     }
   }
@@ -188,8 +189,9 @@
        {"run", fmt::format("{:016x}", Impl->Settings.Self.Incarnation)},
        {"callers", Impl->Settings.Self.CallerAddress},
        {"store", Impl->Settings.StoreAddress}});
-  spawnTask(Impl->Context, [self = Impl.get()] { return self->tick(); });
-  Impl->Context.run();
+  spawnService(Impl->Context, "ticker",
+               [self = Impl.get()] { return self->tick(); });
+  runEventLoop(Impl->Context);
 }
 
 } // namespace dotterel
--- a/Libraries/LibGateway/QuarantineStore.cpp
+++ b/Libraries/LibGateway/QuarantineStore.cpp
@@ -3,6 +3,7 @@
 #include "LibCore/Log.h"
 #include "LibGateway/Backoff.h"
 #include "LibGateway/StoreClient.h"
+#include "LibNet/Task.h"
 
 #include <algorithm>
 #include <array>
@@ -106,16 +107,17 @@
 QuarantineStore::~QuarantineStore() = default;
 
 auto QuarantineStore::start() -> void {
-  spawnTask(Impl->Context, [self = Impl] { return self->follow(); });
+  spawnService(Impl->Context, "quarantine-follower",
+               [self = Impl] { return self->follow(); });
 }
 
 auto QuarantineStore::run(relay::StoreQuarantine const &Effect) -> void {
-  spawnTask(Impl->Context,
+  spawnTask(Impl->Context, "quarantine-writer",
             [self = Impl, Effect] { return self->write(Effect); });
 }
 
 auto QuarantineStore::run(relay::DeleteQuarantine const &Effect) -> void {
-  spawnTask(Impl->Context,
+  spawnTask(Impl->Context, "quarantine-remover",
             [self = Impl, Effect] { return self->remove(Effect); });
 }
 
--- a/Libraries/LibGateway/ServerClient.cpp
+++ b/Libraries/LibGateway/ServerClient.cpp
@@ -2,6 +2,7 @@
 
 #include "LibCore/BootClock.h"
 #include "LibCore/Log.h"
+#include "LibNet/Task.h"
 #include "platform/Headers.h"
 
 #include <algorithm>
@@ -170,8 +171,25 @@
     co_return body;
   }
 
+  /// Sends a request and passes its response on. An exception is a failure of
+  /// the attempt.
   auto send(relay::SendAttempt Effect, ActiveAttemptPointer Target)
       -> Awaitable<void> {
+    auto const attempt = Effect.Attempt;
+    auto exception = std::exception_ptr{};
+    try {
+      co_await exchangeAttempt(std::move(Effect), Target);
+      co_return;
+    } catch (...) {
+      exception = std::current_exception();
+    }
+    logTaskFailure("server-exchange", exception);
+    finish(attempt, Target, false,
+           relay::AttemptInterrupted{attempt, "internal error"});
+  }
+
+  auto exchangeAttempt(relay::SendAttempt Effect, ActiveAttemptPointer Target)
+      -> Awaitable<void> {
     auto connection = Target->Connection;
     auto request = HttpRequest{};
     request.Method = Effect.Content->Method;
@@ -329,15 +347,17 @@
   target->Address = Effect.Address;
   target->IdleLimit = Effect.IdleLimit;
   Impl->Attempts[Effect.Attempt] = target;
-  spawnTask(Impl->Context, [self = Impl.get(), attempt = Effect.Attempt,
-                            target] { return self->connect(attempt, target); });
+  spawnTask(Impl->Context, "server-connection",
+            [self = Impl.get(), attempt = Effect.Attempt, target] {
+              return self->connect(attempt, target);
+            });
 }
 
 auto ServerClient::run(relay::SendAttempt &Effect) -> void {
   auto it = Impl->Attempts.find(Effect.Attempt);
   if (it == Impl->Attempts.end())
     return;
-  spawnTask(Impl->Context,
+  spawnTask(Impl->Context, "server-exchange",
             [self = Impl.get(), effect = std::move(Effect),
              target = it->second] { return self->send(effect, target); });
 }
@@ -353,13 +373,13 @@
 }
 
 auto ServerClient::run(relay::ReleasePrefill const &Effect) -> void {
-  spawnTask(Impl->Context, [self = Impl.get(), Effect] {
+  spawnTask(Impl->Context, "handle-release", [self = Impl.get(), Effect] {
     return self->releasePrefill(Effect);
   });
 }
 
 auto ServerClient::run(relay::SendOrder const &Effect) -> void {
-  spawnTask(Impl->Context,
+  spawnTask(Impl->Context, "server-order",
             [self = Impl.get(), Effect] { return self->sendOrder(Effect); });
 }
 
--- a/Libraries/LibGateway/StoreFollower.cpp
+++ b/Libraries/LibGateway/StoreFollower.cpp
@@ -4,6 +4,7 @@
 #include "LibCore/Log.h"
 #include "LibGateway/Backoff.h"
 #include "LibGateway/StoreClient.h"
+#include "LibNet/Task.h"
 #include "platform/Store.h"
 
 #include <fmt/format.h>
@@ -313,18 +314,21 @@
 StoreFollower::~StoreFollower() = default;
 
 auto StoreFollower::start() -> void {
-  spawnTask(Impl->Context,
-            [self = Impl] { return self->followConfiguration(); });
-  spawnTask(Impl->Context, [self = Impl] { return self->followServers(); });
-  spawnTask(Impl->Context, [self = Impl] { return self->followPeers(); });
+  spawnService(Impl->Context, "configuration-follower",
+               [self = Impl] { return self->followConfiguration(); });
+  spawnService(Impl->Context, "server-follower",
+               [self = Impl] { return self->followServers(); });
+  spawnService(Impl->Context, "peer-follower",
+               [self = Impl] { return self->followPeers(); });
 }
 
 auto StoreFollower::run(relay::ReadLease const & /*Effect*/) -> void {
-  spawnTask(Impl->Context, [self = Impl] { return self->readLease(); });
+  spawnTask(Impl->Context, "lease-reader",
+            [self = Impl] { return self->readLease(); });
 }
 
 auto StoreFollower::run(relay::WriteLease const &Effect) -> void {
-  spawnTask(Impl->Context,
+  spawnTask(Impl->Context, "lease-writer",
             [self = Impl, Effect] { return self->writeLease(Effect); });
 }
 
--- a/Libraries/LibInstance/BackendClient.cpp
+++ b/Libraries/LibInstance/BackendClient.cpp
@@ -2,6 +2,7 @@
 
 #include "LibCore/Error.h"
 #include "LibInstance/EventStream.h"
+#include "LibNet/Task.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -91,7 +92,7 @@
 auto BackendClient::run(ConnectAttempt const &Effect) -> void {
   auto active = std::make_shared<ActiveConnection>(Context.get_executor());
   Attempts[Effect.Attempt] = active;
-  spawnTask(Context, [this, Effect, active] {
+  spawnTask(Context, "backend-connect", [this, Effect, active] {
     return connect(Effect.Attempt, Effect.Address, active);
   });
 }
@@ -111,7 +112,7 @@
   auto it = Attempts.find(Effect.Attempt);
   if (it == Attempts.end())
     return Loop.feed(AttemptInterrupted{Effect.Attempt});
-  spawnTask(Context, [this, Effect, active = it->second] {
+  spawnTask(Context, "backend-send", [this, Effect, active = it->second] {
     return send(Effect, active);
   });
 }
@@ -192,7 +193,7 @@
 }
 
 auto BackendClient::run(PollEngine const &Effect) -> void {
-  spawnTask(Context,
+  spawnTask(Context, "backend-poll",
             [this, Effect] { return poll(Effect.Engine, Effect.Address); });
 }
 
@@ -221,9 +222,10 @@
   auto key = OrderKey{Effect.Shard, Effect.Engine, Effect.Order};
   auto active = std::make_shared<ActiveConnection>(Context.get_executor());
   Orders[key] = active;
-  spawnTask(Context, [this, key, address = Effect.Address, active] {
-    return connectOrder(key, address, active);
-  });
+  spawnTask(Context, "backend-connect-order",
+            [this, key, address = Effect.Address, active] {
+              return connectOrder(key, address, active);
+            });
 }
 
 auto BackendClient::connectOrder(OrderKey Key, std::string Address,
@@ -247,7 +249,7 @@
                                          Effect.Order, OrderResult::Lost});
   auto active = it->second;
   Orders.erase(it);
-  spawnTask(Context,
+  spawnTask(Context, "backend-send-order",
             [this, Effect, active] { return sendOrder(Effect, active); });
 }
 
@@ -273,7 +275,8 @@
 }
 
 auto BackendClient::run(RaiseFence const &Effect) -> void {
-  spawnTask(Context, [this, Effect] { return raiseFence(Effect); });
+  spawnTask(Context, "backend-raise-fence",
+            [this, Effect] { return raiseFence(Effect); });
 }
 
 auto BackendClient::raiseFence(RaiseFence Effect) -> Awaitable<void> {
--- a/Libraries/LibInstance/Instance.cpp
+++ b/Libraries/LibInstance/Instance.cpp
@@ -8,6 +8,7 @@
 #include "LibInstance/Metrics.h"
 #include "LibInstance/PeerMesh.h"
 #include "LibInstance/PlatformClient.h"
+#include "LibNet/Task.h"
 
 #include <fmt/format.h>
 #include <iterator>
@@ -196,8 +197,8 @@
   log(LogLevel::Info, "instance-started",
       {{"instance", Impl->Config.Instance.text()},
        {"run", fmt::format("{:016x}", Impl->Loop.state().Self.Run)}});
-  spawnTask(Impl->Context, [this] { return Impl->tick(); });
-  Impl->Context.run();
+  spawnService(Impl->Context, "ticker", [this] { return Impl->tick(); });
+  runEventLoop(Impl->Context);
 }
 
 } // namespace dotterel
--- a/Libraries/LibInstance/PlatformClient.cpp
+++ b/Libraries/LibInstance/PlatformClient.cpp
@@ -3,6 +3,7 @@
 #include "LibCore/Error.h"
 #include "LibCore/Log.h"
 #include "LibNet/HttpClient.h"
+#include "LibNet/Task.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -92,28 +93,32 @@
     : Context(Context), Address(std::move(Address)), Loop(Loop) {}
 
 auto PlatformClient::run(ReadShard const &Effect) -> void {
-  spawnTask(Context, [this, shard = Effect.Shard] { return readShard(shard); });
+  spawnTask(Context, "shard-reader",
+            [this, shard = Effect.Shard] { return readShard(shard); });
 }
 
 auto PlatformClient::run(WriteShard const &Effect) -> void {
-  spawnTask(Context, [this, Effect] { return writeShard(Effect); });
+  spawnTask(Context, "shard-writer",
+            [this, Effect] { return writeShard(Effect); });
 }
 
 auto PlatformClient::run(ReadClaim const &Effect) -> void {
-  spawnTask(Context, [this, Effect] { return readClaim(Effect); });
+  spawnTask(Context, "claim-reader",
+            [this, Effect] { return readClaim(Effect); });
 }
 
 auto PlatformClient::run(WriteClaim const &Effect) -> void {
-  spawnTask(Context, [this, Effect] { return writeClaim(Effect); });
+  spawnTask(Context, "claim-writer",
+            [this, Effect] { return writeClaim(Effect); });
 }
 
 auto PlatformClient::run(WatchConfiguration const &Effect) -> void {
-  spawnTask(Context,
+  spawnTask(Context, "configuration-watch",
             [this, after = Effect.After] { return watchConfiguration(after); });
 }
 
 auto PlatformClient::run(ListInstances const & /*Effect*/) -> void {
-  spawnTask(Context, [this] { return listInstances(); });
+  spawnTask(Context, "instance-lister", [this] { return listInstances(); });
 }
 
 auto PlatformClient::readShard(ShardName Shard) -> Awaitable<void> {
--- a/Libraries/LibNet/Asio.h
+++ b/Libraries/LibNet/Asio.h
@@ -7,7 +7,6 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -28,18 +27,6 @@
 
 template <typename T> using Awaitable = asio::awaitable<T>;
 
-/// Starts the coroutine \p Work on \p Context, detached. An exception that
-/// leaves it propagates out of the event loop and ends the process: each task
-/// has to handle its own errors.
-template <typename ContextType, typename Task>
-auto spawnTask(ContextType &&Context, Task &&Work) -> void {
-  asio::co_spawn(std::forward<ContextType>(Context), std::forward<Task>(Work),
-                 [](std::exception_ptr const &Exception) {
-                   if (Exception)
-                     std::rethrow_exception(Exception);
-                 });
-}
-
 /// Returns a completion token that stores the error in \p ec instead of
 /// throwing it.
 [[nodiscard]] inline auto useError(boost::system::error_code &ec) {
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "LibNet/HttpClient.h"
 
+#include "LibCore/Log.h"
 #include "LibNet/Endpoint.h"
 
 #include <array>
@@ -61,9 +62,14 @@
 
 auto HttpConnection::connect(std::string_view Address, Duration Timeout)
     -> Awaitable<bool> {
+  auto const endpoint = findEndpoint(Address);
+  if (!endpoint) {
+    log(LogLevel::Warning, "address-invalid", {{"address", Address}});
+    co_return false;
+  }
   auto ec = boost::system::error_code{};
   Impl->Stream.expires_after(Timeout);
-  co_await Impl->Stream.async_connect(parseEndpoint(Address), useError(ec));
+  co_await Impl->Stream.async_connect(*endpoint, useError(ec));
   if (ec)
     co_return false;
   Impl->Stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -61,8 +61,8 @@
   HttpConnection(HttpConnection const &) = delete;
   auto operator=(HttpConnection const &) -> HttpConnection & = delete;
 
-  /// Connects. Returns false if no connection could be made.
-  /// Errors: std::invalid_argument if \p Address is not "ip:port".
+  /// Connects. Returns false if no connection could be made, or, with a log
+  /// line, if \p Address is not "ip:port".
   auto connect(std::string_view Address, Duration Timeout) -> Awaitable<bool>;
 
   /// Limits the bodies of the responses that follow; larger ones are errors.
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include "LibCore/Log.h"
 #include "LibNet/Endpoint.h"
+#include "LibNet/Task.h"
 
 #include <sys/socket.h>
 
@@ -198,6 +199,18 @@
   std::shared_ptr<bool> IsWatched;
 };
 
+/// Counts a connection while it exists.
+class CountedConnection {
+public:
+  explicit CountedConnection(std::size_t &Count) : Count(Count) { ++Count; }
+  ~CountedConnection() { --Count; }
+  CountedConnection(CountedConnection const &) = delete;
+  auto operator=(CountedConnection const &) -> CountedConnection & = delete;
+
+private:
+  std::size_t &Count; // NOLINT: owned by the server
+};
+
 auto refusalCode(boost::system::error_code const &ec) -> ResultCode {
   if (ec == http::error::header_limit)
     return ResultCode::HeadersTooLarge;
@@ -234,12 +247,11 @@
         continue;
       }
       socket.set_option(tcp::no_delay(true), ec);
-      spawnTask(Acceptor.get_executor(),
+      spawnTask(Acceptor.get_executor(), "caller-connection",
                 [self, stream = std::make_shared<beast::tcp_stream>(
                            std::move(socket))]() -> Awaitable<void> {
-                  ++self->Connections;
+                  auto const counted = CountedConnection(self->Connections);
                   co_await self->serve(*stream);
-                  --self->Connections;
                 });
     }
   }
@@ -256,6 +268,8 @@
       }
     } catch (boost::system::system_error const &) {
       // The caller disconnected or stopped reading: close the connection.
+    } catch (std::exception const &error) {
+      log(LogLevel::Error, "request-failed", {{"error", error.what()}});
     }
     Stream.close();
   }
@@ -373,8 +387,8 @@
   Impl->Acceptor.set_option(tcp::acceptor::reuse_address(true));
   Impl->Acceptor.bind(Impl->Endpoint);
   Impl->Acceptor.listen();
-  spawnTask(Impl->Acceptor.get_executor(),
-            [self = Impl]() { return self->accept(); });
+  spawnService(Impl->Acceptor.get_executor(), "acceptor",
+               [self = Impl]() { return self->accept(); });
 }
 
 auto HttpServer::stop() -> void {
--- a/Libraries/LibTest/ScriptedServer.h
+++ b/Libraries/LibTest/ScriptedServer.h
@@ -5,6 +5,7 @@
 
 #include "LibNet/Asio.h"
 #include "LibNet/Endpoint.h"
+#include "LibNet/Task.h"
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
@@ -40,7 +41,7 @@
   /// Errors: boost::system::system_error if \p Address cannot be bound.
   ScriptedServer(std::string_view Address, Script Steps)
       : Steps(std::move(Steps)), Acceptor(Context, parseEndpoint(Address)) {
-    spawnTask(Context, [this] { return accept(); });
+    spawnTask(Context, "acceptor", [this] { return accept(); });
     Thread = std::thread([this] { Context.run(); });
   }
 
@@ -71,7 +72,7 @@
       auto socket = std::make_shared<asio::ip::tcp::socket>(
           co_await Acceptor.async_accept(asio::use_awaitable));
       auto lock = std::lock_guard(Mutex);
-      spawnTask(Context,
+      spawnTask(Context, "script",
                 [this, socket, steps = Steps] { return play(*socket, steps); });
     }
   }
--- a/Programs/load/Main.cpp
+++ b/Programs/load/Main.cpp
@@ -3,6 +3,7 @@
 /// instance or an engine and prints its measurements as one line of JSON.
 #include "LibInstance/EventStream.h"
 #include "LibNet/HttpClient.h"
+#include "LibNet/Task.h"
 #include "LibTest/Percentile.h"
 
 #include <algorithm>
@@ -53,7 +54,7 @@
 
   auto run(asio::io_context &Context) -> void {
     for (auto n = 0; n < Options.Streams; ++n)
-      spawnTask(Context, [this] { return runStream(); });
+      spawnTask(Context, "stream", [this] { return runStream(); });
   }
 
   [[nodiscard]] auto summary() -> std::string {
--- a/Programs/standin/Main.cpp
+++ b/Programs/standin/Main.cpp
@@ -3,6 +3,7 @@
 /// the platform (object API, instance list, weight store), a model engine and
 /// a plain service.
 #include "InstanceList.h"
+#include "LibNet/Task.h"
 #include "ModelEngine.h"
 #include "ObjectApi.h"
 #include "PlainService.h"
@@ -61,12 +62,12 @@
   auto context = asio::io_context{1};
   if (Kind == "platform") {
     auto platform = Platform(Options);
-    spawnTask(context, [&] { return platform.run(); });
+    spawnTask(context, "platform", [&] { return platform.run(); });
     return serve(context, Options, platform);
   }
   if (Kind == "engine") {
     auto engine = ModelEngine(Options);
-    spawnTask(context, [&] { return engine.run(); });
+    spawnTask(context, "engine", [&] { return engine.run(); });
     return serve(context, Options, engine);
   }
   auto service = PlainService(Options.Name);
--- a/Programs/standin/ModelEngine.cpp
+++ b/Programs/standin/ModelEngine.cpp
@@ -1,6 +1,7 @@
 #include "ModelEngine.h"
 
 #include "LibCore/Hash.h"
+#include "LibNet/Task.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -233,7 +234,7 @@
   ++OrdersAccepted;
   IsChanging = true;
   CurrentOrder = number;
-  spawnTask(co_await asio::this_coro::executor,
+  spawnTask(co_await asio::this_coro::executor, "engine-run",
             [this, body] { return change(body); });
   co_await respondJson(Exchange, 200, json::object());
 }
--- a/Tests/LibNet/TestHttpClient.cpp
+++ b/Tests/LibNet/TestHttpClient.cpp
@@ -1,4 +1,5 @@
 #include "LibNet/HttpClient.h"
+#include "LibNet/Task.h"
 #include "LibTest/ScriptedServer.h"
 
 #include <criterion/criterion.h>
@@ -37,7 +38,7 @@
   auto server = ScriptedServer(ServerAddress, std::move(Steps));
   auto context = asio::io_context{1};
   auto reception = Reception{};
-  spawnTask(context, [&] { return receive(reception); });
+  spawnTask(context, "reception", [&] { return receive(reception); });
   context.run();
   return reception;
 }
