platform, LibConfiguration: Read what stands beside an unreadable object

Pages and batches were parsed as a whole: a number that is too large, or bytes that are not UTF-8, in one entry made all others unreadable, and instances no longer followed the list (WatchedServerEntries..., ListedServerEntries..., BatchWithUnreadableEntriesIsRead failed). A route that cannot be read refuses its requests (503), and the others are served (RoutesCostThemselvesAlone failed). Ranges were not checked before: a negative revision, 1e300 slots.

--- a/Libraries/LibGateway/StoreClient.cpp
+++ b/Libraries/LibGateway/StoreClient.cpp
@@ -88,9 +88,15 @@
       asOf = page->AsOf;
     for (auto &it : page->Objects)
       Output.push_back(std::move(it));
-    if (!page->HasMore || page->Objects.empty())
+    if (!page->HasMore)
       co_return asOf;
-    after = Output.back().Name;
+    if (page->LastName <= after) {
+      // Without a name to continue from, the rest of the list is unknown.
+      log(LogLevel::Warning, "store-page-unreadable",
+          {{"kind", Kind}, {"after", after}, {"last", page->LastName}});
+      co_return std::nullopt;
+    }
+    after = page->LastName;
   }
 }
 
--- a/Libraries/LibRelay/RequestReducer.cpp
+++ b/Libraries/LibRelay/RequestReducer.cpp
@@ -81,8 +81,11 @@
     return refuse(ResultCode::InstanceLeaving, Duration{});
   auto const *route =
       CurrentState.Config->findRoute(content.Host, content.path());
-  if (route == nullptr || route->Services.empty())
+  if (route == nullptr)
     return refuse(ResultCode::UnknownPath, std::nullopt);
+  // The route could not be read.
+  if (route->Services.empty())
+    return refuse(ResultCode::NotConfigured, RetryAfterNoServer);
   auto const identity = identify(content);
   auto segments = sharedSegments(content);
   auto quarantine = QuarantineReducer(CurrentState, Output);
--- a/Libraries/LibRelay/ServerTable.cpp
+++ b/Libraries/LibRelay/ServerTable.cpp
@@ -1,8 +1,10 @@
 #include "LibRelay/ServerTable.h"
 
+#include "LibCore/Address.h"
 #include "LibCore/Hash.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <set>
 
 namespace dotterel::relay {
@@ -17,6 +19,11 @@
 constexpr auto MinimumRatio = 0.25;
 constexpr auto MaximumRatio = 8.0;
 
+/// Bounds on what an entry can say; far above any server.
+constexpr auto MaximumSlots = 1000000U;
+/// The year 2286, in milliseconds since the Unix epoch.
+constexpr auto LatestStart = std::uint64_t{10'000'000'000'000};
+
 /// Failures that two instances report within this time, a few report intervals,
 /// are attributed to the same cause.
 constexpr auto SuspicionWindow = Duration{1500ms};
@@ -42,6 +49,22 @@
   return static_cast<ServerKey>(hashText(Id, StartedAt));
 }
 
+auto findFault(ServerDescription const &Description) -> std::string {
+  if (!isName(Description.Id))
+    return "invalid id";
+  if (!isLabel(Description.Service))
+    return fmt::format("invalid service '{}'", Description.Service);
+  if (!isLabel(Description.Domain))
+    return fmt::format("invalid failure domain '{}'", Description.Domain);
+  if (!isAddress(Description.Address))
+    return fmt::format("invalid address '{}'", Description.Address);
+  if (Description.Slots == 0 || Description.Slots > MaximumSlots)
+    return fmt::format("{} slots", Description.Slots);
+  if (Description.StartedAt > LatestStart)
+    return fmt::format("started at {}", Description.StartedAt);
+  return {};
+}
+
 auto ServerLoad::add(ServerLoad const &Other) -> void {
   Requests += Other.Requests;
   PromptTokens += Other.PromptTokens;
--- a/Libraries/LibRelay/ServerTable.h
+++ b/Libraries/LibRelay/ServerTable.h
@@ -47,6 +47,11 @@
   [[nodiscard]] auto key() const -> ServerKey;
 };
 
+/// Returns why \p Description names no usable server, or an empty string. Other
+/// programs write descriptions, too. Thread safety: any thread.
+[[nodiscard]] auto findFault(ServerDescription const &Description)
+    -> std::string;
+
 /// Load of the requests in flight at a server.
 struct ServerLoad {
   /// Requests whose final response has not arrived.
--- a/Tests/LibGateway/TestOddInput.cpp
+++ b/Tests/LibGateway/TestOddInput.cpp
@@ -59,14 +59,12 @@
           fmt::format("\"{}\"", std::string(100000, 'x'))};
 }
 
-auto oddServers() -> std::vector<OddObject> {
+/// Returns entries of servers that cannot be used. All have a name.
+auto namedOddServers() -> std::vector<OddObject> {
   auto objects = std::vector<OddObject>{};
-  auto add = [&](std::string const &Text) {
-    auto name = fmt::format("odd-{}", objects.size());
-    objects.push_back({name, Text});
-  };
   auto addSpec = [&](std::string const &Spec) {
-    add(objectText(fmt::format("odd-{}", objects.size()), Spec));
+    auto name = fmt::format("odd-{}", objects.size());
+    objects.push_back({name, objectText(name, Spec)});
   };
   for (auto const *field : {"service", "address", "zone", "slots", "state"}) {
     addSpec(serverSpec(field, ""));
@@ -89,16 +87,28 @@
   for (auto const &it : oddValues())
     addSpec(it);
   addSpec(serverSpec("more", nested(100000)));
-  // Without a name or a revision of the right kind.
   for (auto const &it : oddValues()) {
-    auto spec = serverSpec("zone", R"("z1")");
+    auto name = fmt::format("odd-{}", objects.size());
+    objects.push_back(
+        {name, fmt::format(
+                   R"({{"metadata":{{"name":"{}","revision":{}}},"spec":{}}})",
+                   name, it, serverSpec("zone", R"("z1")"))});
+  }
+  return objects;
+}
+
+/// Returns the same and entries without a name.
+auto oddServers() -> std::vector<OddObject> {
+  auto objects = namedOddServers();
+  auto add = [&](std::string const &Text) {
+    objects.push_back({fmt::format("odd-{}", objects.size()), Text});
+  };
+  auto const spec = serverSpec("zone", R"("z1")");
+  for (auto const &it : oddValues()) {
+    add(it);
     add(fmt::format(R"({{"metadata":{},"spec":{}}})", it, spec));
     add(fmt::format(R"({{"metadata":{{"name":{},"revision":5}},"spec":{}}})",
                     it, spec));
-    add(fmt::format(
-        R"({{"metadata":{{"name":"n{}","revision":{}}},"spec":{}}})",
-        objects.size(), it, spec));
-    add(it);
   }
   return objects;
 }
@@ -153,14 +163,24 @@
 } // namespace
 
 Test(OddInput, ListedServerEntriesCostThemselvesAlone) {
-  for (auto pageSize : {std::size_t{500}, std::size_t{3}}) {
-    auto gateway = RunningGateway("", [&](FakePlatform &Platform) {
-      Platform.setPageSize(pageSize);
-      for (auto const &it : oddServers())
-        Platform.putObject("servers", it.Name, it.Text);
-    });
-    assertFollows(gateway);
-  }
+  auto gateway = RunningGateway("", [](FakePlatform &Platform) {
+    for (auto const &it : oddServers())
+      Platform.putObject("servers", it.Name, it.Text);
+  });
+  assertFollows(gateway);
+}
+
+// Whole pages consist of entries that cannot be read.
+Test(OddInput, PagesOfUnreadableEntriesDoNotEndTheList) {
+  auto gateway = RunningGateway("", [](FakePlatform &Platform) {
+    Platform.setPageSize(3);
+    for (auto const &it : namedOddServers())
+      Platform.putObject("servers", "a-" + it.Name, [&] {
+        auto text = it.Text;
+        return text.replace(text.find("odd-"), 4, "a-odd-");
+      }());
+  });
+  assertFollows(gateway);
 }
 
 Test(OddInput, WatchedServerEntriesCostThemselvesAlone) {
