LibRelay, LibGateway: Refuse datagrams and instance records that cannot be used

A datagram of 16 KB of nested arrays ended the process (the decoder recurses), and so did a report whose address of callers is not UTF-8, when callers asked which instances to use (DatagramsCostThemselvesAlone). A record with an invalid address ended the sending of reports (InstanceRecordsCostThemselvesAlone). The check of nesting that LibPeer had is now used for all datagrams; numbers are checked against their ranges, a weight that is not a number among them: sorting by it was undefined.

--- a/Libraries/LibGateway/PeerSocket.cpp
+++ b/Libraries/LibGateway/PeerSocket.cpp
@@ -2,6 +2,7 @@
 
 #include "LibCore/Log.h"
 #include "LibNet/Endpoint.h"
+#include "LibNet/Task.h"
 
 #include <array>
 #include <boost/asio/ip/udp.hpp>
@@ -15,9 +16,8 @@
 
 constexpr auto MaximumDatagramBytes = std::size_t{16384};
 
-auto toUdp(std::string_view Address) -> udp::endpoint {
-  auto endpoint = parseEndpoint(Address);
-  return {endpoint.address(), endpoint.port()};
+auto toUdp(asio::ip::tcp::endpoint const &Endpoint) -> udp::endpoint {
+  return {Endpoint.address(), Endpoint.port()};
 }
 
 } // namespace
@@ -25,7 +25,7 @@
 struct PeerSocket::Implementation {
   Implementation(asio::io_context &Context, std::string_view Address,
                  RelayLoop &Loop)
-      : Socket(Context), Local(toUdp(Address)), Loop(Loop) {}
+      : Socket(Context), Local(toUdp(parseEndpoint(Address))), Loop(Loop) {}
 
   auto receive() -> Awaitable<void> {
     auto buf = std::array<char, MaximumDatagramBytes>{};
@@ -49,6 +49,8 @@
   /// cannot be read.
   auto accept(std::string_view Bytes, std::string Address) -> bool {
     if (auto report = relay::decodePeerReport(Bytes)) {
+      if (!relay::checkPeerReport(*report))
+        return false;
       report->PeerAddress = std::move(Address);
       Loop.feed(relay::PeerReported{std::move(*report)});
       return true;
@@ -65,10 +67,13 @@
   }
 
   auto send(std::string_view Bytes, std::string_view Address) -> void {
+    auto const endpoint = findEndpoint(Address);
+    if (!endpoint)
+      return log(LogLevel::Warning, "address-invalid", {{"address", Address}});
     auto ec = boost::system::error_code{};
     // A datagram that cannot be sent now is like one that is lost: a later
     // report supersedes it, and a permit is asked for again.
-    Socket.send_to(asio::buffer(Bytes), toUdp(Address), 0, ec);
+    Socket.send_to(asio::buffer(Bytes), toUdp(*endpoint), 0, ec);
   }
 
   udp::socket Socket;
@@ -86,8 +91,8 @@
   Impl->Socket.open(udp::v4());
   Impl->Socket.bind(Impl->Local);
   Impl->Socket.non_blocking(true);
-  spawnTask(Impl->Socket.get_executor(),
-            [self = Impl.get()] { return self->receive(); });
+  spawnService(Impl->Socket.get_executor(), "datagram-receiver",
+               [self = Impl.get()] { return self->receive(); });
 }
 
 auto PeerSocket::run(relay::SendPeerReport const &Effect) -> void {
--- a/Libraries/LibPeer/Codec.cpp
+++ b/Libraries/LibPeer/Codec.cpp
@@ -1,5 +1,7 @@
 #include "LibPeer/Codec.h"
 
+#include "LibPeer/CborNesting.h"
+
 #include <nlohmann/json.hpp>
 
 namespace dotterel {
@@ -229,45 +231,6 @@
   return std::nullopt;
 }
 
-/// Rejects documents with objects or with more than MaximumDepth nested arrays,
-/// without building them. json::from_cbor recurses once per level, so deeper
-/// input could overflow the stack.
-class NestingCheck final : public nlohmann::json_sax<json> {
-public:
-  auto null() -> bool override { return true; }
-  auto boolean(bool /*Value*/) -> bool override { return true; }
-  auto number_integer(number_integer_t /*Value*/) -> bool override {
-    return true;
-  }
-  auto number_unsigned(number_unsigned_t /*Value*/) -> bool override {
-    return true;
-  }
-  auto number_float(number_float_t /*Value*/, string_t const & /*Text*/)
-      -> bool override {
-    return true;
-  }
-  auto string(string_t & /*Value*/) -> bool override { return true; }
-  auto binary(binary_t & /*Value*/) -> bool override { return true; }
-  auto start_object(std::size_t /*Count*/) -> bool override { return false; }
-  auto key(string_t & /*Name*/) -> bool override { return false; }
-  auto end_object() -> bool override { return false; }
-  auto start_array(std::size_t /*Count*/) -> bool override {
-    return ++Depth <= MaximumDepth;
-  }
-  auto end_array() -> bool override {
-    --Depth;
-    return true;
-  }
-  auto parse_error(std::size_t /*Position*/, std::string const & /*Token*/,
-                   json::exception const & /*Error*/) -> bool override {
-    return false;
-  }
-
-private:
-  static constexpr auto MaximumDepth = 8;
-  int Depth = 0;
-};
-
 } // namespace
 
 auto encodePeerMessage(PeerMessage const &Message)
@@ -277,8 +240,7 @@
 
 auto decodePeerMessage(std::span<std::uint8_t const> Bytes)
     -> std::optional<PeerMessage> {
-  auto nestingCheck = NestingCheck{};
-  if (!json::sax_parse(Bytes, &nestingCheck, json::input_format_t::cbor))
+  if (!isFlatCbor(Bytes))
     return std::nullopt;
   try {
     auto elements = json::from_cbor(Bytes);
--- a/Libraries/LibRelay/Peers.cpp
+++ b/Libraries/LibRelay/Peers.cpp
@@ -1,6 +1,10 @@
 #include "LibRelay/Peers.h"
 
+#include "LibConfiguration/JsonNumber.h"
+#include "LibCore/Address.h"
 #include "LibCore/Hash.h"
+#include "LibCore/Log.h"
+#include "LibPeer/CborNesting.h"
 
 #include <algorithm>
 #include <cmath>
@@ -27,6 +31,26 @@
 /// may be lost, and a peer that hears of no other instance issues permits.
 constexpr auto FirstReports = std::uint64_t{5};
 
+/// Bounds on what a report can say; far above any deployment.
+constexpr auto MaximumLoadRequests = std::uint32_t{1'000'000};
+constexpr auto MaximumTokens = std::uint64_t{1} << 40U;
+constexpr auto MaximumWeight = 1e6;
+constexpr auto MaximumAge = std::chrono::milliseconds{24h * 30};
+/// Largest number that StoreVersion::packed returns.
+constexpr auto MaximumPackedVersion = (std::uint64_t{1} << 53U) - 1;
+
+template <typename T> auto readList(json const &Source) -> std::vector<T> {
+  auto values = std::vector<T>{};
+  for (auto const &it : Source)
+    values.push_back(readNumber<T>(it));
+  return values;
+}
+
+auto readAge(json const &Source) -> Duration {
+  return std::chrono::milliseconds(
+      readNumber<std::int64_t>(Source, 0, MaximumAge.count()));
+}
+
 auto encodeQuarantine(QuarantineReport const &Report) -> json {
   auto interrupted = json::array();
   for (auto const &it : Report.Interrupted)
@@ -59,29 +83,27 @@
   auto report = QuarantineReport{};
   for (auto const &it : Source.at(0)) {
     auto interrupted = InterruptedRequest{};
-    interrupted.Server = it.at(0).get<ServerKey>();
-    interrupted.Identity.Content = it.at(1).get<SuspectKey>();
-    interrupted.Segments = it.at(2).get<std::vector<SuspectKey>>();
+    interrupted.Server = readNumber<ServerKey>(it.at(0));
+    interrupted.Identity.Content = readNumber<std::uint64_t>(it.at(1));
+    interrupted.Segments = readList<SuspectKey>(it.at(2));
     constexpr auto FirstFormatFields = std::size_t{3};
     if (it.size() > FirstFormatFields) {
-      interrupted.Identity.Caller = it.at(3).get<SuspectKey>();
-      interrupted.Identity.Fields = it.at(4).get<SuspectKey>();
-      interrupted.Identity.Exact = it.at(5).get<SuspectKey>();
-      interrupted.Identity.CallerPath = it.at(6).get<SuspectKey>();
-      interrupted.Identity.Path = it.at(7).get<SuspectKey>();
-      interrupted.Age =
-          std::chrono::milliseconds(it.at(8).get<std::uint32_t>());
+      interrupted.Identity.Caller = readNumber<std::uint64_t>(it.at(3));
+      interrupted.Identity.Fields = readNumber<std::uint64_t>(it.at(4));
+      interrupted.Identity.Exact = readNumber<std::uint64_t>(it.at(5));
+      interrupted.Identity.CallerPath = readNumber<std::uint64_t>(it.at(6));
+      interrupted.Identity.Path = readNumber<std::uint64_t>(it.at(7));
+      interrupted.Age = readAge(it.at(8));
     }
     report.Interrupted.push_back(std::move(interrupted));
   }
   auto const &cleared = Source.at(1);
   for (auto n = std::size_t{0}; n + 1 < cleared.size(); n += 2)
     report.Cleared.push_back(
-        {cleared[n].get<SuspectKey>(),
-         std::chrono::milliseconds(cleared[n + 1].get<std::uint32_t>())});
+        {readNumber<std::uint64_t>(cleared[n]), readAge(cleared[n + 1])});
   for (auto const &it : Source.at(2))
     report.Quarantined.push_back(
-        {{it.get<SuspectKey>(), SuspectKind::Segment}, Duration{}});
+        {{readNumber<std::uint64_t>(it), SuspectKind::Segment}, Duration{}});
   constexpr auto RequestsIndex = std::size_t{3};
   if (Source.size() <= RequestsIndex)
     return report;
@@ -91,8 +113,8 @@
                           ? SuspectKind::AmbiguousRequest
                           : SuspectKind::Request;
     report.Quarantined.push_back(
-        {{requests[n].get<SuspectKey>(), kind},
-         std::chrono::milliseconds(requests[n + 2].get<std::uint32_t>())});
+        {{readNumber<std::uint64_t>(requests[n]), kind},
+         readAge(requests[n + 2])});
   }
   return report;
 }
@@ -111,13 +133,12 @@
   auto limits = std::vector<LimitReport>{};
   for (auto n = std::size_t{0}; n + 2 < Source.size(); n += 3) {
     auto limit = LimitReport{};
-    limit.Server = Source[n].get<ServerKey>();
+    limit.Server = readNumber<ServerKey>(Source[n]);
     if (!Source[n + 1].is_null())
-      limit.PerSecond = Source[n + 1].get<double>();
-    limit.Age = std::chrono::milliseconds(Source[n + 2].get<std::uint32_t>());
-    // Written so that a value that is not a number is dropped.
-    if (!limit.PerSecond || *limit.PerSecond >= 0)
-      limits.push_back(limit);
+      limit.PerSecond =
+          readNumber(Source[n + 1], 0.0, std::numeric_limits<double>::max());
+    limit.Age = readAge(Source[n + 2]);
+    limits.push_back(limit);
   }
   return limits;
 }
@@ -147,9 +168,9 @@
   if (Loads.empty() || !Loads.back().is_array())
     return;
   auto const &fields = Loads.back();
-  Report.Leaving = fields.at(0).get<std::vector<ServerKey>>();
-  Report.ConfigurationVersion = fields.at(1).get<std::uint64_t>();
-  Report.ConfigurationEra = fields.at(2).get<std::uint64_t>();
+  Report.Leaving = readList<ServerKey>(fields.at(0));
+  Report.ConfigurationVersion = readNumber<std::uint64_t>(fields.at(1));
+  Report.ConfigurationEra = readNumber<std::uint64_t>(fields.at(2));
   constexpr auto QuarantineIndex = std::size_t{3};
   if (fields.size() > QuarantineIndex)
     Report.Quarantine = decodeQuarantine(fields[QuarantineIndex]);
@@ -177,15 +198,20 @@
   return demands;
 }
 
+auto readTokenRate(json const &Source) -> double {
+  return readNumber(Source, 0.0, static_cast<double>(MaximumTokens));
+}
+
 auto decodeDemands(json const &Source, PeerReport &Report) -> void {
   for (auto n = std::size_t{0}; n + 2 < Source.size(); n += 3)
     Report.Demands.push_back(
-        {Source[n].get<std::uint64_t>(),
-         {Source[n + 1].get<double>(), Source[n + 2].get<double>()}});
+        {readNumber<std::uint64_t>(Source[n]),
+         {readTokenRate(Source[n + 1]), readTokenRate(Source[n + 2])}});
 }
 
 auto decodeVersion(json const &Source) -> StoreVersion {
-  return StoreVersion::unpacked(Source.get<std::uint64_t>());
+  return StoreVersion::unpacked(
+      readNumber<std::uint64_t>(Source, 0, MaximumPackedVersion));
 }
 
 auto encodeUpdate(ServerUpdate const &Update) -> json {
@@ -209,10 +235,11 @@
   server.Service = Source.at(2).get<std::string>();
   server.Address = Source.at(3).get<std::string>();
   server.Domain = Source.at(4).get<std::string>();
-  server.Slots = Source.at(5).get<std::uint32_t>();
+  server.Slots = readNumber<std::uint32_t>(Source.at(5));
   server.IsDraining = Source.at(6).get<bool>();
-  server.Stage = static_cast<EngineStage>(Source.at(7).get<std::uint8_t>());
-  server.StartedAt = Source.at(8).get<std::uint64_t>();
+  server.Stage = static_cast<EngineStage>(readNumber<std::uint8_t>(
+      Source.at(7), 0, static_cast<std::uint8_t>(EngineStage::Decode)));
+  server.StartedAt = readNumber<std::uint64_t>(Source.at(8));
   return update;
 }
 
@@ -231,7 +258,7 @@
   if (Source.is_null())
     return std::nullopt;
   auto watch = WatchReport{};
-  watch.Age = std::chrono::milliseconds(Source.at(0).get<std::int64_t>());
+  watch.Age = readAge(Source.at(0));
   watch.Configuration = decodeVersion(Source.at(1));
   watch.Base = decodeVersion(Source.at(2));
   watch.AsOf = decodeVersion(Source.at(3));
@@ -259,39 +286,63 @@
 auto decodePeerReport(std::string_view Bytes) -> std::optional<PeerReport> {
   try {
     // The library throws on an excessive length even if told not to.
+    if (!isFlatCbor(asBytes(Bytes)))
+      return std::nullopt;
     auto document = json::from_cbor(Bytes);
     if (!document.is_array() || document.size() != ReportFieldCount)
       return std::nullopt;
     auto report = PeerReport{};
     report.Instance = document[0].get<std::string>();
-    report.Incarnation = document[1].get<std::uint64_t>();
-    report.SequenceNumber = document[2].get<std::uint64_t>();
+    report.Incarnation = readNumber<std::uint64_t>(document[1]);
+    report.SequenceNumber = readNumber<std::uint64_t>(document[2]);
     report.CallerAddress = document[3].get<std::string>();
     report.IsFull = document[4].get<bool>();
     report.IsReady = document[5].get<bool>();
     report.IsLeaving = document[6].get<bool>();
-    report.Weight = document[7].get<double>();
+    report.Weight = readNumber(document[7], 0.0, MaximumWeight);
     auto const &loads = document[8];
     for (auto n = std::size_t{0}; n + 2 < loads.size(); n += 3)
-      report.Loads.push_back({loads[n].get<ServerKey>(),
-                              {loads[n + 1].get<std::uint32_t>(),
-                               loads[n + 2].get<std::uint64_t>()}});
+      report.Loads.push_back(
+          {readNumber<ServerKey>(loads[n]),
+           {readNumber<std::uint32_t>(loads[n + 1], 0, MaximumLoadRequests),
+            readNumber<std::uint64_t>(loads[n + 2], 0, MaximumTokens)}});
     auto const &prefixes = document[9];
     for (auto n = std::size_t{0}; n + 1 < prefixes.size(); n += 2)
-      report.Prefixes.push_back(
-          {prefixes[n].get<std::uint64_t>(), prefixes[n + 1].get<ServerKey>()});
+      report.Prefixes.push_back({readNumber<std::uint64_t>(prefixes[n]),
+                                 readNumber<ServerKey>(prefixes[n + 1])});
     decodeDemands(document[10], report);
-    report.Changing = document[11].get<std::vector<ServerKey>>();
+    report.Changing = readList<ServerKey>(document[11]);
     report.Watch = decodeWatch(document[12]);
-    report.Unreachable = document[13].get<std::vector<ServerKey>>();
+    report.Unreachable = readList<ServerKey>(document[13]);
     decodeExtension(loads, report);
     return report;
   } catch (json::exception const &) {
     // Not a valid report; the function's caller counts and logs it.
     return std::nullopt;
+  } catch (std::invalid_argument const &) {
+    return std::nullopt;
   }
 }
 
+auto checkPeerReport(PeerReport &Report) -> bool {
+  // Partial reports contain no address.
+  if (Report.IsFull && !isAddress(Report.CallerAddress))
+    return false;
+  if (!Report.Watch)
+    return true;
+  for (auto &it : Report.Watch->Updates) {
+    if (!it.Description)
+      continue;
+    auto const reason = findFault(*it.Description);
+    if (reason.empty())
+      continue;
+    log(LogLevel::Warning, "server-update-unreadable",
+        {{"server", it.Id}, {"error", reason}});
+    it.Description.reset();
+  }
+  return true;
+}
+
 auto PeerTable::discover(PeerRecord const &Record, Instant Now) -> void {
   auto &peer = Peers[Record.PeerAddress];
   peer.PeerAddress = Record.PeerAddress;
--- a/Libraries/LibRelay/Peers.h
+++ b/Libraries/LibRelay/Peers.h
@@ -78,6 +78,11 @@
 
 [[nodiscard]] auto encodePeerReport(PeerReport const &Report) -> std::string;
 
+/// Drops the updates of servers that cannot be used, with log lines: instances
+/// of earlier versions pass on what they read. Returns false if \p Report
+/// cannot be used at all. Thread safety: as log.
+[[nodiscard]] auto checkPeerReport(PeerReport &Report) -> bool;
+
 /// Returns std::nullopt if \p Bytes is not a valid report.
 [[nodiscard]] auto decodePeerReport(std::string_view Bytes)
     -> std::optional<PeerReport>;
--- a/Libraries/LibRelay/PermitMessage.cpp
+++ b/Libraries/LibRelay/PermitMessage.cpp
@@ -1,6 +1,8 @@
 #include "LibRelay/PermitMessage.h"
 
-#include <cmath>
+#include "LibConfiguration/JsonNumber.h"
+#include "LibPeer/CborNesting.h"
+
 #include <nlohmann/json.hpp>
 
 namespace dotterel::relay {
@@ -22,10 +24,10 @@
 
 template <typename T> auto decodeHeader(json const &Source) -> T {
   auto message = T{};
-  message.Server = Source[1].get<ServerKey>();
-  message.Attempt.Request = Source[2].get<RequestNumber>();
-  message.Attempt.Number = Source[3].get<std::uint32_t>();
-  message.Incarnation = Source[4].get<std::uint64_t>();
+  message.Server = readNumber<ServerKey>(Source[1]);
+  message.Attempt.Request = readNumber<RequestNumber>(Source[2]);
+  message.Attempt.Number = readNumber<std::uint32_t>(Source[3]);
+  message.Incarnation = readNumber<std::uint64_t>(Source[4]);
   return message;
 }
 
@@ -44,7 +46,7 @@
 }
 
 auto decodeMilliseconds(json const &Source) -> Duration {
-  return std::chrono::milliseconds(Source.get<std::uint32_t>());
+  return std::chrono::milliseconds(readNumber<std::uint32_t>(Source));
 }
 
 } // namespace
@@ -61,16 +63,16 @@
 auto decodePermitMessage(std::string_view Bytes)
     -> std::optional<PermitMessage> {
   try {
+    if (!isFlatCbor(asBytes(Bytes)))
+      return std::nullopt;
     auto document = json::from_cbor(Bytes);
     if (!document.is_array() || document.size() != FieldCount)
       return std::nullopt;
-    auto kind = document[0].get<int>();
+    auto kind = readNumber<int>(document[0]);
     if (kind == RequestKind) {
       auto request = decodeHeader<PermitRequest>(document);
-      request.PerSecond = document[5].get<double>();
+      request.PerSecond = readNumber<double>(document[5]);
       request.Age = decodeMilliseconds(document[6]);
-      if (!std::isfinite(request.PerSecond) || request.PerSecond < 0)
-        return std::nullopt;
       return request;
     }
     if (kind != ResponseKind)
@@ -82,6 +84,8 @@
   } catch (json::exception const &) {
     // Not a valid message; the function's caller counts and logs it.
     return std::nullopt;
+  } catch (std::invalid_argument const &) {
+    return std::nullopt;
   }
 }
 
