LibRelay: Do not take an error of the next server for a part of a stream

Callers of a resumed stream found the error of the next server in the middle of it, and the stream complete: a success whose body is no event stream, or events without ids, was passed on; the head of an error written into a body was an event. The type of what continues a stream is now checked, each line of an event must be a field, and the first event that continues a stream must have an id. Otherwise the attempt has failed.

A stream whose ids begin with 0 lost its first event, as 0 stood for no event; the id is now optional, and Last-Event-Id: 0 is forwarded (StreamWhoseIdsBeginWithZeroIsComplete failed).

--- a/Libraries/LibGateway/ServerClient.cpp
+++ b/Libraries/LibGateway/ServerClient.cpp
@@ -209,7 +209,7 @@
           relay::AttemptInterrupted{Effect.Attempt, "no response"});
     auto response = platform::readResponse(*connection, status);
     if (Effect.IsStream && status == StatusOk && !response.IsNotExecuted)
-      co_return co_await readStream(Effect.Attempt, Target, std::move(response),
+      co_return co_await readStream(Effect, Target, std::move(response),
                                     canReuse);
     co_await readBody(Effect, Target, std::move(response), canReuse);
   }
@@ -242,12 +242,12 @@
            relay::AttemptResponded{Effect.Attempt, std::move(Response)});
   }
 
-  auto readStream(AttemptId Attempt, ActiveAttemptPointer Target,
+  auto readStream(relay::SendAttempt const &Effect, ActiveAttemptPointer Target,
                   relay::ServerResponse Header, bool CanReuse)
       -> Awaitable<void> {
     auto connection = Target->Connection;
-    Loop.feed(relay::AttemptStreamStarted{Attempt, std::move(Header)});
-    auto framer = relay::EventFramer{};
+    Loop.feed(relay::AttemptStreamStarted{attempt, std::move(Header)});
+    auto framer = relay::EventFramer(Effect.Parameters.LastEventId.has_value());
     auto bytes = std::string{};
     while (co_await connection->readSome(bytes, ExchangeTimeout)) {
       if (Target->IsCancelled)
@@ -255,18 +255,21 @@
       auto events = framer.add(bytes);
       bytes.clear();
       if (!events.empty())
-        Loop.feed(relay::AttemptEventsReceived{Attempt, std::move(events)});
+        Loop.feed(relay::AttemptEventsReceived{attempt, std::move(events)});
+      if (framer.isBroken())
+        co_return finish(attempt, Target, false,
+                         relay::AttemptInterrupted{attempt, "no event"});
       if (framer.isOverlong())
-        co_return finish(Attempt, Target, false,
-                         relay::AttemptInterrupted{Attempt, "event too long"});
+        co_return finish(attempt, Target, false,
+                         relay::AttemptInterrupted{attempt, "event too long"});
     }
     if (Target->IsCancelled)
       co_return;
     if (!connection->isComplete())
-      co_return finish(Attempt, Target, false,
-                       relay::AttemptInterrupted{Attempt, "stream truncated"});
-    finish(Attempt, Target, CanReuse,
-           relay::AttemptStreamEnded{Attempt, framer.remainder()});
+      co_return finish(attempt, Target, false,
+                       relay::AttemptInterrupted{attempt, "stream truncated"});
+    finish(attempt, Target, CanReuse,
+           relay::AttemptStreamEnded{attempt, framer.remainder()});
   }
 
   auto finish(AttemptId Attempt, ActiveAttemptPointer const &Target,
@@ -277,6 +280,7 @@
     if (CanReuse)
       release(Attempt, *Target);
     else
+    auto const attempt = Effect.Attempt;
       Target->Connection->close();
     Loop.feed(std::move(Event));
   }
--- a/Libraries/LibRelay/AttemptReducer.cpp
+++ b/Libraries/LibRelay/AttemptReducer.cpp
@@ -7,6 +7,7 @@
 #include "LibRelay/ServerListReducer.h"
 
 #include <algorithm>
+#include <cctype>
 
 namespace dotterel::relay {
 
@@ -22,6 +23,8 @@
 /// with less time is unlikely to succeed.
 constexpr auto MinimumRetryTimeShare = 0.2;
 constexpr auto FirstErrorStatus = 500U;
+constexpr auto ContentTypeField = std::string_view{"Content-Type"};
+constexpr auto EventStreamType = std::string_view{"text/event-stream"};
 /// Status of the response to a prefill that a server accepted.
 constexpr auto PrefilledStatus = 200U;
 
@@ -41,6 +44,22 @@
   return text.empty() ? "-" : text;
 }
 
+/// Returns whether \p Text begins with \p Prefix in any case.
+auto startsWith(std::string_view Text, std::string_view Prefix) -> bool {
+  auto toLower = [](unsigned char it) { return std::tolower(it); };
+  return std::ranges::equal(Text.substr(0, Prefix.size()), Prefix, {}, toLower,
+                            toLower);
+}
+
+/// Returns whether \p Header begins events, which is assumed without a type.
+auto isEventStream(ServerResponse const &Header) -> bool {
+  auto it = std::ranges::find_if(Header.Fields, [](HttpField const &Field) {
+    return Field.Name.size() == ContentTypeField.size() &&
+           startsWith(Field.Name, ContentTypeField);
+  });
+  return it == Header.Fields.end() || startsWith(it->Value, EventStreamType);
+}
+
 /// Returns why a stream that its server ended is not complete, or an empty view
 /// if it is.
 auto describeTruncation(Attempt const &Target, std::string_view Remainder)
@@ -348,6 +367,11 @@
   if (request == nullptr)
     return;
   observeNotice(*request, Event.Header.Status, Event.Header.Notice);
+  if (request->HasHeader && !isEventStream(Event.Header)) {
+    emit(CancelAttempt{Event.Attempt});
+    return handleInterruption(Event.Attempt, *request,
+                              "stream continued by another type of content");
+  }
   request->CurrentAttempt->Framing = Event.Header.Framing;
   // The header is forwarded with the first event; until then another server may
   // still serve the request.
@@ -382,7 +406,7 @@
   auto bytes = std::string{};
   for (auto const &it : Event.Events) {
     // A server that resumes a stream may repeat events that the caller has.
-    if (it.HasId && it.Id <= request->LastEventId)
+    if (it.HasId && request->LastEventId && it.Id <= *request->LastEventId)
       continue;
     if (it.HasId)
       request->LastEventId = it.Id;
@@ -402,7 +426,7 @@
   log(LogLevel::Info, "stream-ended",
       "id={} attempt={} server={} framing={} remainder_bytes={} last_event={}",
       quoteLogValue(request->Content->Id), attempt.Number, attempt.Server,
-      framing, Event.Remainder.size(), request->LastEventId);
+      framing, Event.Remainder.size(), describeId(request->LastEventId));
   emit(IncrementCounter{CounterMetric::StreamEnds, request->MatchedRoute->Name,
                         std::string(framing)});
   auto truncation = describeTruncation(attempt, Event.Remainder);
--- a/Libraries/LibRelay/Effect.h
+++ b/Libraries/LibRelay/Effect.h
@@ -31,7 +31,8 @@
   std::string PrefillHandle;
   /// Address of a server to copy the cached prefix from.
   std::string CacheSource;
-  std::uint64_t LastEventId = 0;
+  /// Id of the last event that the caller has, if any.
+  std::optional<std::uint64_t> LastEventId;
   /// Rank in the server's queue; see queueRank.
   std::optional<std::uint32_t> QueueRank;
 };
--- a/Libraries/LibRelay/Request.h
+++ b/Libraries/LibRelay/Request.h
@@ -42,7 +42,7 @@
   std::uint32_t OutputTokens = 0;
   std::vector<PromptSegment> PromptSegments;
   /// Id of the last event of the stream that the caller already has.
-  std::uint64_t LastEventId = 0;
+  std::optional<std::uint64_t> LastEventId;
 
   [[nodiscard]] auto path() const -> std::string_view {
     return std::string_view(Target).substr(0, Target.find('?'));
--- a/Libraries/LibRelay/RequestReducer.cpp
+++ b/Libraries/LibRelay/RequestReducer.cpp
@@ -380,7 +380,7 @@
       quoteLogValue(request.Content->Id), describe(Code).Name, Status,
       request.MatchedRoute->Name, request.AttemptsMade,
       attempt == nullptr ? "-" : attempt->Server, request.MayHaveRun,
-      request.LastEventId, toMilliseconds(request.TimeToFirstPart),
+      describeId(request.LastEventId), toMilliseconds(request.TimeToFirstPart),
       toMilliseconds(request.LongestPause),
       milliseconds(now() - request.ArrivedAt),
       milliseconds(request.Deadline - now()));
--- a/Libraries/LibRelay/State.h
+++ b/Libraries/LibRelay/State.h
@@ -128,7 +128,8 @@
   std::uint32_t RetryCredit = 0;
   bool MayHaveRun = false;
   bool HasHeader = false;
-  std::uint64_t LastEventId = 0;
+  /// Id of the last event that the caller has, if any. Ids may begin with 0.
+  std::optional<std::uint64_t> LastEventId;
   /// Time to the first part of the response, and the longest pause after it.
   Duration TimeToFirstPart{};
   Duration LongestPause{};
--- a/Tests/LibGateway/RunningGateway.cpp
+++ b/Tests/LibGateway/RunningGateway.cpp
@@ -1,5 +1,6 @@
 #include "LibGateway/RunningGateway.h"
 
+#include <algorithm>
 #include <csignal>
 #include <fmt/format.h>
 
@@ -42,7 +43,7 @@
       R"({{"instance":"i0","failureDomain":"z1","host":"127.0.0.1",
              "callerAddress":"{}","readinessAddress":"{}",
              "directoryAddress":"{}","peerPort":{},"storeAddress":"{}",
-             "metricsPort":{},"logLevel":"error"}})",
+             "metricsPort":{},"retrySlack":10000,"logLevel":"error"}})",
       address(CallerPort), address(ReadyPort), address(DirectoryPort), PeerPort,
       Platform.storeAddress(), MetricsPort);
   TestedGateway.emplace(GatewaySettings::parse(text), "unused");
@@ -65,7 +66,8 @@
                              std::vector<HttpField> Fields,
                              std::string_view Body) -> HttpResult {
   Fields.push_back({"Host", "h.example"});
-  Fields.push_back({"Attempt-Id", "9c41"});
+  if (std::ranges::find(Fields, "Attempt-Id", &HttpField::Name) == Fields.end())
+    Fields.push_back({"Attempt-Id", "9c41"});
   return call(CallerPort,
               {"POST", "/" + Route + "/x?q=1", "", std::move(Fields), Body});
 }
--- a/Tests/LibGateway/RunningGateway.h
+++ b/Tests/LibGateway/RunningGateway.h
@@ -47,7 +47,7 @@
   /// Sends SIGTERM to this process and waits until the gateway has stopped.
   auto stop() -> void;
 
-  /// Sends a request with id 9c41 on \p Route.
+  /// Sends a request on \p Route, with id 9c41 unless \p Fields have one.
   auto request(std::string const &Route, std::vector<HttpField> Fields = {},
                std::string_view Body = "body") -> HttpResult;
 
