LibGateway: Do not take a second copy of a refusal for a response

A faulty server wrote an earlier refusal once more on a kept connection. Copies with another id were skipped already. Taken for the response were a copy without an id, and one with the id of this request: of its own first attempt, or of the caller's. The caller was told that the request had not run while the server ran it, and a retry would have run it again. Now a response without an id is used on a new connection only, which is then not kept; and a connection that carried a request is not used for that id again.

--- a/Libraries/LibGateway/ServerClient.cpp
+++ b/Libraries/LibGateway/ServerClient.cpp
@@ -28,6 +28,8 @@
 constexpr auto MaximumControlBytes = std::size_t{1} << 20U;
 /// Maximum number of responses to other requests before the expected one.
 constexpr auto MaximumSkippedResponses = 4;
+/// Requests that a connection remembers.
+constexpr auto MaximumHistory = std::size_t{64};
 /// Idle connections are closed this long before the server closes them, or
 /// after DefaultIdleTimeout if the server does not announce a time-out.
 constexpr auto IdleMargin = Duration{700ms};
@@ -61,9 +63,13 @@
 
   using ConnectionPointer = std::shared_ptr<HttpConnection>;
 
+  /// Hashes of the last requests on a connection, the latest last.
+  using RequestHistory = std::vector<std::uint64_t>;
+
   struct IdleConnection {
     ConnectionPointer Connection;
     Instant ExpiresAt;
+    RequestHistory History;
   };
 
   /// Idle connections to one address, the most recently used last.
@@ -76,24 +82,34 @@
     ConnectionPointer Connection;
     std::string Address;
     std::uint32_t IdleLimit = 1;
+    std::uint64_t RequestHash = 0;
+    /// Requests on the connection before this one.
+    RequestHistory History;
     bool IsCancelled = false;
   };
   using ActiveAttemptPointer = std::shared_ptr<ActiveAttempt>;
 
-  auto takeIdle(std::string const &Address) -> ConnectionPointer {
-    auto it = Pools.find(Address);
-    if (it == Pools.end())
-      return nullptr;
-    auto &kept = it->second.Connections;
-    while (!kept.empty()) {
-      auto idle = std::move(kept.back());
-      kept.pop_back();
+  /// Takes an idle connection for \p Target. Returns false if there is none.
+  auto takeIdle(ActiveAttempt &Target) -> bool {
+    auto pool = Pools.find(Target.Address);
+    if (pool == Pools.end())
+      return false;
+    auto &kept = pool->second.Connections;
+    for (auto n = kept.size(); n-- > 0;) {
+      auto const &history = kept[n].History;
+      if (std::ranges::find(history, Target.RequestHash) != history.end())
+        continue;
+      auto idle = std::move(kept[n]);
+      kept.erase(kept.begin() + static_cast<std::ptrdiff_t>(n));
       if (std::chrono::steady_clock::now() < idle.ExpiresAt &&
-          idle.Connection->isIdle())
-        return idle.Connection;
+          idle.Connection->isIdle()) {
+        Target.Connection = std::move(idle.Connection);
+        Target.History = std::move(idle.History);
+        return true;
+      }
       idle.Connection->close();
     }
-    return nullptr;
+    return false;
   }
 
   auto release(AttemptId Attempt, ActiveAttempt const &Target) -> void {
@@ -103,14 +119,17 @@
         kept.size() >= Target.IdleLimit)
       return connection.close();
     auto idleUntil = std::chrono::steady_clock::now() + idleTimeout(connection);
-    kept.push_back({Target.Connection, idleUntil});
+    auto history = Target.History;
+    if (history.size() >= MaximumHistory)
+      history.erase(history.begin());
+    history.push_back(Target.RequestHash);
+    kept.push_back({Target.Connection, idleUntil, std::move(history)});
     Loop.feed(relay::ConnectionReleased{Attempt, idleUntil});
   }
 
   auto connect(AttemptId Attempt, ActiveAttemptPointer Target)
       -> Awaitable<void> {
-    if (auto idle = takeIdle(Target->Address)) {
-      Target->Connection = std::move(idle);
+    if (takeIdle(*Target)) {
       Loop.feed(relay::AttemptConnected{Attempt});
       co_return;
     }
@@ -132,18 +151,31 @@
   /// belong to earlier requests, after which the connection cannot be reused.
   /// Returns the status, or 0 on errors.
   static auto readHeader(relay::SendAttempt const &Effect,
-                         HttpConnection &Connection, bool &CanReuse)
+                         ActiveAttempt const &Target, bool &CanReuse)
       -> Awaitable<unsigned> {
+    auto &connection = *Target.Connection;
     for (auto n = 0; n <= MaximumSkippedResponses; ++n) {
-      auto status = co_await Connection.readHeader(ExchangeTimeout);
-      if (status == 0 || platform::isResponseTo(Connection, Effect.Content->Id))
+      auto status = co_await connection.readHeader(ExchangeTimeout);
+      if (status == 0)
+        co_return 0;
+      auto const owner = platform::findOwner(connection, Effect.Content->Id);
+      if (owner == platform::ResponseOwner::ThisRequest)
         co_return status;
+      if (owner == platform::ResponseOwner::Unknown) {
+        CanReuse = false;
+        if (Target.History.empty())
+          co_return status;
+        // It may be a second copy of an earlier response.
+        log(LogLevel::Warning, "response-without-owner",
+            {{"id", Effect.Content->Id}, {"status", status}});
+        co_return 0;
+      }
       log(LogLevel::Warning, "response-of-another-request",
           {{"id", Effect.Content->Id}, {"status", status}});
       CanReuse = false;
-      if (!co_await skipBody(Connection))
+      if (!co_await skipBody(connection))
         co_return 0;
-      Connection.expectResponse();
+      connection.expectResponse();
     }
     co_return 0;
   }
@@ -200,7 +232,7 @@
     auto canReuse = true;
     // A server may respond and close before it has read the complete request.
     (void)co_await connection->send(request, ExchangeTimeout);
-    auto status = co_await readHeader(Effect, *connection, canReuse);
+    auto status = co_await readHeader(Effect, *Target, canReuse);
     if (Target->IsCancelled)
       co_return;
     if (status == 0)
@@ -245,6 +277,7 @@
   auto readStream(relay::SendAttempt const &Effect, ActiveAttemptPointer Target,
                   relay::ServerResponse Header, bool CanReuse)
       -> Awaitable<void> {
+    auto const attempt = Effect.Attempt;
     auto connection = Target->Connection;
     Loop.feed(relay::AttemptStreamStarted{attempt, std::move(Header)});
     auto framer = relay::EventFramer(Effect.Parameters.LastEventId.has_value());
@@ -280,7 +313,6 @@
     if (CanReuse)
       release(Attempt, *Target);
     else
-    auto const attempt = Effect.Attempt;
       Target->Connection->close();
     Loop.feed(std::move(Event));
   }
@@ -350,6 +382,7 @@
   auto target = std::make_shared<Implementation::ActiveAttempt>();
   target->Address = Effect.Address;
   target->IdleLimit = Effect.IdleLimit;
+  target->RequestHash = Effect.RequestHash;
   Impl->Attempts[Effect.Attempt] = target;
   spawnTask(Impl->Context, "server-connection",
             [self = Impl.get(), attempt = Effect.Attempt, target] {
--- a/Libraries/LibRelay/Effect.h
+++ b/Libraries/LibRelay/Effect.h
@@ -17,6 +17,10 @@
   std::string Address;
   /// Maximum number of idle connections to keep to this server.
   std::uint32_t IdleLimit = 1;
+  /// Hash of the request's id. A connection that has carried a request with it
+  /// is not reused: a second copy of that response would be taken for the
+  /// response to this request.
+  std::uint64_t RequestHash = 0;
 };
 
 /// What is sent to the server in addition to the caller's request.
--- a/Libraries/LibRelay/RequestReducer.cpp
+++ b/Libraries/LibRelay/RequestReducer.cpp
@@ -279,8 +279,10 @@
   auto share = service == nullptr ? 0
                                   : service->ConnectionLimit /
                                         (2 * CurrentState.Peers.fleetSize());
-  emit(ConnectAttempt{
-      {Number, attempt.Number}, attempt.Address, std::max(2U, share)});
+  emit(ConnectAttempt{{Number, attempt.Number},
+                      attempt.Address,
+                      std::max(2U, share),
+                      hashText(request.Content->Id)});
 }
 
 auto RequestReducer::failUnplaced(RequestNumber Number, ResultCode Code)
