--- a/Tests/LibRelay/EngineFleet.cpp
+++ b/Tests/LibRelay/EngineFleet.cpp
@@ -242,7 +242,7 @@
     auto *target = findById(Server);
     if (target != nullptr && target->Runs.contains(Number) &&
         target->Runs.at(Number).CrashesEngine) {
-      Record.Crashes.push_back(Clock.now());
+      recordCrash(target->Runs.at(Number).Request);
       return crash(*target);
     }
     auto run = take(Server, Number);
@@ -271,7 +271,7 @@
         auto *target = findById(Server);
         if (target == nullptr || !target->Runs.contains(Number))
           return;
-        Record.Crashes.push_back(Clock.now());
+        recordCrash(target->Runs.at(Number).Request);
         crash(*target);
       });
       return;
@@ -451,9 +451,22 @@
       return it.Hash == CrashingSegment;
     };
     return std::ranges::any_of(Call.Segments, isSegment) ||
-           (CrashingCall && Call.Route == CrashingCall->Route &&
-            Call.Item == CrashingCall->Item &&
-            Call.CallerAddress == CrashingCall->CallerAddress);
+           findCrashingCall(Call) < CrashingCalls.size();
+  }
+
+  /// Returns the index of a crashing call, or the number of them.
+  [[nodiscard]] auto findCrashingCall(FleetCall const &Call) const
+      -> std::size_t {
+    auto it = std::ranges::find_if(CrashingCalls, [&](FleetCall const &Known) {
+      return Call.Route == Known.Route && Call.Item == Known.Item &&
+             Call.CallerAddress == Known.CallerAddress;
+    });
+    return static_cast<std::size_t>(it - CrashingCalls.begin());
+  }
+
+  auto recordCrash(std::uint64_t Request) -> void {
+    Record.Crashes.push_back(
+        {Clock.now(), Record.Requests[Request].CrashingCall});
   }
 
   auto send(FleetCall const &Call, bool IsCallerRetry) -> void {
@@ -464,8 +477,8 @@
         up.push_back(n);
     }
     auto request = Record.Requests.size();
-    Record.Requests.push_back(
-        {Clock.now(), isCrashing(Call), false, IsCallerRetry});
+    Record.Requests.push_back({Clock.now(), isCrashing(Call), false,
+                               IsCallerRetry, false, findCrashingCall(Call)});
     Calls.push_back(Call);
     if (up.empty())
       return;
@@ -512,7 +525,7 @@
   std::uint64_t Revision = 2;
   unsigned Restarts = 0;
   std::uint64_t CrashingSegment = 0;
-  std::optional<FleetCall> CrashingCall;
+  std::vector<FleetCall> CrashingCalls;
   /// The suspects in quarantine that the store has.
   std::vector<Suspect> StoredSuspects;
   FleetRecord Record;
@@ -529,8 +542,8 @@
   Impl->CrashingSegment = Hash;
 }
 
-auto EngineFleet::setCrashingCall(FleetCall Call) -> void {
-  Impl->CrashingCall = std::move(Call);
+auto EngineFleet::addCrashingCall(FleetCall Call) -> void {
+  Impl->CrashingCalls.push_back(std::move(Call));
 }
 
 auto EngineFleet::send(FleetCall const &Call) -> void {
--- a/Tests/LibRelay/EngineFleet.h
+++ b/Tests/LibRelay/EngineFleet.h
@@ -62,7 +62,7 @@
 
   /// Lets requests with the route, item and caller of \p Call crash the servers
   /// that run them.
-  auto setCrashingCall(FleetCall Call) -> void;
+  auto addCrashingCall(FleetCall Call) -> void;
 
   /// Sends a request to a random instance now. Its caller repeats it once if it
   /// fails and may be repeated.
--- a/Tests/LibRelay/FleetRecord.cpp
+++ b/Tests/LibRelay/FleetRecord.cpp
@@ -1,6 +1,7 @@
 #include "LibRelay/FleetRecord.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 namespace dotterel::relay::test {
@@ -36,13 +37,33 @@
                                              Duration Delay) const -> unsigned {
   if (Crashes.size() < Crash)
     return 0;
-  auto from = Crashes[Crash - 1] + Delay;
+  auto from = Crashes[Crash - 1].At + Delay;
   return static_cast<unsigned>(
       std::ranges::count_if(Arrivals, [&](FleetArrival const &it) {
         return it.CrashesEngines && it.At > from;
       }));
 }
 
+auto FleetRecord::mostArrivalsOfOneCall(std::size_t Crash, Duration Delay) const
+    -> unsigned {
+  auto crashes = std::map<std::size_t, std::vector<Instant>>{};
+  for (auto const &it : Crashes)
+    crashes[it.CrashingCall].push_back(it.At);
+  auto most = 0U;
+  for (auto const &[call, times] : crashes) {
+    if (times.size() < Crash)
+      continue;
+    auto const from = times[Crash - 1] + Delay;
+    auto isLater = [&, call = call](FleetArrival const &it) {
+      return it.CrashesEngines && it.At > from &&
+             Requests[it.Request].CrashingCall == call;
+    };
+    most = std::max(
+        most, static_cast<unsigned>(std::ranges::count_if(Arrivals, isLater)));
+  }
+  return most;
+}
+
 auto FleetRecord::soundRequestsQuarantined(Instant From) const -> unsigned {
   return static_cast<unsigned>(
       std::ranges::count_if(Requests, [&](FleetRequest const &it) {
--- a/Tests/LibRelay/FleetRecord.h
+++ b/Tests/LibRelay/FleetRecord.h
@@ -25,6 +25,15 @@
   bool IsCallerRetry = false;
   /// It was refused because it, or its prompt, is in quarantine.
   bool IsQuarantined = false;
+  /// Which of several crashing calls it is.
+  std::size_t CrashingCall = 0;
+};
+
+/// A crash that a request or a prompt caused.
+struct FleetCrash {
+  Instant At;
+  /// Which of several crashing calls caused it.
+  std::size_t CrashingCall = 0;
 };
 
 /// A request that reached a server.
@@ -44,8 +53,7 @@
 struct FleetRecord {
   std::vector<FleetRequest> Requests;
   std::vector<FleetArrival> Arrivals;
-  /// Times of the crashes that a prompt caused.
-  std::vector<Instant> Crashes;
+  std::vector<FleetCrash> Crashes;
 
   /// Returns the arrivals beyond the first of their requests, not counting
   /// first prefills, that exceed \p Limits in the worst window.
@@ -56,6 +64,10 @@
   [[nodiscard]] auto crashingArrivalsAfterCrash(std::size_t Crash,
                                                 Duration Delay) const
       -> unsigned;
+  /// Returns the largest number of arrivals of one crashing call later than
+  /// \p Delay after its own crash number \p Crash, counted from 1.
+  [[nodiscard]] auto mostArrivalsOfOneCall(std::size_t Crash,
+                                           Duration Delay) const -> unsigned;
   /// Returns the number of sound requests sent from \p From on that were
   /// refused because of a quarantine.
   [[nodiscard]] auto soundRequestsQuarantined(Instant From) const -> unsigned;
--- a/Tests/LibRelay/FleetTraffic.cpp
+++ b/Tests/LibRelay/FleetTraffic.cpp
@@ -1,6 +1,7 @@
 #include "LibRelay/FleetTraffic.h"
 
 #include <cstdlib>
+#include <fmt/format.h>
 
 namespace dotterel::relay::test {
 
@@ -52,17 +53,26 @@
   sendPlain();
 }
 
-auto MixedTraffic::crashingCall(RouteKind Route) -> FleetCall {
-  auto call = FleetCall{Route, "bad", "", {}, "10.0.0.66"};
+auto MixedTraffic::crashingCall(RouteKind Route, unsigned Number) -> FleetCall {
+  auto call = FleetCall{Route,
+                        fmt::format("bad{}", Number),
+                        "",
+                        {},
+                        fmt::format("10.0.1.{}", Number)};
   if (Route == RouteKind::Stream || Route == RouteKind::PlainStream)
-    call.Segments = {{1, 2000}, {60, 800}, {CrashingSegment, 300}};
+    call.Segments = {
+        {1, 2000}, {60 + Number, 800}, {CrashingSegment + Number, 300}};
   return call;
 }
 
 auto MixedTraffic::startCrashing(RouteKind Route, Duration Interval) -> void {
-  Fleet.send(crashingCall(Route));
-  Fleet.schedule(varied(Interval),
-                 [=, this] { startCrashing(Route, Interval); });
+  startSending(crashingCall(Route), Interval);
+}
+
+auto MixedTraffic::startSending(FleetCall const &Call, Duration Interval)
+    -> void {
+  Fleet.send(Call);
+  Fleet.schedule(varied(Interval), [=, this] { startSending(Call, Interval); });
 }
 
 auto MixedTraffic::startServerCrashes(Duration Interval) -> void {
--- a/Tests/LibRelay/FleetTraffic.h
+++ b/Tests/LibRelay/FleetTraffic.h
@@ -44,11 +44,16 @@
 
   /// Returns the request that \ref startCrashing sends. It shares all parts of
   /// its prompt but the last one with sound prompts.
-  [[nodiscard]] static auto crashingCall(RouteKind Route) -> FleetCall;
+  /// Calls with another \p Number differ in all that identifies them.
+  [[nodiscard]] static auto crashingCall(RouteKind Route, unsigned Number = 0)
+      -> FleetCall;
 
   /// Sends the crashing request of \p Route every \p Interval on average.
   auto startCrashing(RouteKind Route, Duration Interval) -> void;
 
+  /// Sends \p Call every \p Interval on average.
+  auto startSending(FleetCall const &Call, Duration Interval) -> void;
+
   /// Lets a server of each service crash by itself every \p Interval on
   /// average.
   auto startServerCrashes(Duration Interval) -> void;
--- a/Tests/LibRelay/TestCrashingRequest.cpp
+++ b/Tests/LibRelay/TestCrashingRequest.cpp
@@ -2,6 +2,8 @@
 // content and caller, at any instance.
 #include "LibRelay/FleetTraffic.h"
 
+#include <array>
+
 #include <criterion/criterion.h>
 
 namespace dotterel::relay::test {
@@ -36,7 +38,7 @@
 
   /// The crashing request begins to come, 1 to 8 times a second.
   auto startCrashing(RouteKind Route) -> void {
-    Fleet.setCrashingCall(MixedTraffic::crashingCall(Route));
+    Fleet.addCrashingCall(MixedTraffic::crashingCall(Route));
     Traffic.startCrashing(Route, std::chrono::milliseconds(125 << (Seed % 4)));
   }
 
@@ -44,7 +46,7 @@
   auto startCrashingWithQueries(RouteKind Route) -> void {
     constexpr auto Repeats = 100;
     auto const call = MixedTraffic::crashingCall(Route);
-    Fleet.setCrashingCall(call);
+    Fleet.addCrashingCall(call);
     auto random = std::mt19937_64(Seed);
     auto draw = [&random](unsigned To) {
       return std::uniform_int_distribution<unsigned>(1, To)(random);
@@ -58,6 +60,17 @@
     }
   }
 
+  /// Three crashing requests begin to come at once, 1 to 8 times a second each.
+  auto startThree(std::array<RouteKind, 3> const &Routes) -> void {
+    auto number = 0U;
+    for (auto it : Routes) {
+      auto const call = MixedTraffic::crashingCall(it, number++);
+      Fleet.addCrashingCall(call);
+      Traffic.startSending(
+          call, std::chrono::milliseconds(125 << ((Seed + number) % 4)));
+    }
+  }
+
   auto expectFewLaterArrivals() const -> void {
     auto const &record = Fleet.record();
     cr_expect(record.Crashes.size() >= MinimumCrashes,
@@ -229,7 +242,7 @@
   forEachSeed([](SeededFleet &Target) {
     auto &fleet = Target.Fleet;
     auto call = MixedTraffic::crashingCall(RouteKind::Lookup);
-    fleet.setCrashingCall(call);
+    fleet.addCrashingCall(call);
     for (auto n = 0; n < 100; ++n) {
       call.Query = "?page=" + std::to_string(n);
       fleet.schedule(n * Duration{200ms}, [&fleet, call] { fleet.send(call); });
@@ -260,6 +273,32 @@
   }
 }
 
+// Regression test: each crash of one of several crashing requests hid those of
+// the others.
+Test(RelayCrashingRequest, ThreeRequestsAtOnceReachNoFurtherServers) {
+  using enum RouteKind;
+  for (auto const &routes : {std::array{Lookup, Lookup, Lookup},
+                             std::array{Booking, Booking, Booking},
+                             std::array{Stream, Stream, Stream},
+                             std::array{PlainStream, PlainStream, PlainStream},
+                             std::array{Lookup, Booking, Lookup},
+                             std::array{Stream, PlainStream, Stream},
+                             std::array{Lookup, Booking, Stream}}) {
+    forEachSeed([&](SeededFleet &Target) {
+      Target.startThree(routes);
+      Target.Fleet.run(30s);
+      auto const later = Target.Fleet.record().mostArrivalsOfOneCall(
+          MinimumCrashes, ContactTime);
+      cr_expect(later <= MaximumLaterArrivals,
+                "seed %lu, routes %d %d %d: %u arrivals of one request after "
+                "its third crash",
+                Target.Seed, static_cast<int>(routes[0]),
+                static_cast<int>(routes[1]), static_cast<int>(routes[2]),
+                later);
+    });
+  }
+}
+
 // Regression test: completions before the first crash hid the crashes of the
 // next seconds.
 Test(RelayCrashingRequest, RequestThatWasSoundBeforeReachesNoFurtherServers) {
@@ -268,7 +307,7 @@
       auto &fleet = Target.Fleet;
       Target.Traffic.startCrashing(route, 200ms);
       fleet.run(3s);
-      fleet.setCrashingCall(MixedTraffic::crashingCall(route));
+      fleet.addCrashingCall(MixedTraffic::crashingCall(route));
       fleet.run(15s);
       Target.expectFewLaterArrivals();
     });
@@ -284,7 +323,7 @@
     options.Retries = limits;
     auto fleet = EngineFleet(options);
     auto const call = MixedTraffic::crashingCall(RouteKind::Stream);
-    fleet.setCrashingCall(call);
+    fleet.addCrashingCall(call);
     fleet.run(2s);
     auto prompts = PromptTraffic(fleet, options.Seed, 9ms);
     for (auto after = Duration{5s}; after < 20s; after += 200ms)
