--- a/Libraries/LibGateway/StoreClient.cpp
+++ b/Libraries/LibGateway/StoreClient.cpp
@@ -90,7 +90,7 @@
       Output.push_back(std::move(it));
     if (!page->HasMore)
       co_return asOf;
-    if (page->LastName <= after) {
+    if (page->LastName.empty() || page->LastName == after) {
       // Without a name to continue from, the rest of the list is unknown.
       log(LogLevel::Warning, "store-page-unreadable",
           {{"kind", Kind}, {"after", after}, {"last", page->LastName}});
--- a/Libraries/LibNet/Task.h
+++ b/Libraries/LibNet/Task.h
@@ -15,7 +15,7 @@
     -> void;
 
 /// Starts the coroutine \p Work on \p Context, detached. An exception that
-/// leaves it is logged with \p Name.
+/// leaves it is logged with \p Name. Precondition: \p Name outlives the task.
 /// Thread safety: none; called on the executor of \p Context or before it runs.
 template <typename ContextType, typename Task>
 auto spawnTask(ContextType &&Context, std::string_view Name, Task &&Work)
