--- a/Libraries/LibRelay/EventFramer.cpp
+++ b/Libraries/LibRelay/EventFramer.cpp
@@ -85,9 +85,9 @@
 }
 
 auto EventFramer::add(std::string_view Bytes) -> std::vector<StreamEvent> {
+  Pending.append(Bytes);
   if (IsBroken)
     return {};
-  Pending.append(Bytes);
   auto events = std::vector<StreamEvent>{};
   auto begin = std::size_t{0};
   auto end = findEnd(Pending, SearchFrom);
--- a/Libraries/LibRelay/EventFramer.h
+++ b/Libraries/LibRelay/EventFramer.h
@@ -45,7 +45,7 @@
   /// Returns whether the last event is longer than any event may be.
   [[nodiscard]] auto isOverlong() const -> bool;
 
-  /// Returns the bytes of the incomplete last event.
+  /// Returns the bytes after the last event.
   [[nodiscard]] auto remainder() const -> std::string const & {
     return Pending;
   }
