Meta: Wait for whole seconds in the process tests

Cause: wait_for compared $SECONDS, which counts whole seconds, so that a limit of 1 s ended after 104 to 875 ms (20 calls at random moments), as soon as that counter changed twice. No bound changed: waits are as long as they say.

--- a/Meta/fleet.sh
+++ b/Meta/fleet.sh
@@ -14,11 +14,12 @@
   eval "pid_${name//-/_}=$!"
 }
 
+# SECONDS counts whole seconds, so that a limit of one could be over at once.
 wait_for() { # SECONDS COMMAND...
-  local limit=$((SECONDS + $1))
+  local limit=$((${EPOCHREALTIME/./} + $1 * 1000000))
   shift
   until "$@" >/dev/null 2>&1; do
-    [ $SECONDS -ge $limit ] && return 1
+    [ "${EPOCHREALTIME/./}" -ge $limit ] && return 1
     sleep 0.05
   done
 }
