--- a/Tests/LibRelay/FleetTraffic.cpp
+++ b/Tests/LibRelay/FleetTraffic.cpp
@@ -5,6 +5,14 @@
 
 namespace dotterel::relay::test {
 
+namespace {
+
+/// Last part of the address of the first caller of crashing requests. Sound
+/// callers have lower ones.
+constexpr auto FirstCrashingCaller = 66U;
+
+} // namespace
+
 auto firstSeed() -> std::uint64_t {
   auto const *text = std::getenv("DOTTEREL_SEED"); // NOLINT: one thread
   return text == nullptr ? 1 : std::strtoull(text, nullptr, 10);
@@ -55,10 +63,10 @@
 
 auto MixedTraffic::crashingCall(RouteKind Route, unsigned Number) -> FleetCall {
   auto call = FleetCall{Route,
-                        fmt::format("bad{}", Number),
+                        Number == 0 ? "bad" : fmt::format("bad{}", Number),
                         "",
                         {},
-                        fmt::format("10.0.1.{}", Number)};
+                        fmt::format("10.0.0.{}", FirstCrashingCaller + Number)};
   if (Route == RouteKind::Stream || Route == RouteKind::PlainStream)
     call.Segments = {
         {1, 2000}, {60 + Number, 800}, {CrashingSegment + Number, 300}};
