--- a/Libraries/LibTest/KeptServer.h
+++ b/Tests/LibGateway/KeepAliveServer.h
@@ -23,7 +23,7 @@
 namespace dotterel::test {
 
 /// The response to one request. "@ID" is replaced with the request's id.
-struct KeptResponse {
+struct ScriptedResponse {
   std::string Text;
   /// Closes the connection after the response.
   bool Closes = false;
@@ -36,10 +36,10 @@
 /// does not run its request is written once more before the next response on
 /// its connection. Precondition: requests have a Content-Length field or no
 /// body. Thread safety: the results may be read on any thread.
-class KeptServer {
+class KeepAliveServer {
 public:
-  KeptServer(std::vector<std::string> const &Addresses,
-             std::vector<KeptResponse> Responses)
+  KeepAliveServer(std::vector<std::string> const &Addresses,
+                  std::vector<ScriptedResponse> Responses)
       : Responses(std::move(Responses)) {
     for (auto const &it : Addresses) {
       Acceptors.push_back(std::make_unique<asio::ip::tcp::acceptor>(
@@ -51,16 +51,16 @@
     Thread = std::thread([this] { Context.run(); });
   }
 
-  ~KeptServer() {
+  ~KeepAliveServer() {
     Context.stop();
     Thread.join();
   }
 
-  KeptServer(KeptServer const &) = delete;
-  auto operator=(KeptServer const &) -> KeptServer & = delete;
+  KeepAliveServer(KeepAliveServer const &) = delete;
+  auto operator=(KeepAliveServer const &) -> KeepAliveServer & = delete;
 
   /// Plays \p Next from its first response on, and forgets earlier requests.
-  auto setResponses(std::vector<KeptResponse> Next) -> void {
+  auto setResponses(std::vector<ScriptedResponse> Next) -> void {
     auto lock = std::lock_guard(Mutex);
     Responses = std::move(Next);
     Requests = 0;
@@ -84,7 +84,7 @@
     while (true) {
       auto socket = std::make_shared<asio::ip::tcp::socket>(
           co_await Acceptor.async_accept(asio::use_awaitable));
-      spawnTask(Context, "kept-connection",
+      spawnTask(Context, "connection",
                 [this, socket] { return play(*socket); });
     }
   }
@@ -111,7 +111,7 @@
     Socket.close(ec);
   }
 
-  auto next(std::string const &Id) -> KeptResponse {
+  auto next(std::string const &Id) -> ScriptedResponse {
     auto lock = std::lock_guard(Mutex);
     auto const &response =
         Responses[std::min(Requests++, Responses.size() - 1)];
@@ -145,7 +145,7 @@
   }
 
   mutable std::mutex Mutex;
-  std::vector<KeptResponse> Responses;
+  std::vector<ScriptedResponse> Responses;
   std::size_t Requests = 0;
   std::map<std::string, unsigned> Runs;
   asio::io_context Context{1};
--- a/Tests/LibGateway/TestFaultyServers.cpp
+++ b/Tests/LibGateway/TestFaultyServers.cpp
@@ -1,8 +1,8 @@
 /// \file
 /// Servers that repeat a refusal, or that answer a resumed stream with an
 /// error, on every kind of route.
+#include "LibGateway/KeepAliveServer.h"
 #include "LibGateway/RunningGateway.h"
-#include "LibTest/KeptServer.h"
 
 #include <fmt/format.h>
 
@@ -58,7 +58,7 @@
   };
 }
 
-auto refusal(std::string_view IdField) -> KeptResponse {
+auto refusal(std::string_view IdField) -> ScriptedResponse {
   return {
       fmt::format("HTTP/1.1 503 Service Unavailable\r\n{}Not-Executed: 1\r\n"
                   "Content-Length: 0\r\n\r\n",
@@ -67,7 +67,7 @@
 }
 
 /// A complete response, which streams two events on routes of streams.
-auto success(std::string_view Route) -> KeptResponse {
+auto success(std::string_view Route) -> ScriptedResponse {
   auto const isStream = Route == Streams || Route == ResumableStreams;
   auto const *body = isStream ? "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n" : "done";
   return {fmt::format("HTTP/1.1 200 OK\r\nContent-Type: {}\r\n"
@@ -79,11 +79,11 @@
 
 constexpr auto IdField = std::string_view{"Attempt-Id: @ID\r\n"};
 
-/// Checks that a request after a refusal on the same connection is neither said
-/// not to have run although it ran, nor run twice.
+/// Checks that a request after a refusal on the same connection is neither
+/// reported as not run although it ran, nor run twice.
 auto assertRepeatedRefusalIsNotUsed(std::string_view RefusalId, bool RepeatsId)
     -> void {
-  auto server = KeptServer({address(ScriptedPort)}, {success(Bookings)});
+  auto server = KeepAliveServer({address(ScriptedPort)}, {success(Bookings)});
   auto gateway = RunningGateway("", prepare({ScriptedPort}, 1));
   for (auto const *it : {Bookings, Lookups, Streams, ResumableStreams}) {
     server.setResponses({refusal(RefusalId), success(it)});
@@ -104,7 +104,7 @@
 }
 
 auto streamStart(std::string_view Framing, std::string_view Body)
-    -> KeptResponse {
+    -> ScriptedResponse {
   return {fmt::format("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                       "Attempt-Id: @ID\r\nServer-Seal: s\r\n{}\r\n{}",
                       Framing, Body),
@@ -143,9 +143,9 @@
 
 /// Checks that a caller whose stream begins with \p Start sees neither the end
 /// of its stream nor any bytes of an error.
-auto assertErrorIsNoPartOf(KeptResponse const &Start) -> void {
-  auto server =
-      KeptServer({address(ScriptedPort), address(SecondScriptedPort)}, {Start});
+auto assertErrorIsNoPartOf(ScriptedResponse const &Start) -> void {
+  auto server = KeepAliveServer(
+      {address(ScriptedPort), address(SecondScriptedPort)}, {Start});
   auto gateway =
       RunningGateway("", prepare({ScriptedPort, SecondScriptedPort}));
   for (auto const *it : {Streams, ResumableStreams}) {
@@ -173,7 +173,7 @@
 
 // The instance repeats the request at the same server, the only one.
 Test(FaultyServers, RepeatedRefusalOfARetriedRequestIsNotUsed) {
-  auto server = KeptServer({address(ScriptedPort)}, {success(Bookings)});
+  auto server = KeepAliveServer({address(ScriptedPort)}, {success(Bookings)});
   auto gateway = RunningGateway("", prepare({ScriptedPort}));
   for (auto const *it : {Bookings, Lookups, Streams, ResumableStreams}) {
     server.setResponses({refusal(IdField), success(it)});
@@ -212,7 +212,7 @@
     auto const response = streamStart(
         "", "id: 1\ndata: 1\n\nHTTP/1.1 500 Internal Server Error\r\n"
             "Content-Type: text/plain\r\n\r\nFAULT\n\n");
-    auto server = KeptServer({address(ScriptedPort)}, {response});
+    auto server = KeepAliveServer({address(ScriptedPort)}, {response});
     auto gateway = RunningGateway("", prepare({ScriptedPort}));
     cr_assert_not(gateway.request(it, {{"Attempt-Id", "r1"}}).Response);
   }
@@ -220,7 +220,8 @@
 
 Test(FaultyServers, StreamWhoseIdsBeginWithZeroIsComplete) {
   auto const events = std::string("id: 0\ndata: 0\n\nid: 1\ndata: 1\n\n");
-  auto server = KeptServer({address(ScriptedPort)}, {streamStart("", events)});
+  auto server =
+      KeepAliveServer({address(ScriptedPort)}, {streamStart("", events)});
   auto gateway = RunningGateway("", prepare({ScriptedPort}));
   for (auto const *it : {Streams, ResumableStreams}) {
     auto const result = gateway.request(it, {{"Attempt-Id", it}});
--- a/Tests/LibGateway/TestOddInput.cpp
+++ b/Tests/LibGateway/TestMalformedInput.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 /// An object of the store that describes nothing usable.
-struct OddObject {
+struct MalformedObject {
   std::string Name;
   std::string Text;
 };
@@ -43,7 +43,7 @@
 
 /// Returns the values that no field of an entry has: of other types, sizes and
 /// depths, out of range, or with bytes that are no text.
-auto oddValues() -> std::vector<std::string> {
+auto malformedValues() -> std::vector<std::string> {
   return {"null",
           "true",
           "-1",
@@ -60,15 +60,15 @@
 }
 
 /// Returns entries of servers that cannot be used. All have a name.
-auto namedOddServers() -> std::vector<OddObject> {
-  auto objects = std::vector<OddObject>{};
+auto namedMalformedServers() -> std::vector<MalformedObject> {
+  auto objects = std::vector<MalformedObject>{};
   auto addSpec = [&](std::string const &Spec) {
-    auto name = fmt::format("odd-{}", objects.size());
+    auto name = fmt::format("bad-{}", objects.size());
     objects.push_back({name, objectText(name, Spec)});
   };
   for (auto const *field : {"service", "address", "zone", "slots", "state"}) {
     addSpec(serverSpec(field, ""));
-    for (auto const &it : oddValues()) {
+    for (auto const &it : malformedValues()) {
       // A zone or a service may have any name.
       auto isName = std::string_view(field) == "zone" ||
                     std::string_view(field) == "service";
@@ -84,11 +84,11 @@
         "127.0.0.1:", "127.0.0.1", ":21742", "host:21742", "999.0.0.1:80",
         "127.0.0.1:21742 ", "127.0.0.1:21742/x"})
     addSpec(serverSpec("address", fmt::format("\"{}\"", address)));
-  for (auto const &it : oddValues())
+  for (auto const &it : malformedValues())
     addSpec(it);
   addSpec(serverSpec("more", nested(100000)));
-  for (auto const &it : oddValues()) {
-    auto name = fmt::format("odd-{}", objects.size());
+  for (auto const &it : malformedValues()) {
+    auto name = fmt::format("bad-{}", objects.size());
     objects.push_back(
         {name, fmt::format(
                    R"({{"metadata":{{"name":"{}","revision":{}}},"spec":{}}})",
@@ -98,13 +98,13 @@
 }
 
 /// Returns the same and entries without a name.
-auto oddServers() -> std::vector<OddObject> {
-  auto objects = namedOddServers();
+auto malformedServers() -> std::vector<MalformedObject> {
+  auto objects = namedMalformedServers();
   auto add = [&](std::string const &Text) {
-    objects.push_back({fmt::format("odd-{}", objects.size()), Text});
+    objects.push_back({fmt::format("bad-{}", objects.size()), Text});
   };
   auto const spec = serverSpec("zone", R"("z1")");
-  for (auto const &it : oddValues()) {
+  for (auto const &it : malformedValues()) {
     add(it);
     add(fmt::format(R"({{"metadata":{},"spec":{}}})", it, spec));
     add(fmt::format(R"({{"metadata":{{"name":{},"revision":5}},"spec":{}}})",
@@ -162,45 +162,46 @@
 
 } // namespace
 
-Test(OddInput, ListedServerEntriesCostThemselvesAlone) {
+Test(MalformedInput, ListedServerEntriesAffectNoOthers) {
   auto gateway = RunningGateway("", [](FakePlatform &Platform) {
-    for (auto const &it : oddServers())
+    for (auto const &it : malformedServers())
       Platform.putObject("servers", it.Name, it.Text);
   });
   assertFollows(gateway);
 }
 
 // Whole pages consist of entries that cannot be read.
-Test(OddInput, PagesOfUnreadableEntriesDoNotEndTheList) {
+Test(MalformedInput, PagesOfUnreadableEntriesDoNotEndTheList) {
   auto gateway = RunningGateway("", [](FakePlatform &Platform) {
     Platform.setPageSize(3);
-    for (auto const &it : namedOddServers())
+    for (auto const &it : namedMalformedServers())
       Platform.putObject("servers", "a-" + it.Name, [&] {
         auto text = it.Text;
-        return text.replace(text.find("odd-"), 4, "a-odd-");
+        return text.replace(text.find("bad-"), 4, "a-bad-");
       }());
   });
   assertFollows(gateway);
 }
 
-Test(OddInput, WatchedServerEntriesCostThemselvesAlone) {
+Test(MalformedInput, WatchedServerEntriesAffectNoOthers) {
   auto gateway = RunningGateway();
-  for (auto const &it : oddServers()) {
+  for (auto const &it : malformedServers()) {
     gateway.Platform.putObject("servers", it.Name, it.Text);
     cr_assert(isServed(gateway), "%s", it.Text.substr(0, 300).c_str());
   }
   assertFollows(gateway);
 }
 
-// One answer of the store with all the odd entries between two sound ones.
-Test(OddInput, BatchWithUnreadableEntriesIsRead) {
+// One response of the store with all the malformed entries between two sound
+// ones.
+Test(MalformedInput, BatchWithUnreadableEntriesIsRead) {
   auto gateway = RunningGateway();
-  for (auto const &it : oddServers())
+  for (auto const &it : malformedServers())
     gateway.Platform.putObject("servers", it.Name, it.Text);
   assertFollows(gateway);
 }
 
-Test(OddInput, EntryThatBecomesOddNamesNoServer) {
+Test(MalformedInput, EntryThatBecomesMalformedNamesNoServer) {
   auto gateway = RunningGateway();
   auto const sound = serverSpec("zone", R"("z1")");
   for (auto const &spec :
@@ -214,14 +215,14 @@
   }
 }
 
-Test(OddInput, InstanceRecordsCostThemselvesAlone) {
+Test(MalformedInput, InstanceRecordsAffectNoOthers) {
   auto gateway = RunningGateway("", [](FakePlatform &Platform) {
     auto n = 0;
     auto add = [&](std::string const &Spec) {
-      auto name = fmt::format("odd-{}", n++);
+      auto name = fmt::format("bad-{}", n++);
       Platform.putObject("instances", name, objectText(name, Spec));
     };
-    for (auto const &it : oddValues()) {
+    for (auto const &it : malformedValues()) {
       add(it);
       add(fmt::format(R"({{"peerAddress":{}}})", it));
     }
@@ -235,7 +236,7 @@
   assertFollows(gateway);
 }
 
-Test(OddInput, DatagramsCostThemselvesAlone) {
+Test(MalformedInput, DatagramsAffectNoOthers) {
   auto gateway = RunningGateway();
   cr_assert(becomes(isSteering));
   sendDatagram("");
@@ -268,28 +269,28 @@
     watch.AsOf = relay::StoreVersion::unpacked(huge);
     watch.Base = {};
     auto description = relay::ServerDescription{};
-    description.Id = "odd";
+    description.Id = "bad";
     description.Service = "s1";
     description.Address = "127.0.0.1:99999";
-    watch.Updates.push_back({"odd", {0, 9000}, description});
+    watch.Updates.push_back({"bad", {0, 9000}, description});
   });
   auto const steering = get(DirectoryPort, "/-/resolve?name=x");
   cr_assert(steering.Response->Body.find("\"x\"") == std::string::npos);
   assertFollows(gateway);
 }
 
-Test(OddInput, QuarantinedSuspectsCostThemselvesAlone) {
+Test(MalformedInput, QuarantinedSuspectsAffectNoOthers) {
   auto gateway = RunningGateway("", [](FakePlatform &Platform) {
-    Platform.addQuarantine("odd");
+    Platform.addQuarantine("bad");
     Platform.addQuarantine("");
     Platform.addQuarantine(std::string(70000, 'f'));
   });
   assertFollows(gateway);
 }
 
-// The routes beside an odd one are served, and a route that cannot be read
+// The routes beside a malformed one are served, and a route that cannot be read
 // serves nothing.
-Test(OddInput, RoutesCostThemselvesAlone) {
+Test(MalformedInput, RoutesAffectNoOthers) {
   auto gateway = RunningGateway();
   auto route = [](std::string_view Name, std::string_view Field,
                   std::string_view Value) {
@@ -309,14 +310,14 @@
     return "{" + text + "}";
   };
   auto version = 3;
-  for (auto const &it : oddValues()) {
+  for (auto const &it : malformedValues()) {
     auto routes = std::string{};
     auto n = 0;
     for (auto const *field :
          {"name", "host", "path_prefix", "kind", "timeout_ms", "priority",
           "target_latency_ms", "target_gap_ms", "max_attempts", "service",
           "split", "resumable"})
-      routes += route(fmt::format("odd{}", n++), field, it) + ",";
+      routes += route(fmt::format("bad{}", n++), field, it) + ",";
     gateway.Platform.putObject(
         "config", "main",
         objectText("main",
@@ -332,7 +333,7 @@
     cr_assert(becomes([&] { return status(gateway.request(added)) == 200; }),
               "%s", it.substr(0, 100).c_str());
     cr_assert(isServed(gateway));
-    cr_assert_neq(status(gateway.request("odd4")), 0);
+    cr_assert_neq(status(gateway.request("bad4")), 0);
   }
   assertFollows(gateway);
 }
--- a/Tests/LibNet/TestTask.cpp
+++ b/Tests/LibNet/TestTask.cpp
@@ -14,7 +14,7 @@
 } // namespace
 
 // Regression test: the exception left the event loop and ended the process.
-Test(Task, ExceptionEndsItsTaskAlone) {
+Test(Task, ExceptionEndsNoOtherTask) {
   auto context = asio::io_context{1};
   auto isOtherDone = false;
   spawnTask(context, "failing", []() -> Awaitable<void> {
@@ -55,7 +55,7 @@
 
 // Fields above 64 KiB cannot be stored. The limit of a deployment may be
 // larger.
-Test(HttpServer, LongHeaderFieldEndsItsConnectionAlone) {
+Test(HttpServer, LongHeaderFieldEndsNoOtherConnection) {
   auto context = asio::io_context{1};
   auto limits = HttpLimits{};
   limits.HeaderBytes = 1U << 20U;
