--- a/Libraries/LibConfiguration/JsonText.cpp
+++ b/Libraries/LibConfiguration/JsonText.cpp
@@ -9,9 +9,12 @@
 
 /// Levels of arrays and objects that a document may have.
 constexpr auto MaximumDepth = std::size_t{64};
-constexpr auto Blanks = std::string_view{" \t\r\n"};
+/// Levels down to which the parts of an unreadable document are parsed by
+/// themselves; each level parses them once more.
+constexpr auto MaximumSplits = 4U;
+constexpr auto Whitespace = std::string_view{" \t\r\n"};
 
-/// Characters that begin or end values.
+/// Tells for each character whether it begins or ends values.
 constexpr auto IsDelimiter = [] {
   auto table = std::array<bool, 256>{};
   for (auto it : std::string_view{"\"[]{},"})
@@ -29,8 +32,8 @@
   return std::string_view::npos;
 }
 
-auto skipBlanks(std::string_view Text, std::size_t At) -> std::size_t {
-  return std::min(Text.find_first_not_of(Blanks, At), Text.size());
+auto skipWhitespace(std::string_view Text, std::size_t At) -> std::size_t {
+  return std::min(Text.find_first_not_of(Whitespace, At), Text.size());
 }
 
 /// Returns the offset after the string that begins at \p At, or npos if it has
@@ -79,7 +82,7 @@
 }
 
 auto trim(std::string_view Text) -> std::string_view {
-  auto const end = Text.find_last_not_of(Blanks);
+  auto const end = Text.find_last_not_of(Whitespace);
   return end == std::string_view::npos ? std::string_view{}
                                        : Text.substr(0, end + 1);
 }
@@ -88,11 +91,11 @@
 /// names of members. Returns false if \p Text does not begin with \p Open.
 template <typename Callable>
 auto visitValues(std::string_view Text, char Open, Callable Visitor) -> bool {
-  auto n = skipBlanks(Text, 0);
+  auto n = skipWhitespace(Text, 0);
   if (n >= Text.size() || Text[n] != Open)
     return false;
   do {
-    n = skipBlanks(Text, n + 1);
+    n = skipWhitespace(Text, n + 1);
     auto name = std::string_view{};
     if (Open == '{') {
       if (n >= Text.size() || Text[n] != '"')
@@ -101,10 +104,10 @@
       if (end == std::string_view::npos)
         return true;
       name = Text.substr(n, end - n);
-      n = skipBlanks(Text, end);
+      n = skipWhitespace(Text, end);
       if (n >= Text.size() || Text[n] != ':')
         return true;
-      n = skipBlanks(Text, n + 1);
+      n = skipWhitespace(Text, n + 1);
     }
     auto const end = skipValue(Text, n);
     if (end == std::string_view::npos)
@@ -139,10 +142,6 @@
   return false;
 }
 
-/// Levels down to which the parts of an unreadable document are parsed by
-/// themselves; each level parses them once more.
-constexpr auto MaximumSplits = 4U;
-
 auto parseParts(std::string_view Text, unsigned Splits) -> nlohmann::json {
   auto value = parseJson(Text);
   if (!value.is_discarded())
--- a/Libraries/LibConfiguration/JsonText.h
+++ b/Libraries/LibConfiguration/JsonText.h
@@ -14,8 +14,9 @@
 
 /// A member of a JSON object.
 struct JsonMember {
-  /// The name without quotes; escapes are not decoded.
+  /// The name without its quotes; escapes are not decoded.
   std::string_view Name;
+  /// The name as it stands in the text.
   std::string_view QuotedName;
   /// The text of the value.
   std::string_view Value;
--- a/Libraries/LibGateway/CallerServer.cpp
+++ b/Libraries/LibGateway/CallerServer.cpp
@@ -70,6 +70,23 @@
 } // namespace
 
 struct CallerServer::Implementation {
+  using SessionMap =
+      std::unordered_map<RequestNumber, std::shared_ptr<Session>>;
+
+  /// Removes a session when its response has ended in any way.
+  class SessionEnd {
+  public:
+    SessionEnd(SessionMap &Sessions, RequestNumber Number)
+        : Sessions(Sessions), Number(Number) {}
+    ~SessionEnd() { Sessions.erase(Number); }
+    SessionEnd(SessionEnd const &) = delete;
+    auto operator=(SessionEnd const &) -> SessionEnd & = delete;
+
+  private:
+    SessionMap &Sessions; // NOLINT: owned by the server
+    RequestNumber Number;
+  };
+
   Implementation(asio::io_context &Context, GatewaySettings const &Settings,
                  RelayLoop &Loop)
       : Context(Context), Loop(Loop),
@@ -119,15 +136,8 @@
     auto number = ++LastRequest;
     auto session = open(number);
     Loop.feed(relay::SteeringRequested{number});
-    auto exception = std::exception_ptr{};
-    try {
-      co_await writeAll(Exchange, *session);
-    } catch (...) {
-      exception = std::current_exception();
-    }
-    Sessions.erase(number);
-    if (exception)
-      std::rethrow_exception(exception);
+    auto const ended = SessionEnd(Sessions, number);
+    co_await writeAll(Exchange, *session);
   }
 
   auto open(RequestNumber Number) -> std::shared_ptr<Session> {
@@ -147,18 +157,14 @@
         std::make_shared<relay::Request const>(platform::readRequest(Exchange));
     session->RequestId = content->Id;
     Loop.feed(relay::RequestArrived{number, std::move(content)});
-    auto exception = std::exception_ptr{};
+    auto const ended = SessionEnd(Sessions, number);
     try {
       co_await writeAll(Exchange, *session);
     } catch (...) {
-      exception = std::current_exception();
+      // Usually the caller disconnected or stopped reading.
+      Loop.feed(relay::CallerDisconnected{number});
+      throw;
     }
-    Sessions.erase(number);
-    if (!exception)
-      co_return;
-    // The caller disconnected or stopped reading.
-    Loop.feed(relay::CallerDisconnected{number});
-    std::rethrow_exception(exception);
   }
 
   /// Writes the effects for the caller until its response is complete.
@@ -256,7 +262,7 @@
   HttpServer Readiness;
   HttpServer Directory;
   RequestNumber LastRequest = 0;
-  std::unordered_map<RequestNumber, std::shared_ptr<Session>> Sessions;
+  SessionMap Sessions;
 };
 
 CallerServer::CallerServer(asio::io_context &Context,
--- a/Libraries/LibGateway/PeerSocket.cpp
+++ b/Libraries/LibGateway/PeerSocket.cpp
@@ -1,5 +1,6 @@
 #include "LibGateway/PeerSocket.h"
 
+#include "LibCore/Address.h"
 #include "LibCore/Log.h"
 #include "LibNet/Endpoint.h"
 #include "LibNet/Task.h"
@@ -49,8 +50,12 @@
   /// cannot be read.
   auto accept(std::string_view Bytes, std::string Address) -> bool {
     if (auto report = relay::decodePeerReport(Bytes)) {
-      if (!relay::checkPeerReport(*report))
+      // Partial reports contain no address.
+      if (report->IsFull && !isAddress(report->CallerAddress))
         return false;
+      for (auto const &it : relay::rejectUnusableUpdates(*report))
+        log(LogLevel::Warning, "server-update-unreadable",
+            {{"server", it.Server}, {"error", it.Reason}});
       report->PeerAddress = std::move(Address);
       Loop.feed(relay::PeerReported{std::move(*report)});
       return true;
--- a/Libraries/LibGateway/ServerClient.cpp
+++ b/Libraries/LibGateway/ServerClient.cpp
@@ -28,7 +28,7 @@
 constexpr auto MaximumControlBytes = std::size_t{1} << 20U;
 /// Maximum number of responses to other requests before the expected one.
 constexpr auto MaximumSkippedResponses = 4;
-/// Requests that a connection remembers.
+/// Number of requests in the history of a connection.
 constexpr auto MaximumHistory = std::size_t{64};
 /// Idle connections are closed this long before the server closes them, or
 /// after DefaultIdleTimeout if the server does not announce a time-out.
@@ -165,7 +165,8 @@
         CanReuse = false;
         if (Target.History.empty())
           co_return status;
-        // It may be a second copy of an earlier response.
+        // It may be a second copy of an earlier response, so the request may
+        // have run.
         log(LogLevel::Warning, "response-without-owner",
             {{"id", Effect.Content->Id}, {"status", status}});
         co_return 0;
@@ -291,7 +292,7 @@
         Loop.feed(relay::AttemptEventsReceived{attempt, std::move(events)});
       if (framer.isBroken())
         co_return finish(attempt, Target, false,
-                         relay::AttemptInterrupted{attempt, "no event"});
+                         relay::AttemptInterrupted{attempt, "not an event"});
       if (framer.isOverlong())
         co_return finish(attempt, Target, false,
                          relay::AttemptInterrupted{attempt, "event too long"});
--- a/Libraries/LibNet/Task.h
+++ b/Libraries/LibNet/Task.h
@@ -32,7 +32,7 @@
 /// after a pause.
 template <typename Factory>
 auto repeatUntilDone(std::string_view Name, Factory Make) -> Awaitable<void> {
-  // Long enough that a task that fails at once costs little.
+  // A task that fails at once must not use up the processor.
   constexpr auto RestartPause = Duration{500ms};
   while (true) {
     auto exception = std::exception_ptr{};
--- a/Libraries/LibRelay/Peers.cpp
+++ b/Libraries/LibRelay/Peers.cpp
@@ -1,9 +1,7 @@
 #include "LibRelay/Peers.h"
 
 #include "LibConfiguration/JsonNumber.h"
-#include "LibCore/Address.h"
 #include "LibCore/Hash.h"
-#include "LibCore/Log.h"
 #include "LibPeer/CborNesting.h"
 
 #include <algorithm>
@@ -31,13 +29,11 @@
 /// may be lost, and a peer that hears of no other instance issues permits.
 constexpr auto FirstReports = std::uint64_t{5};
 
-/// Bounds on what a report can say; far above any deployment.
+/// Bounds on what a report can say, so that sums of reports stay in range.
 constexpr auto MaximumLoadRequests = std::uint32_t{1'000'000};
 constexpr auto MaximumTokens = std::uint64_t{1} << 40U;
 constexpr auto MaximumWeight = 1e6;
 constexpr auto MaximumAge = std::chrono::milliseconds{24h * 30};
-/// Largest number that StoreVersion::packed returns.
-constexpr auto MaximumPackedVersion = (std::uint64_t{1} << 53U) - 1;
 
 template <typename T> auto readList(json const &Source) -> std::vector<T> {
   auto values = std::vector<T>{};
@@ -84,15 +80,15 @@
   for (auto const &it : Source.at(0)) {
     auto interrupted = InterruptedRequest{};
     interrupted.Server = readNumber<ServerKey>(it.at(0));
-    interrupted.Identity.Content = readNumber<std::uint64_t>(it.at(1));
+    interrupted.Identity.Content = readNumber<SuspectKey>(it.at(1));
     interrupted.Segments = readList<SuspectKey>(it.at(2));
     constexpr auto FirstFormatFields = std::size_t{3};
     if (it.size() > FirstFormatFields) {
-      interrupted.Identity.Caller = readNumber<std::uint64_t>(it.at(3));
-      interrupted.Identity.Fields = readNumber<std::uint64_t>(it.at(4));
-      interrupted.Identity.Exact = readNumber<std::uint64_t>(it.at(5));
-      interrupted.Identity.CallerPath = readNumber<std::uint64_t>(it.at(6));
-      interrupted.Identity.Path = readNumber<std::uint64_t>(it.at(7));
+      interrupted.Identity.Caller = readNumber<SuspectKey>(it.at(3));
+      interrupted.Identity.Fields = readNumber<SuspectKey>(it.at(4));
+      interrupted.Identity.Exact = readNumber<SuspectKey>(it.at(5));
+      interrupted.Identity.CallerPath = readNumber<SuspectKey>(it.at(6));
+      interrupted.Identity.Path = readNumber<SuspectKey>(it.at(7));
       interrupted.Age = readAge(it.at(8));
     }
     report.Interrupted.push_back(std::move(interrupted));
@@ -100,10 +96,10 @@
   auto const &cleared = Source.at(1);
   for (auto n = std::size_t{0}; n + 1 < cleared.size(); n += 2)
     report.Cleared.push_back(
-        {readNumber<std::uint64_t>(cleared[n]), readAge(cleared[n + 1])});
+        {readNumber<SuspectKey>(cleared[n]), readAge(cleared[n + 1])});
   for (auto const &it : Source.at(2))
     report.Quarantined.push_back(
-        {{readNumber<std::uint64_t>(it), SuspectKind::Segment}, Duration{}});
+        {{readNumber<SuspectKey>(it), SuspectKind::Segment}, Duration{}});
   constexpr auto RequestsIndex = std::size_t{3};
   if (Source.size() <= RequestsIndex)
     return report;
@@ -112,9 +108,8 @@
     auto const kind = requests[n + 1].get<bool>()
                           ? SuspectKind::AmbiguousRequest
                           : SuspectKind::Request;
-    report.Quarantined.push_back(
-        {{readNumber<std::uint64_t>(requests[n]), kind},
-         readAge(requests[n + 2])});
+    report.Quarantined.push_back({{readNumber<SuspectKey>(requests[n]), kind},
+                                  readAge(requests[n + 2])});
   }
   return report;
 }
@@ -211,7 +206,7 @@
 
 auto decodeVersion(json const &Source) -> StoreVersion {
   return StoreVersion::unpacked(
-      readNumber<std::uint64_t>(Source, 0, MaximumPackedVersion));
+      readNumber<std::uint64_t>(Source, 0, StoreVersion::maximumPacked()));
 }
 
 auto encodeUpdate(ServerUpdate const &Update) -> json {
@@ -285,9 +280,9 @@
 
 auto decodePeerReport(std::string_view Bytes) -> std::optional<PeerReport> {
   try {
-    // The library throws on an excessive length even if told not to.
     if (!isFlatCbor(asBytes(Bytes)))
       return std::nullopt;
+    // The library throws on an excessive length even if told not to.
     auto document = json::from_cbor(Bytes);
     if (!document.is_array() || document.size() != ReportFieldCount)
       return std::nullopt;
@@ -320,27 +315,23 @@
     // Not a valid report; the function's caller counts and logs it.
     return std::nullopt;
   } catch (std::invalid_argument const &) {
+    // The same: a number is out of range.
     return std::nullopt;
   }
 }
 
-auto checkPeerReport(PeerReport &Report) -> bool {
-  // Partial reports contain no address.
-  if (Report.IsFull && !isAddress(Report.CallerAddress))
-    return false;
+auto rejectUnusableUpdates(PeerReport &Report) -> std::vector<RejectedUpdate> {
+  auto rejected = std::vector<RejectedUpdate>{};
   if (!Report.Watch)
-    return true;
+    return rejected;
   for (auto &it : Report.Watch->Updates) {
-    if (!it.Description)
-      continue;
-    auto const reason = findFault(*it.Description);
+    auto reason = it.Description ? findFault(*it.Description) : "";
     if (reason.empty())
       continue;
-    log(LogLevel::Warning, "server-update-unreadable",
-        {{"server", it.Id}, {"error", reason}});
     it.Description.reset();
+    rejected.push_back({it.Id, std::move(reason)});
   }
-  return true;
+  return rejected;
 }
 
 auto PeerTable::discover(PeerRecord const &Record, Instant Now) -> void {
--- a/Libraries/LibRelay/Peers.h
+++ b/Libraries/LibRelay/Peers.h
@@ -78,10 +78,17 @@
 
 [[nodiscard]] auto encodePeerReport(PeerReport const &Report) -> std::string;
 
-/// Drops the updates of servers that cannot be used, with log lines: instances
-/// of earlier versions pass on what they read. Returns false if \p Report
-/// cannot be used at all. Thread safety: as log.
-[[nodiscard]] auto checkPeerReport(PeerReport &Report) -> bool;
+/// An update of a server that a report contains and that cannot be used.
+struct RejectedUpdate {
+  std::string Server;
+  std::string Reason;
+};
+
+/// Turns the updates of servers that cannot be used into removals, and returns
+/// them: instances of earlier versions pass on what they read.
+/// Thread safety: any thread.
+[[nodiscard]] auto rejectUnusableUpdates(PeerReport &Report)
+    -> std::vector<RejectedUpdate>;
 
 /// Returns std::nullopt if \p Bytes is not a valid report.
 [[nodiscard]] auto decodePeerReport(std::string_view Bytes)
--- a/Libraries/LibRelay/PermitMessage.cpp
+++ b/Libraries/LibRelay/PermitMessage.cpp
@@ -85,6 +85,7 @@
     // Not a valid message; the function's caller counts and logs it.
     return std::nullopt;
   } catch (std::invalid_argument const &) {
+    // The same: a number is out of range.
     return std::nullopt;
   }
 }
--- a/Libraries/LibRelay/ServerTable.cpp
+++ b/Libraries/LibRelay/ServerTable.cpp
@@ -19,7 +19,8 @@
 constexpr auto MinimumRatio = 0.25;
 constexpr auto MaximumRatio = 8.0;
 
-/// Bounds on what an entry can say; far above any server.
+/// Bounds on what an entry can say, so that what is computed from it stays in
+/// range.
 constexpr auto MaximumSlots = 1000000U;
 /// The year 2286, in milliseconds since the Unix epoch.
 constexpr auto LatestStart = std::uint64_t{10'000'000'000'000};
--- a/Libraries/LibRelay/StoreVersion.h
+++ b/Libraries/LibRelay/StoreVersion.h
@@ -14,6 +14,10 @@
 /// thread.
 class StoreVersion {
 public:
+  /// Largest values for which packed is exact, also in JSON.
+  static constexpr auto MaximumRevision = (std::uint64_t{1} << 40U) - 1;
+  static constexpr auto MaximumEra = (std::uint64_t{1} << 13U) - 1;
+
   constexpr StoreVersion() = default;
   constexpr StoreVersion(std::uint64_t Era, std::uint64_t Revision)
       : Era(Era), Revision(Revision) {}
@@ -24,8 +28,7 @@
   }
 
   /// Returns a number that rises with the version, also over eras.
-  /// Precondition: the revision is below 2^40, and the era below 2^13, so that
-  /// the number is exact in JSON.
+  /// Precondition: neither is above its maximum.
   [[nodiscard]] constexpr auto packed() const -> std::uint64_t {
     return (Era << RevisionBits) + Revision;
   }
@@ -37,6 +40,11 @@
             Number & ((std::uint64_t{1} << RevisionBits) - 1)};
   }
 
+  /// Returns the largest number that packed returns.
+  [[nodiscard]] static constexpr auto maximumPacked() -> std::uint64_t {
+    return StoreVersion(MaximumEra, MaximumRevision).packed();
+  }
+
   constexpr auto operator<=>(StoreVersion const &) const = default;
 
 private:
