--- a/Libraries/LibConfiguration/FieldReader.h
+++ b/Libraries/LibConfiguration/FieldReader.h
@@ -31,6 +31,11 @@
     return Properties.at(Name).at("default").get<T>();
   }
 
+  /// Returns whether the document contains field \p Name.
+  [[nodiscard]] auto contains(std::string const &Name) const -> bool {
+    return Document.contains(Name);
+  }
+
   /// Returns field \p Name as a duration in milliseconds. Precondition: as
   /// read.
   [[nodiscard]] auto readMilliseconds(std::string const &Name) const
--- a/Libraries/LibCore/ResultCode.h
+++ b/Libraries/LibCore/ResultCode.h
@@ -25,6 +25,7 @@
   RequestTimeout = 1108,
   NoRoute = 1109,
   TooManyConnections = 1110,
+  UnknownKey = 1111,
 
   NoBackendAvailable = 1201,
   DeadlineInfeasible = 1202,
@@ -36,6 +37,8 @@
   QueueTooLong = 1208,
   PromptQuarantined = 1209,
   RequestQuarantined = 1210,
+  KeysUnconfirmed = 1211,
+  OverloadedByCallers = 1212,
 
   AnswerLost = 2001,
   HomeUnreachable = 2002,
--- a/Libraries/LibGateway/CallerServer.cpp
+++ b/Libraries/LibGateway/CallerServer.cpp
@@ -1,9 +1,11 @@
 #include "LibGateway/CallerServer.h"
 
+#include "LibCore/BootClock.h"
 #include "LibCore/Log.h"
 #include "platform/Headers.h"
 #include "platform/Store.h"
 
+#include <algorithm>
 #include <cmath>
 #include <deque>
 #include <fmt/format.h>
@@ -22,8 +24,16 @@
 constexpr auto StatusOk = 200U;
 constexpr auto StatusNotFound = 404U;
 constexpr auto StatusUnavailable = 503U;
-/// Further connections are refused, because file descriptors are limited.
+/// Limits on callers' connections: file descriptors are limited, and each
+/// connection holds up to a tenth of a megabyte.
 constexpr auto MaximumConnections = std::size_t{1500};
+constexpr auto ConnectionsPerMegabyte = std::size_t{8};
+/// Part of the descriptors for callers; servers, peers and the store need the
+/// others.
+constexpr auto CallerDescriptorShare = 3;
+/// Part of the memory for what callers send and have not read.
+constexpr auto CallerMemoryShare = 4;
+constexpr auto MaximumInternalConnections = std::size_t{200};
 /// Applies to connections for steering and readiness checks.
 constexpr auto InternalIdleTimeout = Duration{10s};
 
@@ -76,20 +86,23 @@
   /// Removes a session when its response has ended in any way.
   class SessionEnd {
   public:
-    SessionEnd(SessionMap &Sessions, RequestNumber Number)
-        : Sessions(Sessions), Number(Number) {}
-    ~SessionEnd() { Sessions.erase(Number); }
+    SessionEnd(Implementation &Owner, RequestNumber Number)
+        : Owner(Owner), Number(Number) {}
+    ~SessionEnd() { Owner.close(Number); }
     SessionEnd(SessionEnd const &) = delete;
     auto operator=(SessionEnd const &) -> SessionEnd & = delete;
 
   private:
-    SessionMap &Sessions; // NOLINT: owned by the server
+    Implementation &Owner; // NOLINT: outlives the session
     RequestNumber Number;
   };
 
   Implementation(asio::io_context &Context, GatewaySettings const &Settings,
                  RelayLoop &Loop)
-      : Context(Context), Loop(Loop),
+      : Context(Context), Loop(Loop), MemoryMegabytes(Settings.MemoryMegabytes),
+        Descriptors(Settings.Descriptors),
+        Budget(std::make_shared<MemoryBudget>((MemoryMegabytes << 20U) /
+                                              CallerMemoryShare)),
         Callers(Context, Settings.Self.CallerAddress, callerLimits({}),
                 handler(&Implementation::serveCaller), refuse),
         Readiness(Context, Settings.ReadinessAddress, internalLimits(),
@@ -97,18 +110,25 @@
         Directory(Context, Settings.DirectoryAddress, internalLimits(),
                   handler(&Implementation::serveSteering), refuse) {}
 
-  static auto callerLimits(relay::CallerLimits const &Limits) -> HttpLimits {
+  [[nodiscard]] auto callerLimits(relay::CallerLimits const &Limits) const
+      -> HttpLimits {
     auto limits = HttpLimits{};
+    limits.Budget = Budget;
     limits.BodyBytes = Limits.BodyBytes;
     limits.HeaderBytes = Limits.HeaderBytes;
-    limits.Connections = MaximumConnections;
+    limits.Connections =
+        std::min({MaximumConnections, MemoryMegabytes * ConnectionsPerMegabyte,
+                  Descriptors / CallerDescriptorShare});
     limits.ReadTimeout = Limits.HeaderTimeout;
     limits.IdleTimeout = Limits.IdleTimeout;
     return limits;
   }
 
-  static auto internalLimits() -> HttpLimits {
+  [[nodiscard]] auto internalLimits() const -> HttpLimits {
     auto limits = HttpLimits{};
+    limits.Budget = Budget;
+    limits.Connections = MaximumInternalConnections;
+    limits.DiscardsBodies = true;
     limits.IdleTimeout = InternalIdleTimeout;
     return limits;
   }
@@ -136,7 +156,7 @@
     auto number = ++LastRequest;
     auto session = open(number);
     Loop.feed(relay::SteeringRequested{number});
-    auto const ended = SessionEnd(Sessions, number);
+    auto const ended = SessionEnd(*this, number);
     co_await writeAll(Exchange, *session);
   }
 
@@ -146,6 +166,12 @@
     return session;
   }
 
+  auto close(RequestNumber Number) -> void {
+    auto it = Sessions.find(Number);
+    TotalBacklogBytes -= it->second->BacklogBytes;
+    Sessions.erase(it);
+  }
+
   auto serveCaller(HttpExchange &Exchange) -> Awaitable<void> {
     auto number = ++LastRequest;
     auto session = open(number);
@@ -156,8 +182,8 @@
     auto content =
         std::make_shared<relay::Request const>(platform::readRequest(Exchange));
     session->RequestId = content->Id;
-    Loop.feed(relay::RequestArrived{number, std::move(content)});
-    auto const ended = SessionEnd(Sessions, number);
+    Loop.feed(relay::RequestArrived{number, std::move(content), bootTime()});
+    auto const ended = SessionEnd(*this, number);
     try {
       co_await writeAll(Exchange, *session);
     } catch (...) {
@@ -168,8 +194,7 @@
   }
 
   /// Writes the effects for the caller until its response is complete.
-  static auto writeAll(HttpExchange &Exchange, Session &Target)
-      -> Awaitable<void> {
+  auto writeAll(HttpExchange &Exchange, Session &Target) -> Awaitable<void> {
     while (true) {
       if (Target.Pending.empty()) {
         auto ec = boost::system::error_code{};
@@ -179,7 +204,7 @@
       auto effect = std::move(Target.Pending.front());
       Target.Pending.pop_front();
       if (auto const *bytes = std::get_if<relay::ForwardBytes>(&effect))
-        Target.BacklogBytes -= bytes->Bytes.size();
+        shrinkBacklog(Target, bytes->Bytes.size());
       auto isLast = co_await std::visit(
           [&](auto &Effect) { return write(Exchange, Effect); }, effect);
       if (isLast)
@@ -202,13 +227,27 @@
     co_return false;
   }
 
-  /// Closes the connection of a caller whose stream exceeds
-  /// MaximumBacklogBytes, and cancels its request.
+  auto shrinkBacklog(Session &Target, std::size_t Bytes) -> void {
+    Target.BacklogBytes -= Bytes;
+    TotalBacklogBytes -= Bytes;
+  }
+
+  /// Returns whether more waits to be written to \p Target than its share, or
+  /// it holds more than most while all together hold too much.
+  [[nodiscard]] auto isBacklogExceeded(Session const &Target) const -> bool {
+    if (Target.BacklogBytes > MaximumBacklogBytes)
+      return true;
+    return TotalBacklogBytes > Budget->limit() / 2 &&
+           Target.BacklogBytes * Sessions.size() > TotalBacklogBytes;
+  }
+
+  /// Closes the connection of a caller that reads too slowly, and cancels its
+  /// request.
   auto abandonBacklog(RequestNumber Number, Session &Target) -> void {
     log(LogLevel::Warning, "caller-backlog-exceeded",
         {{"id", Target.RequestId}, {"bytes", Target.BacklogBytes}});
     Target.Pending.clear();
-    Target.BacklogBytes = 0;
+    shrinkBacklog(Target, Target.BacklogBytes);
     Target.push(relay::AbortStream{Number});
     Loop.feed(relay::CallerDisconnected{Number});
   }
@@ -258,6 +297,11 @@
 
   asio::io_context &Context; // NOLINT: outlives this object
   RelayLoop &Loop;           // NOLINT
+  std::size_t MemoryMegabytes;
+  std::size_t Descriptors;
+  std::shared_ptr<MemoryBudget> Budget;
+  /// Bytes of all sessions that wait to be written.
+  std::size_t TotalBacklogBytes = 0;
   HttpServer Callers;
   HttpServer Readiness;
   HttpServer Directory;
@@ -294,8 +338,9 @@
   auto number = Effect.Number;
   auto &session = *it->second;
   session.BacklogBytes += Effect.Bytes.size();
+  Impl->TotalBacklogBytes += Effect.Bytes.size();
   session.push(std::move(Effect));
-  if (session.BacklogBytes > MaximumBacklogBytes)
+  if (Impl->isBacklogExceeded(session))
     Impl->abandonBacklog(number, session);
 }
 
@@ -317,13 +362,19 @@
 }
 
 auto CallerServer::applyLimits(relay::CallerLimits const &Limits) -> void {
-  Impl->Callers.setLimits(Implementation::callerLimits(Limits));
+  Impl->Callers.setLimits(Impl->callerLimits(Limits));
 }
 
 auto CallerServer::closeAfterResponses() -> void {
   Impl->Callers.closeAfterResponses();
 }
 
+auto CallerServer::load() const -> CallerLoad {
+  return {Impl->Callers.connectionCount(), Impl->Budget->used(),
+          Impl->TotalBacklogBytes, Impl->Budget->refusals(),
+          Impl->Callers.closedForRoomCount()};
+}
+
 auto CallerServer::isIdle() const -> bool { return Impl->Sessions.empty(); }
 
 } // namespace dotterel
--- a/Libraries/LibGateway/CallerServer.h
+++ b/Libraries/LibGateway/CallerServer.h
@@ -10,6 +10,19 @@
 
 namespace dotterel {
 
+/// What the instance holds for its callers.
+struct CallerLoad {
+  std::size_t Connections = 0;
+  /// Memory of requests that are received or in progress.
+  std::size_t RequestBytes = 0;
+  /// Bytes of streams that wait to be written.
+  std::size_t BacklogBytes = 0;
+  /// Times that there was no memory for a request.
+  std::uint64_t MemoryRefusals = 0;
+  /// Connections that were closed to make room for others.
+  std::uint64_t ClosedForRoom = 0;
+};
+
 /// Serves callers, readiness checks and steering (which tells callers to which
 /// instances to connect).
 /// Thread safety: none; used on one executor.
@@ -38,6 +51,8 @@
   /// Closes each connection of a caller after its next response.
   auto closeAfterResponses() -> void;
 
+  [[nodiscard]] auto load() const -> CallerLoad;
+
   /// Returns whether every response has been written.
   [[nodiscard]] auto isIdle() const -> bool;
 
--- /dev/null
+++ b/Libraries/LibGateway/DutyClient.h
@@ -0,0 +1,31 @@
+/// \file
+/// Calls the platform's interface for usage reports and orders of servers.
+#pragma once
+
+#include "LibGateway/RelayLoop.h"
+#include "LibNet/Asio.h"
+
+#include <memory>
+#include <string>
+
+namespace dotterel {
+
+/// Sends one call after another, and none whose authority has ended. Passes the
+/// results on to the loop. Thread safety: none; used on one executor.
+class DutyClient {
+public:
+  /// Precondition: \p Context and \p Loop outlive the client.
+  DutyClient(asio::io_context &Context, std::string Address, RelayLoop &Loop);
+  ~DutyClient();
+  DutyClient(DutyClient const &) = delete;
+  auto operator=(DutyClient const &) -> DutyClient & = delete;
+
+  auto run(relay::SendUsageReport const &Effect) -> void;
+  auto run(relay::OrderServers const &Effect) -> void;
+
+private:
+  struct Implementation;
+  std::shared_ptr<Implementation> Impl;
+};
+
+} // namespace dotterel
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -1,8 +1,10 @@
 #include "LibGateway/Gateway.h"
 
+#include "LibCore/BootClock.h"
 #include "LibCore/Error.h"
 #include "LibCore/Log.h"
 #include "LibGateway/CallerServer.h"
+#include "LibGateway/DutyClient.h"
 #include "LibGateway/PeerSocket.h"
 #include "LibGateway/QuarantineStore.h"
 #include "LibGateway/RelayLoop.h"
@@ -46,6 +48,7 @@
         Store(Context, Settings.StoreAddress,
               {Settings.Self.Instance, Settings.Self.PeerAddress}, Loop),
         Quarantine(Context, Settings.StoreAddress, Loop),
+        Duties(Context, Settings.DutyAddress, Loop),
         Peers(Context, Settings.Self.PeerAddress, Loop),
         Signals(Context, SIGINT, SIGTERM, SIGHUP) {
     Loop.setEffectHandler([this](relay::Effect &Effect) {
@@ -64,6 +67,8 @@
       Store.run(Effect);
     else if constexpr (requires { Quarantine.run(Effect); })
       Quarantine.run(Effect);
+    else if constexpr (requires { Duties.run(Effect); })
+      Duties.run(Effect);
     else
       Peers.run(Effect);
   }
@@ -105,7 +110,7 @@
     co_await Exchange.respond({StatusOk,
                                "text/plain; version=0.0.4",
                                {},
-                               Metrics.text(Loop.state())});
+                               Metrics.text(Loop.state(), Callers.load())});
   }
 
   auto startMetrics() -> void {
@@ -134,7 +139,8 @@
     auto timer = asio::steady_timer(Context);
     auto ec = boost::system::error_code{};
     for (auto n = 1U; !IsStopping; ++n) {
-      Loop.feed(relay::Tick{});
+      Loop.feed(relay::Tick{
+          bootTime(), std::chrono::system_clock::now().time_since_epoch()});
       applyConfiguration();
       if (n % TicksBetweenExpiry == 0)
         Servers.expireIdle();
@@ -162,6 +168,7 @@
   ServerClient Servers;
   StoreFollower Store;
   QuarantineStore Quarantine;
+  DutyClient Duties;
   PeerSocket Peers;
   asio::signal_set Signals;
   std::unique_ptr<HttpServer> MetricsServer;
--- a/Libraries/LibGateway/GatewaySettings.cpp
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -2,6 +2,7 @@
 
 #include "LibConfiguration/FieldReader.h"
 #include "LibConfiguration/Settings.h"
+#include "platform/Duties.h"
 
 #include <fmt/format.h>
 
@@ -35,6 +36,10 @@
       "default": 0, "description": "TCP port for metrics; 0 for none."},
     "logLevel": {"enum": ["debug", "info", "warning", "error"],
       "default": "info", "description": "Lowest level that is logged."},
+    "memoryMb": {"type": "integer", "minimum": 64, "maximum": 1048576,
+      "default": 512, "description": "Memory that the process may use, in MB; a quarter of it is for what callers send and have not read."},
+    "descriptors": {"type": "integer", "minimum": 256, "maximum": 1048576,
+      "default": 4096, "description": "File descriptors that the process may use; a third of them is for callers."},
     "processorShare": {"type": "number", "minimum": 0.001, "maximum": 1024,
       "default": 1, "description": "Processor cores of this instance; callers are distributed in proportion to it."},
     "retryRatio": {"type": "number", "minimum": 0, "maximum": 10,
@@ -48,6 +53,17 @@
       "description": "Time between two heartbeats of a server to the store, in ms."},
     "leavingServerMs": {"type": "integer", "minimum": 100, "maximum": 600000,
       "default": 2000, "description": "Time after which a leaving server must receive no more requests, in ms."},
+    "revocationBoundMs": {"type": "integer", "minimum": 1000,
+      "maximum": 600000,
+      "description": "Time after the removal of a customer's key from which no instance serves it, in ms; without it, instances that are cut off may lag behind."},
+    "dutyAddress": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$",
+      "description": "IPv4 address and port of the platform's interface for usage reports and orders of servers."},
+    "duties": {"type": "array", "items": {"type": "string"}, "default": [],
+      "description": "Duties that one instance performs for all, by the platform's names."},
+    "usageWindowSeconds": {"type": "number", "minimum": 1, "maximum": 86400,
+      "default": 60, "description": "Length of the windows in which the usage of customers is reported, in s."},
+    "usageDeadlineSeconds": {"type": "number", "minimum": 1, "maximum": 86400,
+      "default": 10, "description": "Time from the end of a window until its usage report is due, in s."},
     "firstStart": {"type": "boolean", "default": false,
       "description": "Whether the whole system starts for the first time, before any traffic."},
     "prefillShare": {"type": "number", "minimum": 0, "maximum": 1,
@@ -78,6 +94,16 @@
   options.SteeringLifetime =
       fromSeconds(std::min(MaximumSteeringLifetimeSeconds,
                            Reader.read<double>("steeringLifetimeSeconds")));
+  if (Reader.contains("revocationBoundMs"))
+    options.RevocationBound = Reader.readMilliseconds("revocationBoundMs");
+  auto const duties =
+      platform::readDuties(Reader.read<std::vector<std::string>>("duties"));
+  options.OrdersServers = duties.OrdersServers;
+  if (duties.ReportsUsage)
+    options.UsageWindow =
+        fromSeconds(Reader.read<double>("usageWindowSeconds"));
+  options.UsageDeadline =
+      fromSeconds(Reader.read<double>("usageDeadlineSeconds"));
   return options;
 }
 
@@ -100,6 +126,10 @@
   settings.ReadinessAddress = reader.read<std::string>("readinessAddress");
   settings.DirectoryAddress = reader.read<std::string>("directoryAddress");
   settings.StoreAddress = reader.read<std::string>("storeAddress");
+  if (reader.contains("dutyAddress"))
+    settings.DutyAddress = reader.read<std::string>("dutyAddress");
+  settings.MemoryMegabytes = reader.read<std::size_t>("memoryMb");
+  settings.Descriptors = reader.read<std::size_t>("descriptors");
   settings.MetricsPort = reader.read<std::uint16_t>("metricsPort");
   settings.LogLevel = reader.read<std::string>("logLevel");
   settings.Options = readOptions(reader);
--- a/Libraries/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/GatewaySettings.h
@@ -18,7 +18,12 @@
   std::string ReadinessAddress;
   std::string DirectoryAddress;
   std::string StoreAddress;
+  /// Empty if there are no duties.
+  std::string DutyAddress;
   std::uint16_t MetricsPort = 0;
+  /// Memory and file descriptors of the machine that the instance may use.
+  std::size_t MemoryMegabytes = 0;
+  std::size_t Descriptors = 0;
   std::string LogLevel;
 
   /// Parses and validates \p Text.
--- a/Libraries/LibGateway/PeerSocket.cpp
+++ b/Libraries/LibGateway/PeerSocket.cpp
@@ -1,6 +1,7 @@
 #include "LibGateway/PeerSocket.h"
 
 #include "LibCore/Address.h"
+#include "LibCore/BootClock.h"
 #include "LibCore/Log.h"
 #include "LibNet/Endpoint.h"
 #include "LibNet/Task.h"
@@ -60,6 +61,14 @@
       Loop.feed(relay::PeerReported{std::move(*report)});
       return true;
     }
+    if (auto usage = decodeUsage(Bytes)) {
+      Loop.feed(relay::UsageReceived{std::move(Address), std::move(*usage)});
+      return true;
+    }
+    if (auto confirmation = relay::decodeConfirmation(Bytes)) {
+      accept(*confirmation, std::move(Address));
+      return true;
+    }
     auto message = relay::decodePermitMessage(Bytes);
     if (!message)
       return false;
@@ -71,6 +80,16 @@
     return true;
   }
 
+  auto accept(relay::ConfirmationMessage const &Message, std::string Address)
+      -> void {
+    if (auto const *it = std::get_if<relay::ConfirmationRequest>(&Message))
+      Loop.feed(
+          relay::ConfirmationRequested{std::move(Address), *it, bootTime()});
+    else
+      Loop.feed(relay::ConfirmationAnswered{
+          std::get<relay::ConfirmationResponse>(Message)});
+  }
+
   auto send(std::string_view Bytes, std::string_view Address) -> void {
     auto const endpoint = findEndpoint(Address);
     if (!endpoint)
@@ -114,4 +133,21 @@
   Impl->send(relay::encodePermitMessage(Effect.Response), Effect.Address);
 }
 
+auto PeerSocket::run(relay::SendConfirmationRequest const &Effect) -> void {
+  Impl->send(relay::encodeConfirmation(Effect.Request), Effect.Address);
+}
+
+auto PeerSocket::run(relay::SendConfirmationResponse const &Effect) -> void {
+  Impl->send(relay::encodeConfirmation(Effect.Response), Effect.Address);
+}
+
+auto PeerSocket::run(relay::SendUsage const &Effect) -> void {
+  for (auto const &message : Effect.Messages) {
+    for (auto const &bytes : encodeUsage(message)) {
+      for (auto const &address : Effect.Addresses)
+        Impl->send(bytes, address);
+    }
+  }
+}
+
 } // namespace dotterel
--- a/Libraries/LibGateway/PeerSocket.h
+++ b/Libraries/LibGateway/PeerSocket.h
@@ -26,6 +26,9 @@
   auto run(relay::SendPeerReport const &Effect) -> void;
   auto run(relay::SendPermitRequest const &Effect) -> void;
   auto run(relay::SendPermitResponse const &Effect) -> void;
+  auto run(relay::SendConfirmationRequest const &Effect) -> void;
+  auto run(relay::SendConfirmationResponse const &Effect) -> void;
+  auto run(relay::SendUsage const &Effect) -> void;
 
 private:
   struct Implementation;
--- a/Libraries/LibGateway/RelayMetrics.cpp
+++ b/Libraries/LibGateway/RelayMetrics.cpp
@@ -59,6 +59,12 @@
   case relay::CounterMetric::Permits:
     return {"dotterel_relay_permits_total",
             "Permits for servers that name a limit, by outcome", "outcome"};
+  case relay::CounterMetric::CustomerStarts:
+    return {"dotterel_relay_customer_starts_total",
+            "Requests of customers that began to run", "customer"};
+  case relay::CounterMetric::Duties:
+    return {"dotterel_relay_duties_total",
+            "Usage reports and orders of servers, by outcome", "outcome"};
   }
   return {"dotterel_relay_other_total", "Other events", "kind"};
 }
@@ -128,7 +134,8 @@
   histogram->Observe(toSeconds(Effect.Value));
 }
 
-auto RelayMetrics::text(relay::State const &CurrentState) -> std::string {
+auto RelayMetrics::text(relay::State const &CurrentState,
+                        CallerLoad const &Callers) -> std::string {
   auto set = [&](char const *Name, double Value) {
     Impl->Gauges.Add({{"name", Name}}).Set(Value);
   };
@@ -156,6 +163,13 @@
       static_cast<double>(CurrentState.Quarantine.segmentCount()));
   set("quarantined_requests",
       static_cast<double>(CurrentState.Quarantine.requestCount()));
+  set("caller_connections", static_cast<double>(Callers.Connections));
+  set("caller_request_bytes", static_cast<double>(Callers.RequestBytes));
+  set("caller_backlog_bytes", static_cast<double>(Callers.BacklogBytes));
+  set("caller_memory_refusals", static_cast<double>(Callers.MemoryRefusals));
+  set("callers_closed_for_room", static_cast<double>(Callers.ClosedForRoom));
+  set("keys_confirmed", CurrentState.Customers.IsConfirmed ? 1 : 0);
+  set("holds_duties", CurrentState.Duties.Lease.Fence ? 1 : 0);
   set("store_reachable", CurrentState.Store.IsReachable ? 1 : 0);
   set("ready", CurrentState.isReady() ? 1 : 0);
   return prometheus::TextSerializer{}.Serialize(Impl->Registry.Collect());
--- a/Libraries/LibGateway/RelayMetrics.h
+++ b/Libraries/LibGateway/RelayMetrics.h
@@ -2,6 +2,7 @@
 /// Counters and latency histograms of relayed requests.
 #pragma once
 
+#include "LibGateway/CallerServer.h"
 #include "LibRelay/Effect.h"
 #include "LibRelay/State.h"
 
@@ -22,8 +23,9 @@
   auto run(relay::ObserveDuration const &Effect) -> void;
 
   /// Returns all metrics in the Prometheus text format, with gauges from \p
-  /// CurrentState.
-  [[nodiscard]] auto text(relay::State const &CurrentState) -> std::string;
+  /// CurrentState and \p Callers.
+  [[nodiscard]] auto text(relay::State const &CurrentState,
+                          CallerLoad const &Callers) -> std::string;
 
 private:
   struct Implementation;
--- a/Libraries/LibGateway/StoreFollower.cpp
+++ b/Libraries/LibGateway/StoreFollower.cpp
@@ -62,9 +62,11 @@
   /// How the objects of one kind are followed.
   struct KindFollower {
     std::string_view Kind;
-    std::function<void(std::vector<StoredObject> const &, StoreVersion)>
+    /// The last argument of both is the time since boot before the call.
+    std::function<void(std::vector<StoredObject> const &, StoreVersion,
+                       Duration)>
         OnListed;
-    std::function<void(StoreChanges const &)> OnChanged;
+    std::function<void(StoreChanges const &, Duration)> OnChanged;
     /// Returns whether this instance has to query the store.
     std::function<bool(relay::StoreWatch const &)> IsNeeded;
     /// Version up to which the kind is known, from the store or from watchers.
@@ -76,12 +78,13 @@
     auto backoff = Backoff{};
     while (true) {
       auto objects = std::vector<StoredObject>{};
+      auto const askedAt = bootTime();
       auto asOf = co_await client.list(Follower.Kind, objects);
       if (!asOf) {
         co_await sleepFor(backoff.next(maximumBackoff()));
         continue;
       }
-      Follower.OnListed(objects, *asOf);
+      Follower.OnListed(objects, *asOf, askedAt);
       backoff.reset();
       co_await watch(client, Follower, *asOf, backoff);
       log(LogLevel::Info, "store-watch-restarted", {{"kind", Follower.Kind}});
@@ -113,6 +116,7 @@
         co_return;
       auto wait = watchWait();
       AsOf = std::max(AsOf, storeWatch().*Follower.KnownAsOf);
+      auto const askedAt = bootTime();
       auto response = co_await Client.get(
           platform::watchPath(Follower.Kind, AsOf, wait), wait);
       // A revision of an earlier era may have been assigned again.
@@ -129,7 +133,7 @@
       RetryBackoff.reset();
       AsOf = std::max(AsOf, changes->AsOf);
       changes->AsOf = AsOf;
-      Follower.OnChanged(*changes);
+      Follower.OnChanged(*changes, askedAt);
       if (!storeWatch().IsWatcher)
         co_await sleepFor(CatchUpInterval);
     }
@@ -146,12 +150,13 @@
   auto followConfiguration() -> Awaitable<void> {
     return follow(
         {platform::ConfigurationKind,
-         [this](std::vector<StoredObject> const &Objects, StoreVersion AsOf) {
+         [this](std::vector<StoredObject> const &Objects, StoreVersion AsOf,
+                Duration AskedAt) {
            for (auto const &it : Objects)
              feedConfiguration(it);
-           Loop.feed(relay::ConfigurationConfirmed{AsOf});
+           Loop.feed(relay::ConfigurationConfirmed{AsOf, AskedAt});
          },
-         [this](StoreChanges const &Update) {
+         [this](StoreChanges const &Update, Duration AskedAt) {
            // Each version replaces the previous one, so only the last one
            // counts.
            for (auto it = Update.Changes.rbegin(); it != Update.Changes.rend();
@@ -162,7 +167,7 @@
              feedConfiguration(it->Object);
              break;
            }
-           Loop.feed(relay::ConfigurationConfirmed{Update.AsOf});
+           Loop.feed(relay::ConfigurationConfirmed{Update.AsOf, AskedAt});
          },
          &relay::StoreWatch::needsConfiguration,
          &relay::StoreWatch::ConfigurationAsOf});
@@ -177,23 +182,24 @@
   }
 
   auto followServers() -> Awaitable<void> {
-    return follow(
-        {platform::ServerKind,
-         [this](std::vector<StoredObject> const &Objects, StoreVersion AsOf) {
-           auto listed = relay::ServersListed{{}, AsOf};
-           for (auto const &it : Objects) {
-             if (auto server = platform::readServer(it))
-               listed.Servers.push_back(std::move(*server));
-           }
-           Loop.feed(std::move(listed));
-         },
-         [this](StoreChanges const &Update) {
-           auto updated = relay::ServersUpdated{{}, Update.AsOf};
-           for (auto const &it : Update.Changes)
-             updated.Updates.push_back(readUpdate(it));
-           Loop.feed(std::move(updated));
-         },
-         &relay::StoreWatch::needsServers, &relay::StoreWatch::ServersAsOf});
+    return follow({platform::ServerKind,
+                   [this](std::vector<StoredObject> const &Objects,
+                          StoreVersion AsOf, Duration /*AskedAt*/) {
+                     auto listed = relay::ServersListed{{}, AsOf};
+                     for (auto const &it : Objects) {
+                       if (auto server = platform::readServer(it))
+                         listed.Servers.push_back(std::move(*server));
+                     }
+                     Loop.feed(std::move(listed));
+                   },
+                   [this](StoreChanges const &Update, Duration /*AskedAt*/) {
+                     auto updated = relay::ServersUpdated{{}, Update.AsOf};
+                     for (auto const &it : Update.Changes)
+                       updated.Updates.push_back(readUpdate(it));
+                     Loop.feed(std::move(updated));
+                   },
+                   &relay::StoreWatch::needsServers,
+                   &relay::StoreWatch::ServersAsOf});
   }
 
   /// Creates or replaces the record of this instance.
@@ -260,41 +266,81 @@
     }
   }
 
-  auto readLease() -> Awaitable<void> {
-    auto path = platform::objectPath(platform::LeaseKind, platform::LeaseName);
+  /// Reads the object \p Name of the kind of leases. Passes the body to
+  /// \p Read, or an empty one if there is no such object.
+  template <typename Reader>
+  auto readLease(std::string_view Name, Reader Read) -> Awaitable<void> {
+    auto path = platform::objectPath(platform::LeaseKind, Name);
     auto request = HttpRequest{"GET", std::move(path), "", {}, ""};
     auto client = StoreClient(Context, Address, Loop);
     auto response = co_await client.call(request, StoreCallTimeout);
     if (response && response->Status == StoreNotFound)
-      co_return Loop.feed(relay::LeaseRead{true, {response->Era, 0}, ""});
-    auto read = relay::LeaseRead{};
+      co_return Loop.feed(
+          decltype(Read(*response)){true, {response->Era, 0}, {}});
     if (response && response->Status == StoreOk)
-      read = platform::readLease(response->Body, response->Era);
-    Loop.feed(std::move(read));
+      co_return Loop.feed(Read(*response));
+    Loop.feed(decltype(Read(*response)){});
   }
 
-  auto writeLease(relay::WriteLease Effect) -> Awaitable<void> {
-    auto isNew = Effect.Expected.revision() == 0;
-    auto body = platform::writeLease(Effect.Holder, Effect.Expected);
-    auto request = HttpRequest{
-        isNew ? "POST" : "PUT",
-        isNew ? platform::listPath(platform::LeaseKind, "")
-              : platform::objectPath(platform::LeaseKind, platform::LeaseName),
-        "application/json",
-        {},
-        body};
+  auto readOrderLease() -> Awaitable<void> {
+    return readLease(platform::LeaseName, [](StoreResponse const &Response) {
+      return platform::readLease(Response.Body, Response.Era);
+    });
+  }
+
+  auto readDutyLease() -> Awaitable<void> {
+    return readLease(
+        platform::DutyLeaseName, [](StoreResponse const &Response) {
+          return platform::readDutyLease(Response.Body, Response.Era);
+        });
+  }
+
+  /// Creates or replaces the object \p Name of the kind of leases. Returns the
+  /// response if it says that this was done.
+  auto putLease(std::string_view Name, StoreVersion Expected, std::string Body)
+      -> Awaitable<std::optional<StoreResponse>> {
+    auto isNew = Expected.revision() == 0;
+    auto request =
+        HttpRequest{isNew ? "POST" : "PUT",
+                    isNew ? platform::listPath(platform::LeaseKind, "")
+                          : platform::objectPath(platform::LeaseKind, Name),
+                    "application/json",
+                    {},
+                    Body};
     auto client = StoreClient(Context, Address, Loop);
-    auto validUntil = bootTime() + LeaseValidity;
     auto response = co_await client.call(request, StoreCallTimeout);
     auto status = response ? response->Status : 0;
+    if (status != StoreOk && status != StoreCreated)
+      co_return std::nullopt;
+    co_return response;
+  }
+
+  auto writeLease(relay::WriteLease Effect) -> Awaitable<void> {
+    auto validUntil = bootTime() + LeaseValidity;
+    auto response =
+        co_await putLease(platform::LeaseName, Effect.Expected,
+                          platform::writeLease(Effect.Holder, Effect.Expected));
     auto written = relay::LeaseWritten{};
-    if (status == StoreOk || status == StoreCreated) {
+    if (response) {
       auto read = platform::readLease(response->Body, response->Era);
       written = {read.IsRead, read.Version, validUntil};
     }
     Loop.feed(written);
   }
 
+  auto writeDutyLease(relay::WriteDutyLease Effect) -> Awaitable<void> {
+    auto const writtenAt = bootTime();
+    auto response = co_await putLease(
+        platform::DutyLeaseName, Effect.Expected,
+        platform::writeDutyLease(Effect.Record, Effect.Expected));
+    auto written = relay::DutyLeaseWritten{};
+    if (response) {
+      auto read = platform::readDutyLease(response->Body, response->Era);
+      written = {read.IsRead, read.Version, writtenAt};
+    }
+    Loop.feed(written);
+  }
+
   /// A write of the lease allows orders for this long, counted from before the
   /// write was sent.
   static constexpr auto LeaseValidity = Duration{1s};
@@ -324,7 +370,7 @@
 
 auto StoreFollower::run(relay::ReadLease const & /*Effect*/) -> void {
   spawnTask(Impl->Context, "lease-reader",
-            [self = Impl] { return self->readLease(); });
+            [self = Impl] { return self->readOrderLease(); });
 }
 
 auto StoreFollower::run(relay::WriteLease const &Effect) -> void {
@@ -332,4 +378,14 @@
             [self = Impl, Effect] { return self->writeLease(Effect); });
 }
 
+auto StoreFollower::run(relay::ReadDutyLease const & /*Effect*/) -> void {
+  spawnTask(Impl->Context, "duty-lease-reader",
+            [self = Impl] { return self->readDutyLease(); });
+}
+
+auto StoreFollower::run(relay::WriteDutyLease const &Effect) -> void {
+  spawnTask(Impl->Context, "duty-lease-writer",
+            [self = Impl, Effect] { return self->writeDutyLease(Effect); });
+}
+
 } // namespace dotterel
--- a/Libraries/LibGateway/StoreFollower.h
+++ b/Libraries/LibGateway/StoreFollower.h
@@ -26,6 +26,8 @@
 
   auto run(relay::ReadLease const &Effect) -> void;
   auto run(relay::WriteLease const &Effect) -> void;
+  auto run(relay::ReadDutyLease const &Effect) -> void;
+  auto run(relay::WriteDutyLease const &Effect) -> void;
 
 private:
   struct Implementation;
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -1,7 +1,9 @@
 #include "LibNet/HttpServer.h"
 
 #include "LibCore/Log.h"
+#include "LibNet/ConnectionTable.h"
 #include "LibNet/Endpoint.h"
+#include "LibNet/MeteredBody.h"
 #include "LibNet/Task.h"
 
 #include <sys/socket.h>
@@ -43,7 +45,7 @@
 /// An exchange over a TCP connection.
 class Exchange final : public HttpExchange {
 public:
-  Exchange(beast::tcp_stream &Stream, http::request<http::string_body> Request,
+  Exchange(beast::tcp_stream &Stream, http::request<MeteredBody> Request,
            Duration WriteTimeout, bool const &IsClosing)
       : Stream(Stream), Request(std::move(Request)), WriteTimeout(WriteTimeout),
         IsClosing(IsClosing) {}
@@ -89,7 +91,9 @@
     return std::string(toView(Request[{Name.data(), Name.size()}]));
   }
 
-  [[nodiscard]] auto body() -> std::string & override { return Request.body(); }
+  [[nodiscard]] auto body() -> std::string & override {
+    return Request.body().Text;
+  }
 
   [[nodiscard]] auto callerAddress() const -> std::string override {
     auto ec = boost::system::error_code{};
@@ -192,27 +196,63 @@
   }
 
   beast::tcp_stream &Stream; // NOLINT: owned by the session
-  http::request<http::string_body> Request;
+  http::request<MeteredBody> Request;
   Duration WriteTimeout;
   bool const &IsClosing; // NOLINT: owned by the server
   bool HasResponded = false;
   std::shared_ptr<bool> IsWatched;
 };
 
-/// Counts a connection while it exists.
-class CountedConnection {
+/// Lists a connection in the table while it exists.
+class ListedConnection {
 public:
-  explicit CountedConnection(std::size_t &Count) : Count(Count) { ++Count; }
-  ~CountedConnection() { --Count; }
-  CountedConnection(CountedConnection const &) = delete;
-  auto operator=(CountedConnection const &) -> CountedConnection & = delete;
+  ListedConnection(ConnectionTable &Table, beast::tcp_stream &Stream)
+      : Table(Table), Entry(Table.add(describe(Stream))) {}
+  ~ListedConnection() { Table.remove(Entry); }
+  ListedConnection(ListedConnection const &) = delete;
+  auto operator=(ListedConnection const &) -> ListedConnection & = delete;
+
+  /// Records that the connection made progress in \p Phase, in which its
+  /// request holds \p Bytes.
+  auto progress(ConnectionPhase Phase, std::size_t Bytes) -> void {
+    // A connection that was closed for another one stays as it is.
+    if (!Entry->Close)
+      return;
+    Entry->Phase = Phase;
+    Entry->Bytes = Bytes;
+    Entry->LastProgressAt = std::chrono::steady_clock::now();
+  }
 
 private:
-  std::size_t &Count; // NOLINT: owned by the server
+  static auto describe(beast::tcp_stream &Stream) -> ConnectionEntry {
+    auto ec = boost::system::error_code{};
+    auto const endpoint = Stream.socket().remote_endpoint(ec);
+    return {ec ? std::string{} : endpoint.address().to_string(),
+            ConnectionPhase::Idle, std::chrono::steady_clock::now(), 0,
+            [&Stream] { Stream.close(); }};
+  }
+
+  ConnectionTable &Table; // NOLINT: owned by the server
+  ConnectionTable::Handle Entry;
 };
 
-auto refusalCode(boost::system::error_code const &ec) -> ResultCode {
-  if (ec == http::error::header_limit)
+/// Returns the memory that the header of \p Source needs, in the message and in
+/// the copies that are made of it.
+template <typename Message>
+auto headerCost(Message const &Source) -> std::size_t {
+  // A short field needs several times its length.
+  constexpr auto FieldOverhead = std::size_t{256};
+  auto bytes = std::size_t{Source.target().size()};
+  for (auto const &it : Source)
+    bytes += FieldOverhead + 2 * (it.name_string().size() + it.value().size());
+  return bytes;
+}
+
+auto refusalCode(boost::system::error_code const &ec, bool HasHeader)
+    -> ResultCode {
+  if (ec == http::error::buffer_overflow && HasHeader)
+    return ResultCode::OverloadedByCallers;
+  if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
     return ResultCode::HeadersTooLarge;
   if (ec == http::error::body_limit)
     return ResultCode::BodyTooLarge;
@@ -234,7 +274,8 @@
                  HttpLimits Limits, HttpHandler Handler,
                  HttpErrorHandler ErrorHandler)
       : Acceptor(Context), Endpoint(parseEndpoint(Address)), Limits(Limits),
-        Handler(std::move(Handler)), ErrorHandler(std::move(ErrorHandler)) {}
+        Handler(std::move(Handler)), ErrorHandler(std::move(ErrorHandler)),
+        OwnBudget(std::make_shared<MemoryBudget>(OwnBudgetBytes)) {}
 
   auto accept() -> Awaitable<void> {
     auto self = shared_from_this();
@@ -247,24 +288,53 @@
         continue;
       }
       socket.set_option(tcp::no_delay(true), ec);
+      if (Table.size() >= Limits.Connections)
+        makeRoom();
+      // Refused connections hold memory, too, until their response is written.
+      if (Table.size() >= Limits.Connections + Limits.Connections / 4)
+        continue;
       spawnTask(Acceptor.get_executor(), "caller-connection",
                 [self, stream = std::make_shared<beast::tcp_stream>(
                            std::move(socket))]() -> Awaitable<void> {
-                  auto const counted = CountedConnection(self->Connections);
-                  co_await self->serve(*stream);
+                  auto listed = ListedConnection(self->Table, *stream);
+                  co_await self->serve(*stream, listed);
                 });
     }
   }
 
-  auto serve(beast::tcp_stream &Stream) -> Awaitable<void> {
+  /// Closes a connection that makes no progress. Logged at a bounded rate.
+  auto makeRoom() -> void {
+    auto const now = std::chrono::steady_clock::now();
+    Table.closeForConnection(now);
+    logRoom(now, "connections");
+  }
+
+  auto logRoom(Instant Now, std::string_view Kind) -> void {
+    if (Now - LastRoomLogAt < RoomLogInterval)
+      return;
+    LastRoomLogAt = Now;
+    log(LogLevel::Warning, "callers-closed-for-room",
+        {{"of", Kind},
+         {"closed", Table.closedCount()},
+         {"connections", Table.size()},
+         {"bytes", budget()->used()},
+         {"refused", budget()->refusals()}});
+  }
+
+  [[nodiscard]] auto budget() const -> std::shared_ptr<MemoryBudget> const & {
+    return Limits.Budget ? Limits.Budget : OwnBudget;
+  }
+
+  auto serve(beast::tcp_stream &Stream, ListedConnection &Listed)
+      -> Awaitable<void> {
     auto buffer = beast::flat_buffer{};
-    if (Connections > Limits.Connections) {
+    if (Table.size() > Limits.Connections + 1) {
       co_await refuse(Stream, buffer, ResultCode::TooManyConnections);
       co_return;
     }
     try {
-      while (co_await waitForRequest(Stream, buffer) &&
-             co_await serveOne(Stream, buffer)) {
+      while (co_await waitForRequest(Stream, buffer, Listed) &&
+             co_await serveOne(Stream, buffer, Listed)) {
       }
     } catch (boost::system::system_error const &) {
       // The caller disconnected or stopped reading: close the connection.
@@ -275,10 +345,14 @@
   }
 
   /// Waits until the first byte of a request has arrived.
-  auto waitForRequest(beast::tcp_stream &Stream, beast::flat_buffer &Buffer)
-      -> Awaitable<bool> {
+  auto waitForRequest(beast::tcp_stream &Stream, beast::flat_buffer &Buffer,
+                      ListedConnection &Listed) -> Awaitable<bool> {
+    // What a caller sends ahead is read only up to this limit.
+    Buffer.max_size(Limits.HeaderBytes + BufferMargin);
     if (Buffer.size() > 0)
       co_return true;
+    Listed.progress(ConnectionPhase::Idle, 0);
+    Buffer.shrink_to_fit();
     auto ec = boost::system::error_code{};
     Stream.expires_after(Limits.IdleTimeout);
     auto n = co_await Stream.async_read_some(Buffer.prepare(FirstReadBytes),
@@ -287,12 +361,17 @@
     co_return !ec;
   }
 
-  auto serveOne(beast::tcp_stream &Stream, beast::flat_buffer &Buffer)
-      -> Awaitable<bool> {
-    auto parser = http::request_parser<http::string_body>{};
+  auto serveOne(beast::tcp_stream &Stream, beast::flat_buffer &Buffer,
+                ListedConnection &Listed) -> Awaitable<bool> {
+    // Outlives the request, whose memory it accounts for.
+    auto charge = MemoryCharge(budget());
+    auto parser = http::request_parser<MeteredBody>{};
     parser.header_limit(static_cast<std::uint32_t>(Limits.HeaderBytes));
     parser.body_limit(Limits.BodyBytes);
-    auto ec = co_await receive(Stream, Buffer, parser);
+    parser.get().body().Charge = &charge;
+    parser.get().body().IsDiscarded = Limits.DiscardsBodies;
+    auto ec = co_await receive(Stream, Buffer, parser, charge, Listed);
+    Listed.progress(ConnectionPhase::Responding, charge.bytes());
     if (ec == asio::error::timed_out) {
       co_await refuse(Stream, Buffer, ResultCode::RequestTimeout);
       co_return false;
@@ -300,7 +379,7 @@
     if (ec && isConnectionError(ec))
       co_return false;
     if (ec) {
-      co_await refuse(Stream, Buffer, refusalCode(ec));
+      co_await refuse(Stream, Buffer, refusalCode(ec, parser.is_header_done()));
       co_return false;
     }
     auto exchange =
@@ -311,21 +390,38 @@
 
   template <typename Parser>
   auto receive(beast::tcp_stream &Stream, beast::flat_buffer &Buffer,
-               Parser &Target) -> Awaitable<boost::system::error_code> {
+               Parser &Target, MemoryCharge &Charge, ListedConnection &Listed)
+      -> Awaitable<boost::system::error_code> {
     auto ec = boost::system::error_code{};
     Stream.expires_never();
     auto deadline = ReadDeadline(Stream, Limits.ReadTimeout);
+    Listed.progress(ConnectionPhase::Receiving, Charge.bytes());
     co_await http::async_read_header(Stream, Buffer, Target, useError(ec));
+    if (!ec && !Charge.grow(headerCost(Target.get())))
+      co_return http::error::buffer_overflow;
     if (!ec && isContinueExpected(Target))
       co_await asio::async_write(Stream, asio::buffer(ContinueResponse),
                                  useError(ec));
-    if (!ec)
-      co_await http::async_read(Stream, Buffer, Target, useError(ec));
+    while (!ec && !Target.is_done()) {
+      Listed.progress(ConnectionPhase::Receiving, Charge.bytes());
+      closeStalled();
+      co_await http::async_read_some(Stream, Buffer, Target, useError(ec));
+    }
     if (ec && deadline.hasPassed())
       co_return asio::error::timed_out;
     co_return ec;
   }
 
+  /// Closes a connection that holds memory and has stalled, if there is little
+  /// left.
+  auto closeStalled() -> void {
+    if (!budget()->isScarce())
+      return;
+    auto const now = std::chrono::steady_clock::now();
+    if (Table.closeForMemory(now))
+      logRoom(now, "memory");
+  }
+
   template <typename Parser>
   static auto isContinueExpected(Parser const &Target) -> bool {
     return beast::iequals(Target.get()[http::field::expect], "100-continue");
@@ -360,6 +456,11 @@
   static constexpr auto FirstReadBytes = std::size_t{2048};
   static constexpr auto MaximumDrainedBytes = std::size_t{8} << 20U;
   static constexpr auto AcceptRetryInterval = Duration{20ms};
+  static constexpr auto BufferMargin = std::size_t{4096};
+  static constexpr auto OwnBudgetBytes = std::size_t{32} << 20U;
+  static constexpr auto RoomLogInterval = Duration{1s};
+  /// What the kernel holds for one connection.
+  static constexpr auto ReceiveBufferBytes = 32 << 10;
   static constexpr auto ErrorResponseTimeout = Duration{1s};
   static constexpr auto ContinueResponse =
       std::string_view{"HTTP/1.1 100 Continue\r\n\r\n"};
@@ -369,7 +470,9 @@
   HttpLimits Limits;
   HttpHandler Handler;
   HttpErrorHandler ErrorHandler;
-  std::size_t Connections = 0;
+  std::shared_ptr<MemoryBudget> OwnBudget;
+  ConnectionTable Table;
+  Instant LastRoomLogAt;
   bool IsClosing = false;
 };
 
@@ -385,6 +488,8 @@
 auto HttpServer::start() -> void {
   Impl->Acceptor.open(Impl->Endpoint.protocol());
   Impl->Acceptor.set_option(tcp::acceptor::reuse_address(true));
+  Impl->Acceptor.set_option(asio::socket_base::receive_buffer_size(
+      Implementation::ReceiveBufferBytes));
   Impl->Acceptor.bind(Impl->Endpoint);
   Impl->Acceptor.listen();
   spawnService(Impl->Acceptor.get_executor(), "acceptor",
@@ -400,4 +505,12 @@
 
 auto HttpServer::closeAfterResponses() -> void { Impl->IsClosing = true; }
 
+auto HttpServer::connectionCount() const -> std::size_t {
+  return Impl->Table.size();
+}
+
+auto HttpServer::closedForRoomCount() const -> std::uint64_t {
+  return Impl->Table.closedCount();
+}
+
 } // namespace dotterel
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -6,6 +6,7 @@
 #include "LibCore/Time.h"
 #include "LibNet/Asio.h"
 #include "LibNet/HttpClient.h"
+#include "LibNet/MemoryBudget.h"
 
 #include <functional>
 #include <memory>
@@ -15,10 +16,16 @@
 
 namespace dotterel {
 
+/// Limits on what callers may send, and on what is held for them.
 struct HttpLimits {
   std::size_t BodyBytes = 4U << 20U;
   std::size_t HeaderBytes = 16U << 10U;
+  /// Beyond it, a connection that makes no progress is closed for each new one.
   std::size_t Connections = 8192;
+  /// Bodies are read but not kept.
+  bool DiscardsBodies = false;
+  /// What requests are charged to; the server's own budget if it is null.
+  std::shared_ptr<MemoryBudget> Budget;
   Duration ReadTimeout = 10s;
   Duration WriteTimeout = 10s;
   Duration IdleTimeout = 60s;
@@ -98,6 +105,12 @@
   /// Closes each connection after its next response.
   auto closeAfterResponses() -> void;
 
+  /// Returns the number of open connections.
+  [[nodiscard]] auto connectionCount() const -> std::size_t;
+
+  /// Returns how many connections were closed to make room for others.
+  [[nodiscard]] auto closedForRoomCount() const -> std::uint64_t;
+
 private:
   struct Implementation;
   std::shared_ptr<Implementation> Impl;
--- a/Libraries/LibRelay/Admission.cpp
+++ b/Libraries/LibRelay/Admission.cpp
@@ -24,8 +24,8 @@
                     Instant Now) -> std::optional<Refusal> {
   auto const &route = *Request.MatchedRoute;
   auto share =
-      std::max(MinimumWaitShare,
-               MaximumWaitShare - WaitShareLossPerPriority * route.Priority);
+      std::max(MinimumWaitShare, MaximumWaitShare - WaitShareLossPerPriority *
+                                                        Request.priority());
   auto limit = scaled(route.TargetLatency, share);
   auto retryAfter = [](Duration Excess) {
     return std::clamp(Excess, MinimumRetryAfter, MaximumRetryAfter);
--- a/Libraries/LibRelay/AttemptReducer.cpp
+++ b/Libraries/LibRelay/AttemptReducer.cpp
@@ -1,5 +1,6 @@
 #include "LibRelay/AttemptReducer.h"
 
+#include "LibRelay/CustomerReducer.h"
 #include "LibRelay/FleetReducer.h"
 #include "LibRelay/LimitReducer.h"
 #include "LibRelay/QuarantineReducer.h"
@@ -132,6 +133,8 @@
   parameters.CacheSource = attempt.CacheSource;
   parameters.QueueRank = attempt.QueueRank;
   parameters.LastEventId = request->LastEventId;
+  parameters.Customer = request->Customer;
+  parameters.ForwardsCredentials = request->Config->customers() == nullptr;
   emit(IncrementCounter{CounterMetric::Sends, request->MatchedRoute->Name,
                         std::string(sendKind(attempt.IsPrefill, isRepeat))});
   if (CurrentState.Limits.find(attempt.Key))
@@ -280,6 +283,8 @@
                                     ServerResponse Response) -> void {
   auto isError = Response.Status >= FirstErrorStatus;
   auto &attempt = *Request.CurrentAttempt;
+  if (!Request.MatchedRoute->IsStream)
+    CustomerReducer(CurrentState, Output).countStart(Request, attempt.SentAt);
   if (auto *server = serverOf(Request)) {
     if (isError)
       server->observeOutcome(true);
@@ -396,6 +401,7 @@
   auto number = Event.Attempt.Request;
   if (!request->CurrentAttempt->HasFirstPart)
     observeFirstPart(*request);
+  CustomerReducer(CurrentState, Output).countStart(*request, now());
   if (!request->HasHeader)
     request->TimeToFirstPart = now() - request->ArrivedAt;
   else
--- a/Libraries/LibRelay/Configuration.cpp
+++ b/Libraries/LibRelay/Configuration.cpp
@@ -5,8 +5,10 @@
 Configuration::Configuration(std::uint64_t Version,
                              std::vector<Route> NewRoutes,
                              std::vector<Service> NewServices,
-                             CallerLimits Limits)
-    : Version(Version), Routes(std::move(NewRoutes)), Limits(Limits) {
+                             CallerLimits Limits,
+                             std::optional<CustomerTable> NewCustomers)
+    : Version(Version), Routes(std::move(NewRoutes)), Limits(Limits),
+      Customers(std::move(NewCustomers)) {
   for (auto n = std::size_t{0}; n < Routes.size(); ++n)
     RoutesByHost[Routes[n].Host].emplace(Routes[n].PathPrefix, n);
   for (auto &it : NewServices) {
--- a/Libraries/LibRelay/Configuration.h
+++ b/Libraries/LibRelay/Configuration.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "LibCore/Time.h"
+#include "LibCustomer/CustomerTable.h"
 
 #include <cstdint>
 #include <map>
@@ -25,6 +26,20 @@
   bool SupportsCacheTransfer = false;
 };
 
+/// How the number of a service's servers can be changed.
+struct ScaleTraits {
+  /// Bounds on the servers in each failure domain.
+  std::uint32_t Minimum = 0;
+  std::uint32_t Maximum = 0;
+  /// Time from an order until the new servers serve.
+  Duration StartTime{};
+  /// Price of a second of a reclaimable server, as a share of the price of
+  /// other servers; none if there are no reclaimable ones.
+  std::optional<double> ReclaimablePrice;
+  /// Price of a second of a server by failure domain.
+  std::map<std::string, double, std::less<>> DomainPrices;
+};
+
 /// A group of backend servers that serve the same requests.
 struct Service {
   std::string Name;
@@ -32,6 +47,8 @@
   std::uint32_t ConnectionLimit = 0;
   /// Set for language models.
   std::optional<EngineTraits> Engine;
+  /// Set if the number of servers can be ordered.
+  std::optional<ScaleTraits> Scale;
 };
 
 /// A service and its share of a route's requests.
@@ -61,6 +78,8 @@
   /// Maximum number of servers that one request may be sent to.
   std::uint32_t MaximumServers = 1;
   std::vector<WeightedService> Services;
+  /// Requests need no key of a customer.
+  bool IsPublic = false;
 };
 
 /// Limits on the size of requests and on the time that callers take.
@@ -77,7 +96,8 @@
 public:
   Configuration() = default;
   Configuration(std::uint64_t Version, std::vector<Route> Routes,
-                std::vector<Service> Services, CallerLimits Limits);
+                std::vector<Service> Services, CallerLimits Limits,
+                std::optional<CustomerTable> Customers = std::nullopt);
 
   [[nodiscard]] auto version() const -> std::uint64_t { return Version; }
   [[nodiscard]] auto limits() const -> CallerLimits const & { return Limits; }
@@ -88,6 +108,11 @@
     return Services;
   }
 
+  /// Returns the customers, or null if requests need no keys.
+  [[nodiscard]] auto customers() const -> CustomerTable const * {
+    return Customers ? &*Customers : nullptr;
+  }
+
   /// Returns the route of \p Host with the longest prefix that matches \p Path,
   /// or null. Precondition: \p Path has no query.
   [[nodiscard]] auto findRoute(std::string_view Host,
@@ -113,6 +138,7 @@
       RoutesByHost;
   std::map<std::string, Service, std::less<>> Services;
   CallerLimits Limits;
+  std::optional<CustomerTable> Customers;
 };
 
 } // namespace dotterel::relay
--- a/Libraries/LibRelay/Effect.h
+++ b/Libraries/LibRelay/Effect.h
@@ -39,6 +39,11 @@
   std::optional<std::uint64_t> LastEventId;
   /// Rank in the server's queue; see queueRank.
   std::optional<std::uint32_t> QueueRank;
+  /// Name of the customer that the request is served for, or empty.
+  std::string Customer;
+  /// Requests need no keys, so that the caller's credentials are forwarded like
+  /// other fields.
+  bool ForwardsCredentials = true;
 };
 
 /// Sends the request over the attempt's connection.
@@ -121,6 +126,54 @@
   PermitResponse Response;
 };
 
+struct SendConfirmationRequest {
+  std::string Address;
+  ConfirmationRequest Request;
+};
+
+struct SendConfirmationResponse {
+  std::string Address;
+  ConfirmationResponse Response;
+};
+
+/// Tells peers the requests of customers that this instance started.
+struct SendUsage {
+  std::vector<std::string> Addresses;
+  std::vector<UsageMessage> Messages;
+};
+
+/// Reads the duty lease from the store.
+struct ReadDutyLease {};
+
+/// Writes the duty lease if its version is Expected; revision 0 means that it
+/// must not exist.
+struct WriteDutyLease {
+  StoreVersion Expected;
+  DutyRecord Record;
+};
+
+/// The right to act for all instances. Nothing is sent after ValidUntil.
+struct DutyAuthority {
+  std::string Holder;
+  std::uint64_t FencingNumber = 0;
+  /// Time since boot.
+  Duration ValidUntil{};
+};
+
+struct SendUsageReport {
+  UsageReport Report;
+  DutyAuthority Authority;
+};
+
+/// Orders the number of servers of one kind in one failure domain.
+struct OrderServers {
+  std::string Service;
+  std::string Domain;
+  bool IsReclaimable = false;
+  std::uint32_t Count = 0;
+  DutyAuthority Authority;
+};
+
 /// Reads the lease from the store.
 struct ReadLease {};
 
@@ -174,6 +227,10 @@
   LimitedSends,
   /// Permits for servers that name a limit, by outcome.
   Permits,
+  /// Requests of customers that began to run.
+  CustomerStarts,
+  /// Calls for the duties that one instance performs for all, by outcome.
+  Duties,
 };
 
 struct IncrementCounter {
@@ -198,9 +255,11 @@
                  ForwardResponse, BeginStream, ForwardBytes, EndStream,
                  AbortStream, SendErrorResponse, CloseIdleConnections,
                  SendSteeringResponse, SendPeerReport, SendPermitRequest,
-                 SendPermitResponse, ReadLease, WriteLease, StoreQuarantine,
-                 DeleteQuarantine, SendOrder, WriteLog, IncrementCounter,
-                 ObserveDuration, StopProcess>;
+                 SendPermitResponse, SendConfirmationRequest,
+                 SendConfirmationResponse, SendUsage, ReadDutyLease,
+                 WriteDutyLease, SendUsageReport, OrderServers, ReadLease,
+                 WriteLease, StoreQuarantine, DeleteQuarantine, SendOrder,
+                 WriteLog, IncrementCounter, ObserveDuration, StopProcess>;
 
 using Effects = std::vector<Effect>;
 
--- a/Libraries/LibRelay/Event.h
+++ b/Libraries/LibRelay/Event.h
@@ -3,10 +3,13 @@
 /// for events and its state, which contains the instance's identity.
 #pragma once
 
+#include "LibCustomer/UsageMessage.h"
 #include "LibNet/BodyFraming.h"
 #include "LibRelay/AttemptId.h"
 #include "LibRelay/Configuration.h"
+#include "LibRelay/DutyLease.h"
 #include "LibRelay/EventFramer.h"
+#include "LibRelay/KeyConfirmation.h"
 #include "LibRelay/Peers.h"
 #include "LibRelay/PermitMessage.h"
 #include "LibRelay/Request.h"
@@ -22,6 +25,8 @@
 struct RequestArrived {
   RequestNumber Number = 0;
   RequestPointer Content;
+  /// Time since boot, read after the request was received.
+  Duration ReceivedAt{};
 };
 
 struct CallerDisconnected {
@@ -125,6 +130,8 @@
 /// The store holds no newer configuration up to AsOf.
 struct ConfigurationConfirmed {
   StoreVersion AsOf;
+  /// Time since boot, read before the store was asked; none if it is not known.
+  std::optional<Duration> AskedAt;
 };
 
 /// Complete list of servers, read in one pass that started at AsOf.
@@ -169,6 +176,65 @@
   PermitResponse Response;
 };
 
+/// A peer asked which configuration is the latest one.
+struct ConfirmationRequested {
+  std::string PeerAddress;
+  ConfirmationRequest Request;
+  /// Time since boot, read after the datagram was received.
+  Duration ReceivedAt{};
+};
+
+struct ConfirmationAnswered {
+  ConfirmationResponse Response;
+};
+
+/// A peer told the requests of customers that it started.
+struct UsageReceived {
+  std::string PeerAddress;
+  UsageMessage Message;
+};
+
+/// Result of reading the duty lease. Revision 0 means that there is none.
+struct DutyLeaseRead {
+  bool IsRead = false;
+  StoreVersion Version;
+  DutyRecord Record;
+};
+
+struct DutyLeaseWritten {
+  /// The write is known to have succeeded.
+  bool IsWritten = false;
+  StoreVersion Version;
+  /// Time since boot, read before the write was sent.
+  Duration WrittenAt{};
+};
+
+/// Result of a call of the platform's interface.
+enum class DutyResult : std::uint8_t {
+  Accepted,
+  /// The call cannot be granted now.
+  Refused,
+  /// No response, or one that says to try again.
+  Failed,
+};
+
+[[nodiscard]] auto toString(DutyResult Result) -> std::string_view;
+
+struct UsageReported {
+  UsageWindow Window = 0;
+  DutyResult Result = DutyResult::Failed;
+  unsigned Status = 0;
+};
+
+struct ServersOrdered {
+  std::string Service;
+  std::string Domain;
+  bool IsReclaimable = false;
+  std::uint32_t Count = 0;
+  DutyResult Result = DutyResult::Failed;
+  unsigned Status = 0;
+};
+
 /// Result of reading the lease. An empty holder means that the lease object
 /// does not exist; the version then has revision 0.
 struct LeaseRead {
@@ -218,7 +284,11 @@
 struct LeaveRequested {};
 
 /// Arrives at least once per tick interval.
-struct Tick {};
+struct Tick {
+  /// Readings of the boot clock and of the clock of the time of day.
+  Duration SinceBoot{};
+  Duration SinceEpoch{};
+};
 
 using EventBody =
     std::variant<RequestArrived, CallerDisconnected, AttemptConnected,
@@ -227,8 +297,10 @@
                  AttemptStreamEnded, AttemptInterrupted, ConfigurationReceived,
                  ConfigurationConfirmed, ServersListed, ServersUpdated,
                  StoreReachabilityObserved, StoreEraObserved, PeersListed,
-                 PeerReported, PermitRequested, PermitAnswered, LeaseRead,
-                 LeaseWritten, OrderResultReceived, QuarantineListed,
+                 PeerReported, PermitRequested, PermitAnswered,
+                 ConfirmationRequested, ConfirmationAnswered, UsageReceived,
+                 DutyLeaseRead, DutyLeaseWritten, UsageReported, ServersOrdered,
+                 LeaseRead, LeaseWritten, OrderResultReceived, QuarantineListed,
                  SteeringRequested, LeaveRequested, Tick>;
 
 /// An event and the time at which it was observed. Times never decrease.
--- a/Libraries/LibRelay/FleetReducer.cpp
+++ b/Libraries/LibRelay/FleetReducer.cpp
@@ -1,5 +1,6 @@
 #include "LibRelay/FleetReducer.h"
 
+#include "LibRelay/CustomerReducer.h"
 #include "LibRelay/LimitReducer.h"
 #include "LibRelay/QuarantineReducer.h"
 #include "LibRelay/RequestReducer.h"
@@ -152,6 +153,8 @@
   log(LogLevel::Info, "leave-requested", "in_progress={}",
       CurrentState.Requests.size());
   sendReport();
+  if (CurrentState.Options.UsageWindow > Duration{})
+    CustomerReducer(CurrentState, Output).sendUsage(true);
 }
 
 auto FleetReducer::sendReport() -> void {
@@ -206,6 +209,10 @@
     watch.Configuration = storeWatch.Configuration;
     storeWatch.Changes.describe(watch);
   }
+  if (auto const &lease = CurrentState.Duties.Lease; lease.Fence) {
+    report.DutyFence = lease.Fence->packed();
+    report.DutyVersion = lease.Version;
+  }
   emit(SendPeerReport{std::move(recipients.Addresses), std::move(report)});
 }
 
@@ -213,8 +220,11 @@
   if (!CurrentState.LeavingSince)
     return;
   auto elapsed = now() - *CurrentState.LeavingSince;
-  if (CurrentState.Requests.empty() && elapsed >= MinimumLeaveDuration)
+  if (CurrentState.Requests.empty() && elapsed >= MinimumLeaveDuration) {
+    if (CurrentState.Options.UsageWindow > Duration{})
+      CustomerReducer(CurrentState, Output).sendUsage(true);
     return emit(StopProcess{});
+  }
   if (elapsed < CurrentState.Options.LeaveTimeout - LeaveMargin)
     return;
   auto numbers = std::vector<RequestNumber>{};
--- a/Libraries/LibRelay/Peers.cpp
+++ b/Libraries/LibRelay/Peers.cpp
@@ -149,14 +149,25 @@
   // reject reports with more fields.
   auto fields = json::array(
       {Report.Leaving, Report.ConfigurationVersion, Report.ConfigurationEra});
-  if (!Report.Quarantine.isEmpty() || !Report.Limits.empty())
+  auto const hasFence = Report.DutyFence > 0;
+  auto const hasLimits = !Report.Limits.empty() || hasFence;
+  if (!Report.Quarantine.isEmpty() || hasLimits)
     fields.push_back(encodeQuarantine(Report.Quarantine));
-  if (!Report.Limits.empty())
+  if (hasLimits)
     fields.push_back(encodeLimits(Report.Limits));
+  if (hasFence) {
+    fields.push_back(Report.DutyFence);
+    fields.push_back(Report.DutyVersion.packed());
+  }
   loads.push_back(std::move(fields));
   return loads;
 }
 
+auto decodeVersion(json const &Source) -> StoreVersion {
+  return StoreVersion::unpacked(
+      readNumber<std::uint64_t>(Source, 0, StoreVersion::maximumPacked()));
+}
+
 /// Reads the fields after the loads. Reports of older formats lack some of
 /// them.
 auto decodeExtension(json const &Loads, PeerReport &Report) -> void {
@@ -172,6 +183,11 @@
   constexpr auto LimitsIndex = std::size_t{4};
   if (fields.size() > LimitsIndex)
     Report.Limits = decodeLimits(fields[LimitsIndex]);
+  constexpr auto DutyFenceIndex = std::size_t{5};
+  if (fields.size() > DutyFenceIndex + 1) {
+    Report.DutyFence = decodeVersion(fields[DutyFenceIndex]).packed();
+    Report.DutyVersion = decodeVersion(fields[DutyFenceIndex + 1]);
+  }
 }
 
 auto encodePrefixes(PeerReport const &Report) -> json {
@@ -204,11 +220,6 @@
          {readTokenRate(Source[n + 1]), readTokenRate(Source[n + 2])}});
 }
 
-auto decodeVersion(json const &Source) -> StoreVersion {
-  return StoreVersion::unpacked(
-      readNumber<std::uint64_t>(Source, 0, StoreVersion::maximumPacked()));
-}
-
 auto encodeUpdate(ServerUpdate const &Update) -> json {
   if (!Update.Description)
     return json::array({Update.Id, Update.Version.packed()});
@@ -216,7 +227,7 @@
   return json::array({Update.Id, Update.Version.packed(), server.Service,
                       server.Address, server.Domain, server.Slots,
                       server.IsDraining, static_cast<int>(server.Stage),
-                      server.StartedAt});
+                      server.StartedAt, server.IsReclaimable});
 }
 
 auto decodeUpdate(json const &Source) -> ServerUpdate {
@@ -235,6 +246,10 @@
   server.Stage = static_cast<EngineStage>(readNumber<std::uint8_t>(
       Source.at(7), 0, static_cast<std::uint8_t>(EngineStage::Decode)));
   server.StartedAt = readNumber<std::uint64_t>(Source.at(8));
+  // Instances of earlier versions do not send it.
+  constexpr auto ReclaimableIndex = std::size_t{9};
+  server.IsReclaimable =
+      Source.size() > ReclaimableIndex && Source[ReclaimableIndex].get<bool>();
   return update;
 }
 
@@ -334,6 +349,13 @@
   return rejected;
 }
 
+auto hasPrecedence(PeerReport const &Instance, double OtherWeight,
+                   std::string_view OtherInstance) -> bool {
+  if (Instance.Weight != OtherWeight)
+    return Instance.Weight > OtherWeight;
+  return hashText(Instance.Instance) < hashText(OtherInstance);
+}
+
 auto PeerTable::discover(PeerRecord const &Record, Instant Now) -> void {
   auto &peer = Peers[Record.PeerAddress];
   peer.PeerAddress = Record.PeerAddress;
--- a/Libraries/LibRelay/Peers.h
+++ b/Libraries/LibRelay/Peers.h
@@ -74,8 +74,17 @@
   std::vector<LimitReport> Limits;
   /// Set by watchers of the store.
   std::optional<WatchReport> Watch;
+  /// Fencing number of the duty lease if the instance holds it, or 0.
+  std::uint64_t DutyFence = 0;
+  /// Version of its last write of that lease.
+  StoreVersion DutyVersion;
 };
 
+/// Returns whether an instance is preferred over another one for work for the
+/// whole fleet: those with more processor time come first.
+[[nodiscard]] auto hasPrecedence(PeerReport const &Instance, double OtherWeight,
+                                 std::string_view OtherInstance) -> bool;
+
 [[nodiscard]] auto encodePeerReport(PeerReport const &Report) -> std::string;
 
 /// An update of a server that a report contains and that cannot be used.
--- a/Libraries/LibRelay/Reducer.cpp
+++ b/Libraries/LibRelay/Reducer.cpp
@@ -2,6 +2,8 @@
 
 #include "LibCore/Dispatcher.h"
 #include "LibRelay/AttemptReducer.h"
+#include "LibRelay/CustomerReducer.h"
+#include "LibRelay/DutyReducer.h"
 #include "LibRelay/FleetReducer.h"
 #include "LibRelay/LimitReducer.h"
 #include "LibRelay/QuarantineReducer.h"
@@ -35,10 +37,10 @@
   if (Event.At - CurrentState.Now > SuspensionGap)
     CurrentState.ResumedAt = Event.At;
   CurrentState.Now = Event.At;
-  std::visit(Dispatcher<State, Effects, FleetReducer, ServerListReducer,
-                        StoreWatchReducer, RoleReducer, QuarantineReducer,
-                        LimitReducer, AttemptReducer, RequestReducer>(
-                 CurrentState, effects),
+  std::visit(Dispatcher<State, Effects, CustomerReducer, FleetReducer,
+                        ServerListReducer, StoreWatchReducer, RoleReducer,
+                        DutyReducer, QuarantineReducer, LimitReducer,
+                        AttemptReducer, RequestReducer>(CurrentState, effects),
              Event.Body);
   return effects;
 }
--- a/Libraries/LibRelay/Request.h
+++ b/Libraries/LibRelay/Request.h
@@ -22,6 +22,17 @@
   std::uint32_t Tokens = 0;
 };
 
+/// The fields with which a caller says on whose behalf it asks.
+struct Credentials {
+  /// As they were received; forwarded only if there are no customers.
+  std::vector<HttpField> Fields;
+  /// The key, if there is exactly one in the expected form. Secret: must not be
+  /// logged, reported or forwarded.
+  std::optional<std::string> Key;
+  /// There is a key field that cannot be read, or more than one.
+  bool IsInvalid = false;
+};
+
 /// A request as it was received. Immutable once it is shared.
 struct Request {
   std::string Method;
@@ -30,6 +41,7 @@
   std::string Host;
   /// The other header fields to forward.
   std::vector<HttpField> Fields;
+  relay::Credentials Credentials;
   std::string Body;
   /// Request id that the caller chose.
   std::string Id;
--- a/Libraries/LibRelay/RequestReducer.cpp
+++ b/Libraries/LibRelay/RequestReducer.cpp
@@ -1,8 +1,10 @@
 #include "LibRelay/RequestReducer.h"
 
 #include "LibCore/Hash.h"
+#include "LibRelay/Access.h"
 #include "LibRelay/Admission.h"
 #include "LibRelay/AttemptReducer.h"
+#include "LibRelay/CustomerReducer.h"
 #include "LibRelay/LimitReducer.h"
 #include "LibRelay/QuarantineReducer.h"
 
@@ -86,6 +88,14 @@
   // The route could not be read.
   if (route->Services.empty())
     return refuse(ResultCode::NotConfigured, RetryAfterNoServer);
+  auto const access =
+      checkAccess(*CurrentState.Config, *route, content.Credentials);
+  if (access.Refusal)
+    return refuse(*access.Refusal, std::nullopt);
+  auto const bound = CurrentState.Options.RevocationBound;
+  if (access.Holder != nullptr && bound &&
+      !CurrentState.Customers.Confirmation.isValid(Event.ReceivedAt, *bound))
+    return refuse(ResultCode::KeysUnconfirmed, RetryAfterNoServer);
   auto const identity = identify(content);
   auto segments = sharedSegments(content);
   auto quarantine = QuarantineReducer(CurrentState, Output);
@@ -102,6 +112,10 @@
   request.Content = Event.Content;
   request.Config = CurrentState.Config;
   request.MatchedRoute = route;
+  if (access.Holder != nullptr) {
+    request.Customer = access.Holder->Name;
+    request.CustomerPriority = access.Holder->Priority;
+  }
   request.Service = chooseService(*route, content.Id);
   request.Prefixes = sharedPrefixes(content);
   request.ArrivedAt = now();
@@ -163,8 +177,8 @@
       quoteLogValue(Request.Content->Id), describe(Reason.Code).Name,
       Chosen.Target->Description.Id, toMilliseconds(Chosen.Wait),
       toMilliseconds(Chosen.Forecast), Chosen.TokensAhead,
-      toMilliseconds(Request.MatchedRoute->TargetLatency),
-      Request.MatchedRoute->Priority, toMilliseconds(Reason.RetryAfter));
+      toMilliseconds(Request.MatchedRoute->TargetLatency), Request.priority(),
+      toMilliseconds(Reason.RetryAfter));
 }
 
 auto RequestReducer::mayAttempt(InFlightRequest const &Request) const -> bool {
@@ -374,6 +388,10 @@
   auto node = CurrentState.Requests.extract(Number);
   auto &request = node.mapped();
   QuarantineReducer(CurrentState, Output).endTrial(request);
+  // Streams begin to run with their first token; the other requests may have
+  // run without a response.
+  if (request.MayHaveRun && !request.MatchedRoute->IsStream)
+    CustomerReducer(CurrentState, Output).countStart(request, now());
   auto const *attempt =
       request.CurrentAttempt ? &*request.CurrentAttempt : nullptr;
   log(LogLevel::Info, "request-finished",
--- a/Libraries/LibRelay/ServerTable.h
+++ b/Libraries/LibRelay/ServerTable.h
@@ -38,6 +38,8 @@
   std::uint32_t Slots = 1;
   bool IsDraining = false;
   EngineStage Stage = EngineStage::Any;
+  /// The platform may take the server back at short notice.
+  bool IsReclaimable = false;
   /// Start time of the server in milliseconds since the Unix epoch. A later
   /// start is a new run, without any state of the previous one.
   std::uint64_t StartedAt = 0;
--- a/Libraries/LibRelay/State.h
+++ b/Libraries/LibRelay/State.h
@@ -2,12 +2,16 @@
 /// State of a relaying instance. Only the reducer changes it.
 #pragma once
 
+#include "LibCore/TrueTime.h"
+#include "LibCustomer/UsageLedger.h"
 #include "LibRelay/DemandMeter.h"
+#include "LibRelay/DutyLease.h"
 #include "LibRelay/Event.h"
 #include "LibRelay/PrefixIndex.h"
 #include "LibRelay/RequestIdentity.h"
 #include "LibRelay/RequestLimits.h"
 #include "LibRelay/RetryBudget.h"
+#include "LibRelay/ServerPlan.h"
 #include "LibRelay/SpeedModel.h"
 #include "LibRelay/StoreWatch.h"
 #include "LibRelay/SuspectQuarantine.h"
@@ -17,6 +21,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -50,6 +55,16 @@
   /// Share of a service's engines that serve the prefill stage until traffic
   /// shows the demand; applied at the first start.
   double PrefillShare = 0.65;
+  /// Time after the removal of a customer's key from which no instance may
+  /// serve a request that carries it; none if instances may lag behind.
+  std::optional<Duration> RevocationBound;
+  /// Length of the windows in which the usage of customers is reported, or zero
+  /// if it is not.
+  Duration UsageWindow{};
+  /// Time from the end of a window until its report is due.
+  Duration UsageDeadline{};
+  /// The number of servers is to be ordered.
+  bool OrdersServers = false;
   /// Longest time for which a caller may cache a steering response.
   Duration SteeringLifetime = 3s;
 
@@ -106,6 +121,12 @@
   std::string Service;
   std::vector<Prefix> Prefixes;
   RequestIdentity Identity;
+  /// Name of the customer that the request is served for, or empty.
+  std::string Customer;
+  /// Takes precedence over the route's priority.
+  std::optional<std::uint32_t> CustomerPriority;
+  /// The customer's usage contains the request.
+  bool IsCounted = false;
   std::vector<SuspectKey> SharedSegments;
   /// Set if the request is the trial of an ambiguous request in quarantine.
   std::optional<SuspectKey> TrialOf;
@@ -154,6 +175,11 @@
     return PrefillsSent + DecodesSent - (HasPrefilled ? 1 : 0);
   }
 
+  /// Zero is the most urgent.
+  [[nodiscard]] auto priority() const -> std::uint32_t {
+    return CustomerPriority.value_or(MatchedRoute->Priority);
+  }
+
   /// Returns whether the request may be executed more than once.
   [[nodiscard]] auto isRetryable() const -> bool {
     return MatchedRoute->IsIdempotent ||
@@ -217,6 +243,51 @@
   std::map<std::string, Instant> WantedSince;
 };
 
+/// The customers' requests, and what is needed to serve and to count them.
+struct CustomerState {
+  KeyConfirmation Confirmation;
+  /// The confirmation is recent enough, or none is needed.
+  bool IsConfirmed = true;
+  std::uint64_t ConfirmationsAsked = 0;
+  UsageLedger Usage;
+  Instant NextUsageAt;
+  Instant NextFullUsageAt;
+};
+
+/// An order of servers that is not known to be carried out.
+struct ServerOrder {
+  std::uint32_t Count = 0;
+  Instant NextAt;
+  /// The platform has accepted the order.
+  bool IsAccepted = false;
+  /// The platform had none; other servers are ordered until then.
+  Instant UnavailableUntil;
+};
+
+/// The servers of a service, and since when their number has not changed.
+struct SettlingServers {
+  ServersByDomain Servers;
+  Instant Since;
+};
+
+/// Service, failure domain, and whether the servers are reclaimable.
+using ServerOrderKey = std::tuple<std::string, std::string, bool>;
+
+/// The duties that one instance performs for all.
+struct DutyState {
+  DutyLease Lease;
+  /// The latest write of the lease that a peer announced, and when.
+  StoreVersion AnnouncedVersion;
+  Instant AnnouncedAt;
+  /// Windows whose report the platform has accepted, and when to send the
+  /// others again.
+  std::set<UsageWindow> Accepted;
+  std::map<UsageWindow, Instant> NextSendAt;
+  std::map<ServerOrderKey, ServerOrder> Orders;
+  std::map<std::string, SettlingServers> Settling;
+  Instant NextPlanAt;
+};
+
 /// Time within which an instance that has just started receives reports from
 /// its peers. What it decides for the fleet before would be wrong.
 inline constexpr auto PeerDiscoveryPeriod = Duration{1300ms};
@@ -258,8 +329,26 @@
   std::map<std::string, RetryBudget> RetryBudgets;
   std::unordered_map<RequestNumber, InFlightRequest> Requests;
   RoleState Roles;
+  CustomerState Customers;
+  DutyState Duties;
+  /// Readings of the clocks at the last tick.
+  Instant TickedAt;
+  Duration SinceBootAtTick{};
+  TrueTime TimeOfDay;
   std::optional<Instant> LeavingSince;
 
+  /// Returns the time since boot, as far as it is known. A process that was
+  /// suspended since the last tick does not know it.
+  [[nodiscard]] auto sinceBoot(Instant At) const -> Duration {
+    return SinceBootAtTick + (At - TickedAt);
+  }
+  /// Returns the usage window that \p At lies in. Precondition: usage is
+  /// reported.
+  [[nodiscard]] auto usageWindow(Instant At) const -> UsageWindow {
+    return static_cast<UsageWindow>(TimeOfDay.at(sinceBoot(At)) /
+                                    Options.UsageWindow);
+  }
+
   /// Returns whether \p Target watches the store and its last store response is
   /// recent enough to rely on.
   [[nodiscard]] auto isFreshWatcher(Peer const &Target) const -> bool {
@@ -271,7 +360,8 @@
                          : Now - StartedAt > PeerListTimeout;
   }
   [[nodiscard]] auto isReady() const -> bool {
-    return Config && HasServers && !LeavingSince && !IsBehindPeers;
+    return Config && HasServers && !LeavingSince && !IsBehindPeers &&
+           Customers.IsConfirmed;
   }
 };
 
--- a/Libraries/LibRelay/StoreWatch.h
+++ b/Libraries/LibRelay/StoreWatch.h
@@ -88,8 +88,12 @@
   StoreVersion Configuration;
   ServerChangeLog Changes;
 
+  /// No peer has confirmed in time that the configuration is the latest one.
+  bool IsConfirmationOverdue = false;
+
   [[nodiscard]] auto needsConfiguration() const -> bool {
-    return IsWatching || AnnouncedConfiguration > ConfigurationAsOf;
+    return IsWatching || IsConfirmationOverdue ||
+           AnnouncedConfiguration > ConfigurationAsOf;
   }
   [[nodiscard]] auto needsServers() const -> bool {
     return IsWatching || AnnouncedServers > ServersAsOf;
--- a/Libraries/LibRelay/StoreWatchReducer.cpp
+++ b/Libraries/LibRelay/StoreWatchReducer.cpp
@@ -1,6 +1,6 @@
 #include "LibRelay/StoreWatchReducer.h"
 
-#include "LibCore/Hash.h"
+#include "LibRelay/CustomerReducer.h"
 #include "LibRelay/RoleReducer.h"
 #include "LibRelay/ServerListReducer.h"
 
@@ -27,6 +27,7 @@
   storeWatch.ConfigurationConfirmedAt = now();
   storeWatch.ConfigurationAsOf =
       std::max(storeWatch.ConfigurationAsOf, Event.AsOf);
+  CustomerReducer(CurrentState, Output).observeConfirmation(Event.AskedAt);
 }
 
 auto StoreWatchReducer::on(ServersListed const &Event) -> void {
@@ -89,16 +90,6 @@
   storeWatch.ServersAsOf = watch->AsOf;
 }
 
-auto StoreWatchReducer::hasPrecedence(PeerReport const &Other) const -> bool {
-  // Reporting each change to the whole fleet costs processor time, so the
-  // instances with the highest weight watch, and weaker ones only if those are
-  // gone.
-  auto const &self = CurrentState.Self;
-  if (Other.Weight != self.Weight)
-    return Other.Weight > self.Weight;
-  return hashText(Other.Instance) < hashText(self.Instance);
-}
-
 auto StoreWatchReducer::shouldWatch() const -> bool {
   // The order of precedence is unknown until the peers are listed.
   if (!CurrentState.PeersListedAt)
@@ -110,7 +101,10 @@
       continue;
     // A watcher that gets no response from the store does not count.
     auto isStale = peer.LastReport->Watch && !CurrentState.isFreshWatcher(peer);
-    if (!isStale && hasPrecedence(*peer.LastReport))
+    // Reporting each change to the whole fleet costs processor time, so weaker
+    // instances watch only if stronger ones are gone.
+    if (!isStale && hasPrecedence(*peer.LastReport, CurrentState.Self.Weight,
+                                  CurrentState.Self.Instance))
       ++precedingPeers;
   }
   return precedingPeers < WatcherCount;
--- a/Libraries/LibRelay/StoreWatchReducer.h
+++ b/Libraries/LibRelay/StoreWatchReducer.h
@@ -26,8 +26,6 @@
   /// Records that \p Source has seen the store in an era, which starts when the
   /// store is restored from a copy.
   auto observeEra(std::uint64_t Era, std::string_view Source) -> void;
-  /// Returns whether \p Other takes precedence over this instance as a watcher.
-  [[nodiscard]] auto hasPrecedence(PeerReport const &Other) const -> bool;
   [[nodiscard]] auto shouldWatch() const -> bool;
   [[nodiscard]] auto hasFreshWatcher() const -> bool;
 };
--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -9,7 +9,7 @@
 trap 'rm -f "$results"' EXIT
 
 echo "seed $DOTTEREL_SEED"
-for library in LibCore LibConfiguration LibNet LibPeer LibControl LibInstance \
+for library in LibCore LibConfiguration LibNet LibPeer LibCustomer LibControl LibInstance \
   LibRelay Platform LibGateway; do
   echo "== $library"
   # These tests use the same ports and cannot run in parallel.
--- /dev/null
+++ b/Tests/LibRelay/TestServerPlan.cpp
@@ -0,0 +1,91 @@
+#include "LibRelay/ServerPlan.h"
+
+#include <algorithm>
+
+#include <criterion/criterion.h>
+
+namespace dotterel::relay::test {
+
+namespace {
+
+auto traits() -> ScaleTraits {
+  auto traits = ScaleTraits{};
+  traits.Minimum = 1;
+  traits.Maximum = 40;
+  traits.ReclaimablePrice = 0.22;
+  return traits;
+}
+
+auto fleet() -> ServerFleet {
+  return {{{"a", 20}, {"b", 20}, {"c", 20}},
+          {{"a", {20, 0}}, {"b", {20, 0}}, {"c", {20, 0}}},
+          {}};
+}
+
+auto sum(ServersByDomain const &Plan) -> DomainServers {
+  auto total = DomainServers{};
+  for (auto const &it : Plan) {
+    total.Ordinary += it.second.Ordinary;
+    total.Reclaimable += it.second.Reclaimable;
+  }
+  return total;
+}
+
+} // namespace
+
+// Ordinary servers must not leave before others can take their work.
+Test(ServerPlan, KeepsOrdinaryServersUntilOthersServe) {
+  auto const plan = planServers(traits(), fleet());
+  cr_expect_eq(sum(plan).Ordinary, 60U);
+  cr_expect_eq(sum(plan).Reclaimable, 72U);
+}
+
+Test(ServerPlan, ReplacesAsReclaimableServersBecomeUsable) {
+  auto now = fleet();
+  for (auto n = 0U; n <= 24; ++n) {
+    for (auto &it : now.Usable)
+      it.second.Reclaimable = n;
+    auto const total = sum(planServers(traits(), now));
+    cr_expect_eq(total.Ordinary, std::max(12U, 60 - std::min(60U, 3 * n)));
+    cr_expect_eq(total.Reclaimable, 72U);
+  }
+}
+
+// The platform takes back all reclaimable servers of a failure domain.
+Test(ServerPlan, LossOfOneDomainNeedsNoOrdinaryServers) {
+  auto now = fleet();
+  now.Usable = {{"a", {4, 0}}, {"b", {4, 24}}, {"c", {4, 24}}};
+  cr_expect_eq(sum(planServers(traits(), now)).Ordinary, 12U);
+  now.Unavailable.insert("a");
+  auto const plan = planServers(traits(), now);
+  cr_expect_eq(plan.at("a").Reclaimable, 0U);
+  cr_expect_eq(sum(plan).Reclaimable, 72U);
+}
+
+Test(ServerPlan, OrdinaryServersCoverTheLossOfTwoDomains) {
+  auto now = fleet();
+  now.Usable = {{"a", {4, 0}}, {"b", {4, 0}}, {"c", {4, 24}}};
+  cr_expect_eq(sum(planServers(traits(), now)).Ordinary, 36U);
+}
+
+Test(ServerPlan, StaysWithinTheBounds) {
+  auto narrow = traits();
+  narrow.Maximum = 22;
+  auto now = fleet();
+  now.Unavailable = {"b"};
+  for (auto const &it : planServers(narrow, now))
+    cr_expect_leq(it.second.Ordinary + it.second.Reclaimable, 22U, "%s",
+                  it.first.c_str());
+  cr_expect(planServers(traits(), ServerFleet{}).empty());
+}
+
+// Without reclaimable servers anywhere, the fleet is as it was at the start.
+Test(ServerPlan, NoneAvailableKeepsTheBaseline) {
+  auto now = fleet();
+  now.Unavailable = {"a", "b", "c"};
+  auto const total = sum(planServers(traits(), now));
+  cr_expect_eq(total.Ordinary, 60U);
+  cr_expect_eq(total.Reclaimable, 0U);
+}
+
+} // namespace dotterel::relay::test
