LibRelay: Keep all ordinary servers until reclaimable ones serve

Cause: reclaimable servers that were wanted, but did not serve yet, left too little room below the maximum for the ordinary servers (test KeepsOrdinaryServersUntilOthersServe). Ordinary servers were also added to the first failure domain only.

--- a/Libraries/LibRelay/ServerPlan.cpp
+++ b/Libraries/LibRelay/ServerPlan.cpp
@@ -28,6 +28,30 @@
                                     (Domains - 1));
 }
 
+auto usableIn(ServerFleet const &Fleet, std::string_view Domain)
+    -> DomainServers {
+  auto it = Fleet.Usable.find(Domain);
+  return it == Fleet.Usable.end() ? DomainServers{} : it->second;
+}
+
+/// Adds up to \p Missing ordinary servers where they were at the start, evenly
+/// over the failure domains.
+auto coverWithOrdinary(ScaleTraits const &Traits, ServerFleet const &Fleet,
+                       std::uint32_t Missing, ServersByDomain &Plan) -> void {
+  for (auto hasRoom = true; hasRoom && Missing > 0;) {
+    hasRoom = false;
+    for (auto const &[domain, baseline] : Fleet.Baseline) {
+      auto &wanted = Plan[domain];
+      auto const held = wanted.Ordinary + usableIn(Fleet, domain).Reclaimable;
+      if (Missing == 0 || wanted.Ordinary >= baseline || held >= Traits.Maximum)
+        continue;
+      ++wanted.Ordinary;
+      --Missing;
+      hasRoom = true;
+    }
+  }
+}
+
 } // namespace
 
 auto planServers(ScaleTraits const &Traits, ServerFleet const &Fleet)
@@ -48,10 +72,7 @@
     else
       wanted.Reclaimable = reclaimable;
     total += baseline;
-    auto const usable = Fleet.Usable.find(domain);
-    covered += wanted.Ordinary;
-    if (usable != Fleet.Usable.end())
-      covered += usable->second.Reclaimable;
+    covered += wanted.Ordinary + usableIn(Fleet, domain).Reclaimable;
   }
   // Other failure domains stand in for those without reclaimable servers.
   for (auto &[domain, wanted] : plan) {
@@ -63,20 +84,14 @@
     wanted.Reclaimable += more;
     missing -= more;
   }
-  // Ordinary servers cover what is not usable yet, where they were before.
-  auto uncovered = total > covered ? total - covered : 0U;
-  for (auto const &[domain, baseline] : Fleet.Baseline) {
-    auto &wanted = plan[domain];
-    auto const usable = Fleet.Usable.find(domain);
-    auto const reclaimable =
-        usable == Fleet.Usable.end() ? 0U : usable->second.Reclaimable;
-    auto const held = std::max(reclaimable, wanted.Reclaimable);
-    auto const room = Traits.Maximum > wanted.Ordinary + held
-                          ? Traits.Maximum - wanted.Ordinary - held
-                          : 0U;
-    auto const more = std::min({uncovered, room, baseline - wanted.Ordinary});
-    wanted.Ordinary += more;
-    uncovered -= more;
+  coverWithOrdinary(Traits, Fleet, total > covered ? total - covered : 0U,
+                    plan);
+  for (auto &[domain, wanted] : plan) {
+    // Ordinary servers that are still there count towards the maximum.
+    auto const used =
+        std::max(usableIn(Fleet, domain).Ordinary, wanted.Ordinary);
+    wanted.Reclaimable = std::min(
+        wanted.Reclaimable, Traits.Maximum > used ? Traits.Maximum - used : 0U);
   }
   return plan;
 }
--- a/Tests/LibRelay/TestServerPlan.cpp
+++ b/Tests/LibRelay/TestServerPlan.cpp
@@ -37,17 +37,19 @@
 Test(ServerPlan, KeepsOrdinaryServersUntilOthersServe) {
   auto const plan = planServers(traits(), fleet());
   cr_expect_eq(sum(plan).Ordinary, 60U);
-  cr_expect_eq(sum(plan).Reclaimable, 72U);
+  // Both kinds together are limited.
+  cr_expect_eq(sum(plan).Reclaimable, 60U);
 }
 
 Test(ServerPlan, ReplacesAsReclaimableServersBecomeUsable) {
   auto now = fleet();
   for (auto n = 0U; n <= 24; ++n) {
+    auto const ordinary = std::max(12U, 60 - std::min(60U, 3 * n));
     for (auto &it : now.Usable)
-      it.second.Reclaimable = n;
+      it.second = {ordinary / 3, n};
     auto const total = sum(planServers(traits(), now));
-    cr_expect_eq(total.Ordinary, std::max(12U, 60 - std::min(60U, 3 * n)));
-    cr_expect_eq(total.Reclaimable, 72U);
+    cr_expect_eq(total.Ordinary, ordinary);
+    cr_expect_eq(total.Reclaimable, std::min(72U, 120 - ordinary));
   }
 }
 
