LibNet, Tests: Release a refused request before its refusal is written, test crowds of callers

Cause: the parser of a refused request lived until its connection was drained: 2,000 requests of many fields took 227 MB of 112.

--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -6,6 +6,7 @@
 #include "LibNet/MeteredBody.h"
 #include "LibNet/Task.h"
 
+#include <optional>
 #include <sys/socket.h>
 
 namespace dotterel {
@@ -365,13 +366,17 @@
                 ListedConnection &Listed) -> Awaitable<bool> {
     // Outlives the request, whose memory it accounts for.
     auto charge = MemoryCharge(budget());
-    auto parser = http::request_parser<MeteredBody>{};
-    parser.header_limit(static_cast<std::uint32_t>(Limits.HeaderBytes));
-    parser.body_limit(Limits.BodyBytes);
-    parser.get().body().Charge = &charge;
-    parser.get().body().IsDiscarded = Limits.DiscardsBodies;
-    auto ec = co_await receive(Stream, Buffer, parser, charge, Listed);
+    auto parser = std::make_optional<http::request_parser<MeteredBody>>();
+    parser->header_limit(static_cast<std::uint32_t>(Limits.HeaderBytes));
+    parser->body_limit(Limits.BodyBytes);
+    parser->get().body().Charge = &charge;
+    parser->get().body().IsDiscarded = Limits.DiscardsBodies;
+    auto ec = co_await receive(Stream, Buffer, *parser, charge, Listed);
     Listed.progress(ConnectionPhase::Responding, charge.bytes());
+    auto const hasHeader = parser->is_header_done();
+    // What was received must not be held while the refusal is written.
+    if (ec)
+      parser.reset();
     if (ec == asio::error::timed_out) {
       co_await refuse(Stream, Buffer, ResultCode::RequestTimeout);
       co_return false;
@@ -379,11 +384,11 @@
     if (ec && isConnectionError(ec))
       co_return false;
     if (ec) {
-      co_await refuse(Stream, Buffer, refusalCode(ec, parser.is_header_done()));
+      co_await refuse(Stream, Buffer, refusalCode(ec, hasHeader));
       co_return false;
     }
     auto exchange =
-        Exchange(Stream, parser.release(), Limits.WriteTimeout, IsClosing);
+        Exchange(Stream, parser->release(), Limits.WriteTimeout, IsClosing);
     co_await Handler(exchange);
     co_return exchange.finish();
   }
--- a/Tests/LibGateway/RunningGateway.cpp
+++ b/Tests/LibGateway/RunningGateway.cpp
@@ -33,6 +33,14 @@
   return call(Port, {"GET", std::move(Path), "", {}, ""});
 }
 
+auto post(int Port, std::string Path, std::vector<HttpField> Fields,
+          std::string_view Body) -> HttpResult {
+  Fields.push_back({"Host", "h.example"});
+  if (std::ranges::find(Fields, "Attempt-Id", &HttpField::Name) == Fields.end())
+    Fields.push_back({"Attempt-Id", "9c41"});
+  return call(Port, {"POST", std::move(Path), "", std::move(Fields), Body});
+}
+
 RunningGateway::RunningGateway(
     std::string ServerAddress,
     std::function<void(FakePlatform &)> const &Prepare)
@@ -65,11 +73,7 @@
 auto RunningGateway::request(std::string const &Route,
                              std::vector<HttpField> Fields,
                              std::string_view Body) -> HttpResult {
-  Fields.push_back({"Host", "h.example"});
-  if (std::ranges::find(Fields, "Attempt-Id", &HttpField::Name) == Fields.end())
-    Fields.push_back({"Attempt-Id", "9c41"});
-  return call(CallerPort,
-              {"POST", "/" + Route + "/x?q=1", "", std::move(Fields), Body});
+  return post(CallerPort, "/" + Route + "/x?q=1", std::move(Fields), Body);
 }
 
 } // namespace dotterel::test
--- a/Tests/LibGateway/RunningGateway.h
+++ b/Tests/LibGateway/RunningGateway.h
@@ -30,6 +30,11 @@
 
 [[nodiscard]] auto get(int Port, std::string Path) -> HttpResult;
 
+/// Sends a request to the host of the fake platform's routes.
+[[nodiscard]] auto post(int Port, std::string Path,
+                        std::vector<HttpField> Fields = {},
+                        std::string_view Body = "body") -> HttpResult;
+
 /// A gateway that is ready to serve. Its ports are fixed: at most one exists at
 /// a time.
 class RunningGateway {
--- /dev/null
+++ b/Tests/LibGateway/TestUnrulyCallers.cpp
@@ -0,0 +1,249 @@
+// Crowds of callers that hold memory or connections at each port of an
+// instance. The instance runs as a process of its own; its memory is sampled
+// while ordinary callers ask for a route that is served.
+#include "LibGateway/RunningGateway.h"
+
+#include <arpa/inet.h>
+#include <csignal>
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <fstream>
+#include <functional>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <criterion/criterion.h>
+
+namespace dotterel::test {
+
+namespace {
+
+/// Memory and descriptors of the smallest machine that is supported.
+constexpr auto MachineMegabytes = 112.0;
+constexpr auto MachineDescriptors = 2870;
+/// Ordinary requests that must be served while the crowd is there, and after.
+constexpr auto ServedShareDuring = 0.9;
+constexpr auto ServedShareAfter = 0.95;
+constexpr auto LegalBodyBytes = std::size_t{1} << 20U;
+constexpr auto OrdinaryRequests = 60;
+
+/// An instance in a child process.
+class InstanceProcess {
+public:
+  explicit InstanceProcess(FakePlatform const &Platform) {
+    auto const text = fmt::format(
+        R"({{"instance":"i0","failureDomain":"z1","host":"127.0.0.1",
+             "callerAddress":"{}","readinessAddress":"{}",
+             "directoryAddress":"{}","peerPort":{},"storeAddress":"{}",
+             "memoryMb":{},"descriptors":{},"logLevel":"error"}})",
+        address(CallerPort), address(ReadyPort), address(DirectoryPort),
+        PeerPort, Platform.storeAddress(), static_cast<int>(MachineMegabytes),
+        MachineDescriptors);
+    Pid = ::fork();
+    if (Pid == 0) {
+      ::signal(SIGTERM, SIG_DFL);
+      Gateway(GatewaySettings::parse(text), "unused").run();
+      ::_exit(0);
+    }
+    for (auto n = 0; n < 200 && status(get(ReadyPort, "/-/ready")) != 200; ++n)
+      std::this_thread::sleep_for(20ms);
+  }
+  ~InstanceProcess() {
+    ::kill(Pid, SIGKILL);
+    ::waitpid(Pid, nullptr, 0);
+  }
+  InstanceProcess(InstanceProcess const &) = delete;
+  auto operator=(InstanceProcess const &) -> InstanceProcess & = delete;
+
+  [[nodiscard]] auto isAlive() const -> bool {
+    return ::waitpid(Pid, nullptr, WNOHANG) == 0;
+  }
+
+  /// Returns the highest resident memory so far.
+  [[nodiscard]] auto peakMegabytes() const -> double {
+    auto file = std::ifstream(fmt::format("/proc/{}/status", Pid));
+    for (auto line = std::string{}; std::getline(file, line);) {
+      if (line.starts_with("VmHWM:"))
+        return std::stod(line.substr(6)) / 1024;
+    }
+    return 0;
+  }
+
+private:
+  pid_t Pid = 0;
+};
+
+/// Connections that are held until the crowd is destroyed.
+class Crowd {
+public:
+  Crowd() = default;
+  ~Crowd() {
+    for (auto it : Sockets)
+      ::close(it);
+  }
+  Crowd(Crowd const &) = delete;
+  auto operator=(Crowd const &) -> Crowd & = delete;
+
+  /// Opens a connection and writes as much of \p Bytes as the instance takes
+  /// within some milliseconds.
+  auto send(int Port, std::string_view Bytes) -> void {
+    auto const fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    auto target = sockaddr_in{};
+    target.sin_family = AF_INET;
+    target.sin_port = htons(static_cast<std::uint16_t>(Port));
+    target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ::connect(fd, reinterpret_cast<sockaddr *>(&target), sizeof(target));
+    Sockets.push_back(fd);
+    for (auto n = 0; n < 20 && !Bytes.empty(); ++n) {
+      auto const sent = ::send(fd, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
+      if (sent > 0)
+        Bytes.remove_prefix(static_cast<std::size_t>(sent));
+      else if (errno != EAGAIN)
+        return;
+      else
+        std::this_thread::sleep_for(1ms);
+    }
+  }
+
+private:
+  std::vector<int> Sockets;
+};
+
+auto head(std::string_view Path, std::string_view Framing) -> std::string {
+  return fmt::format("POST {} HTTP/1.1\r\nHost: h.example\r\n"
+                     "Attempt-Id: 1\r\n{}\r\n\r\n",
+                     Path, Framing);
+}
+
+auto unfinishedBody(std::string_view Path) -> std::string {
+  return head(Path, fmt::format("Content-Length: {}", LegalBodyBytes)) +
+         std::string(LegalBodyBytes - 1, 'b');
+}
+
+auto unfinishedChunks(std::string_view Path) -> std::string {
+  auto bytes = head(Path, "Transfer-Encoding: chunked");
+  for (auto n = std::size_t{0}; n < LegalBodyBytes; n += 16384)
+    bytes += "4000\r\n" + std::string(16384, 'c') + "\r\n";
+  return bytes;
+}
+
+auto oversizedBody(std::string_view Path) -> std::string {
+  return head(Path, fmt::format("Content-Length: {}", LegalBodyBytes * 64)) +
+         std::string(LegalBodyBytes, 'b');
+}
+
+/// A header of legal size that consists of very many fields, without its body.
+auto manyFields(std::string_view Path) -> std::string {
+  auto bytes = fmt::format("POST {} HTTP/1.1\r\nHost: h.example\r\n", Path);
+  while (bytes.size() < 15000)
+    bytes += "a:b\r\n";
+  return bytes + "Content-Length: 9\r\n\r\n";
+}
+
+auto unfinishedHead(std::string_view Path) -> std::string {
+  return fmt::format("POST {} HTTP/1.1\r\nHost: h.exam", Path);
+}
+
+auto sentAhead(std::string_view Path) -> std::string {
+  auto bytes = std::string{};
+  for (auto n = 0; n < 3000; ++n)
+    bytes += head(Path, "Content-Length: 4") + "body";
+  return bytes;
+}
+
+/// Returns the share of ordinary requests that are served.
+auto ordinaryShare() -> double {
+  auto served = 0;
+  for (auto n = 0; n < OrdinaryRequests; ++n) {
+    auto const result =
+        post(CallerPort, "/once/x", {{"Attempt-Id", fmt::format("o{}", n)}});
+    served += status(result) == 200 ? 1 : 0;
+  }
+  return static_cast<double>(served) / OrdinaryRequests;
+}
+
+/// A door: a port, and a path there.
+struct Door {
+  int Port;
+  std::string Path;
+};
+
+auto doors() -> std::vector<Door> {
+  return {{CallerPort, "/once/x"},
+          {CallerPort, "/no-route/x"},
+          {ReadyPort, "/-/ready"},
+          {DirectoryPort, "/-/resolve"}};
+}
+
+/// Lets \p Count callers send what \p Make returns at each door, and checks the
+/// instance and its ordinary callers.
+auto checkCrowd(std::string_view Kind, int Count,
+                std::function<std::string(std::string_view)> const &Make)
+    -> void {
+  auto platform = FakePlatform();
+  auto process = InstanceProcess(platform);
+  for (auto const &door : doors()) {
+    auto const bytes = Make(door.Path);
+    {
+      auto crowd = Crowd();
+      for (auto n = 0; n < Count; ++n)
+        crowd.send(door.Port, bytes);
+      auto const share = ordinaryShare();
+      cr_expect_geq(share, ServedShareDuring, "%s at %d%s: served %.2f",
+                    Kind.data(), door.Port, door.Path.c_str(), share);
+    }
+    cr_assert(process.isAlive(), "%s at %d%s", Kind.data(), door.Port,
+              door.Path.c_str());
+    auto const peak = process.peakMegabytes();
+    cr_expect_lt(peak, MachineMegabytes, "%s at %d%s: %.0f MB", Kind.data(),
+                 door.Port, door.Path.c_str(), peak);
+  }
+  auto const after = ordinaryShare();
+  cr_expect_geq(after, ServedShareAfter, "%s: served %.2f after", Kind.data(),
+                after);
+  cr_expect_eq(status(get(ReadyPort, "/-/ready")), 200U);
+}
+
+} // namespace
+
+Test(UnrulyCallers, BodiesThatStopShort) {
+  checkCrowd("bodies that stop short", 500, unfinishedBody);
+}
+
+Test(UnrulyCallers, ChunksThatStopShort) {
+  checkCrowd("chunks that stop short", 500, unfinishedChunks);
+}
+
+Test(UnrulyCallers, BodiesOverTheLimit) {
+  checkCrowd("bodies over the limit", 200, oversizedBody);
+}
+
+Test(UnrulyCallers, RequestsOfManyFields) {
+  checkCrowd("requests of many fields", 2000, manyFields);
+}
+
+Test(UnrulyCallers, HeadsThatStopShort) {
+  checkCrowd("heads that stop short", 3500, unfinishedHead);
+}
+
+Test(UnrulyCallers, RequestsSentAhead) {
+  checkCrowd("requests sent ahead", 200, sentAhead);
+}
+
+// Within the limits a single large request is served, in any framing.
+Test(UnrulyCallers, SingleLargeRequestIsServed) {
+  auto platform = FakePlatform();
+  auto process = InstanceProcess(platform);
+  auto const body = std::string(LegalBodyBytes, 'b');
+  cr_expect_eq(status(post(CallerPort, "/once/x", {}, body)), 200U);
+  cr_expect_eq(status(get(ReadyPort, "/-/ready")), 200U);
+  cr_expect_eq(status(post(ReadyPort, "/-/ready", {}, body)), 200U);
+  auto fields = std::vector<HttpField>{};
+  for (auto n = 0; n < 2500; ++n)
+    fields.push_back({"a", "b"});
+  cr_expect_eq(status(post(CallerPort, "/once/x", std::move(fields))), 200U);
+}
+
+} // namespace dotterel::test
