LibRelay, LibGateway: Let calls of an absent store grow by less than the fleet

Ruled out: fewer askers by a fixed number, because the store may turn away any set of machines. Conclusion: the pause grows with the peers that come first, up to 4 s, and ends when a peer follows the store again.

--- a/Libraries/LibGateway/StoreFollower.cpp
+++ b/Libraries/LibGateway/StoreFollower.cpp
@@ -37,11 +37,8 @@
 /// changes in batches: when a fleet starts, all servers register within a short
 /// time.
 constexpr auto CatchUpInterval = Duration{250ms};
-/// Upper bounds of the backoff after a failed call.
+/// Upper bound of the backoff after a failed registration.
 constexpr auto MaximumBackoff = Duration{1s};
-/// Upper bound of the backoff of instances that are not watchers and therefore
-/// depend less on the store.
-constexpr auto MaximumBackoffOfOthers = Duration{3s};
 /// Instances are listed periodically to find those whose reports were all lost.
 constexpr auto PeerListInterval = Duration{20s};
 /// Interval at which an instance checks whether it has to register again.
@@ -81,7 +78,7 @@
       auto const askedAt = bootTime();
       auto asOf = co_await client.list(Follower.Kind, objects);
       if (!asOf) {
-        co_await sleepFor(backoff.next(maximumBackoff()));
+        co_await pause(backoff);
         continue;
       }
       Follower.OnListed(objects, *asOf, askedAt);
@@ -95,8 +92,18 @@
     return Loop.state().StoreWatch;
   }
 
-  [[nodiscard]] auto maximumBackoff() const -> Duration {
-    return storeWatch().IsWatcher ? MaximumBackoff : MaximumBackoffOfOthers;
+  /// Waits after a failed call, but no longer than until a peer watches the
+  /// store again.
+  auto pause(Backoff &RetryBackoff) -> Awaitable<void> {
+    auto const span = RetryBackoff.next(
+        relay::maximumStorePause(storeWatch().PrecedingPeers));
+    auto const wasWatching = storeWatch().IsWatching;
+    for (auto waited = Duration{}; waited < span;
+         waited += RelianceCheckInterval) {
+      if (wasWatching && !storeWatch().IsWatching)
+        co_return;
+      co_await sleepFor(std::min(RelianceCheckInterval, span - waited));
+    }
   }
 
   [[nodiscard]] auto watchWait() const -> std::chrono::milliseconds {
@@ -127,7 +134,7 @@
                          ? platform::readChanges(response->Body, response->Era)
                          : std::nullopt;
       if (!changes) {
-        co_await sleepFor(RetryBackoff.next(maximumBackoff()));
+        co_await pause(RetryBackoff);
         continue;
       }
       RetryBackoff.reset();
--- a/Libraries/LibRelay/StoreWatch.cpp
+++ b/Libraries/LibRelay/StoreWatch.cpp
@@ -50,4 +50,17 @@
                           it.Updates.end());
 }
 
+auto maximumStorePause(std::uint32_t PrecedingPeers) -> Duration {
+  constexpr auto FirstInstances = 4U;
+  constexpr auto ShortestPause = Duration{1s};
+  constexpr auto PausePerPeer = Duration{150ms};
+  // Within the time that an instance has after an outage to follow the store.
+  constexpr auto LongestPause = Duration{4s};
+  if (PrecedingPeers < FirstInstances)
+    return ShortestPause;
+  return std::min(LongestPause,
+                  ShortestPause +
+                      PausePerPeer * (PrecedingPeers - FirstInstances));
+}
+
 } // namespace dotterel::relay
--- a/Libraries/LibRelay/StoreWatch.h
+++ b/Libraries/LibRelay/StoreWatch.h
@@ -74,6 +74,8 @@
   /// Watches the store: as a watcher for its peers, or because no watcher's
   /// state is recent enough.
   bool IsWatching = true;
+  /// Live peers that would watch the store before this instance.
+  std::uint32_t PrecedingPeers = 0;
   /// Times of the store's last responses to this instance.
   Instant ConfigurationConfirmedAt;
   Instant ServersConfirmedAt;
@@ -100,4 +102,11 @@
   }
 };
 
+/// Returns the longest pause between two calls of a store that does not
+/// respond. Answers an outage at a large fleet: the few instances that come
+/// first find out within a second that the store responds again and tell the
+/// others, so that the calls of all together hardly grow with the fleet. Thread
+/// safety: any thread.
+[[nodiscard]] auto maximumStorePause(std::uint32_t PrecedingPeers) -> Duration;
+
 } // namespace dotterel::relay
--- a/Libraries/LibRelay/StoreWatchReducer.cpp
+++ b/Libraries/LibRelay/StoreWatchReducer.cpp
@@ -90,21 +90,26 @@
   storeWatch.ServersAsOf = watch->AsOf;
 }
 
-auto StoreWatchReducer::shouldWatch() const -> bool {
+auto StoreWatchReducer::shouldWatch() -> bool {
   // The order of precedence is unknown until the peers are listed.
   if (!CurrentState.PeersListedAt)
     return false;
   auto precedingPeers = 0U;
+  auto &allPreceding = CurrentState.StoreWatch.PrecedingPeers;
+  allPreceding = 0;
   for (auto const &it : CurrentState.Peers.all()) {
     auto const &peer = it.second;
     if (!CurrentState.Peers.isAlive(peer, now()) || peer.LastReport->IsLeaving)
       continue;
-    // A watcher that gets no response from the store does not count.
-    auto isStale = peer.LastReport->Watch && !CurrentState.isFreshWatcher(peer);
     // Reporting each change to the whole fleet costs processor time, so weaker
     // instances watch only if stronger ones are gone.
-    if (!isStale && hasPrecedence(*peer.LastReport, CurrentState.Self.Weight,
-                                  CurrentState.Self.Instance))
+    if (!hasPrecedence(*peer.LastReport, CurrentState.Self.Weight,
+                       CurrentState.Self.Instance))
+      continue;
+    ++allPreceding;
+    // A watcher that gets no response from the store does not count.
+    auto isStale = peer.LastReport->Watch && !CurrentState.isFreshWatcher(peer);
+    if (!isStale)
       ++precedingPeers;
   }
   return precedingPeers < WatcherCount;
--- a/Libraries/LibRelay/StoreWatchReducer.h
+++ b/Libraries/LibRelay/StoreWatchReducer.h
@@ -26,7 +26,9 @@
   /// Records that \p Source has seen the store in an era, which starts when the
   /// store is restored from a copy.
   auto observeEra(std::uint64_t Era, std::string_view Source) -> void;
-  [[nodiscard]] auto shouldWatch() const -> bool;
+  /// Counts the peers that come before this instance, and returns whether it
+  /// should watch the store for all.
+  [[nodiscard]] auto shouldWatch() -> bool;
   [[nodiscard]] auto hasFreshWatcher() const -> bool;
 };
 
--- a/Tests/LibRelay/TestStoreWatch.cpp
+++ b/Tests/LibRelay/TestStoreWatch.cpp
@@ -236,4 +236,19 @@
   cr_assert(later.Updates.empty());
 }
 
+// In an outage each instance asks the store whether it is back. The calls of
+// all together must grow by less than the fleet, and the first must ask often.
+Test(RelayFollowing, CallsInAnOutageHardlyGrowWithTheFleet) {
+  auto perSecond = [](std::uint32_t Instances) {
+    auto sum = 0.0;
+    for (auto n = 0U; n < Instances; ++n)
+      sum += 1 / toSeconds(maximumStorePause(n));
+    return sum;
+  };
+  cr_expect(maximumStorePause(0) == Duration{1s});
+  cr_expect(maximumStorePause(1000) == Duration{4s});
+  cr_expect_lt(perSecond(130), 0.35 * 130);
+  cr_expect_lt(perSecond(300) - perSecond(130), 0.26 * 170);
+}
+
 } // namespace dotterel::relay::test
