LibRelay: Repeat only the counts of open windows, twice a second

Ruled out: the memory of callers: the base sites have the same processor time. Before: 8.6 datagrams a second from each instance to each of three. After: 3.2; counts of a killed instance are lost for 500 ms instead of 300.

--- a/Libraries/LibRelay/CustomerReducer.cpp
+++ b/Libraries/LibRelay/CustomerReducer.cpp
@@ -7,10 +7,11 @@
 namespace {
 
 /// A process that is killed loses at most the counts of this time.
-constexpr auto UsageInterval = Duration{300ms};
-/// All counts that are kept are repeated at this interval, for lost datagrams
-/// and for instances that have just become successors.
-constexpr auto FullUsageInterval = Duration{1500ms};
+constexpr auto UsageInterval = Duration{500ms};
+/// The counts of all windows that are not overdue are repeated at this
+/// interval, for lost datagrams and for instances that have just become
+/// successors.
+constexpr auto FullUsageInterval = Duration{2500ms};
 
 } // namespace
 
@@ -99,10 +100,15 @@
 
 auto CustomerReducer::sendUsage(bool All) -> void {
   auto &usage = CurrentState.Customers.Usage;
-  usage.advance(CurrentState.usageWindow(now()));
+  auto const current = CurrentState.usageWindow(now());
+  usage.advance(current);
+  auto const &options = CurrentState.Options;
+  auto const open =
+      static_cast<UsageWindow>(options.UsageDeadline / options.UsageWindow);
   auto send = SendUsage{DutyReducer(CurrentState, Output).successors(), {}};
   for (auto &it : usage.takeOwn(All))
-    send.Messages.push_back({CurrentState.Self.Incarnation, std::move(it)});
+    if (it.Window + open >= current)
+      send.Messages.push_back({CurrentState.Self.Incarnation, std::move(it)});
   if (!send.Messages.empty() && !send.Addresses.empty())
     emit(std::move(send));
 }
