--- a/Libraries/LibGateway/DutyClient.cpp
+++ b/Libraries/LibGateway/DutyClient.cpp
@@ -14,7 +14,8 @@
 namespace {
 
 constexpr auto CallTimeout = Duration{1s};
-/// Limit on calls that wait; later ones replace them.
+/// Limit on calls that wait. Further ones are dropped; the reducer repeats what
+/// is not confirmed.
 constexpr auto MaximumQueued = std::size_t{64};
 
 using DutyCall = std::variant<relay::SendUsageReport, relay::OrderServers>;
--- a/Libraries/LibRelay/CustomerReducer.cpp
+++ b/Libraries/LibRelay/CustomerReducer.cpp
@@ -103,12 +103,14 @@
   auto const current = CurrentState.usageWindow(now());
   usage.advance(current);
   auto const &options = CurrentState.Options;
+  // Windows before these are reported, or overdue.
   auto const open =
       static_cast<UsageWindow>(options.UsageDeadline / options.UsageWindow);
   auto send = SendUsage{DutyReducer(CurrentState, Output).successors(), {}};
-  for (auto &it : usage.takeOwn(All))
+  for (auto &it : usage.takeOwn(All)) {
     if (it.Window + open >= current)
       send.Messages.push_back({CurrentState.Self.Incarnation, std::move(it)});
+  }
   if (!send.Messages.empty() && !send.Addresses.empty())
     emit(std::move(send));
 }
--- a/Libraries/LibRelay/DutyReducer.cpp
+++ b/Libraries/LibRelay/DutyReducer.cpp
@@ -200,6 +200,7 @@
 auto DutyReducer::updateLease(Duration SinceBoot) -> void {
   auto &lease = CurrentState.Duties.Lease;
   if (lease.Fence && SinceBoot >= lease.ValidUntil) {
+    // A write in flight shows whether the lease is still held.
     lease.IsKnown = lease.IsKnown && lease.IsPending;
     resign("lease-ended");
   }
