--- a/Libraries/LibCustomer/UsageMessage.cpp
+++ b/Libraries/LibCustomer/UsageMessage.cpp
@@ -1,7 +1,7 @@
 #include "LibCustomer/UsageMessage.h"
 
 #include "LibConfiguration/JsonNumber.h"
-#include "LibPeer/CborNesting.h"
+#include "LibPeer/CborArray.h"
 
 #include <nlohmann/json.hpp>
 
@@ -42,28 +42,20 @@
 }
 
 auto decodeUsage(std::string_view Bytes) -> std::optional<UsageMessage> {
-  try {
-    if (!isFlatCbor(asBytes(Bytes)))
-      return std::nullopt;
-    auto const document = json::from_cbor(Bytes);
-    if (!document.is_array() || document.size() != FieldCount ||
-        readNumber<int>(document[0]) != Kind || !document[3].is_array())
-      return std::nullopt;
-    auto message = UsageMessage{};
-    message.Incarnation = readNumber<std::uint64_t>(document[1]);
-    message.Report.Window = readNumber<UsageWindow>(document[2]);
-    auto const &counts = document[3];
-    for (auto n = std::size_t{0}; n + 1 < counts.size(); n += 2)
-      message.Report.Counts[counts[n].get<std::string>()] =
-          readNumber<std::uint32_t>(counts[n + 1]);
-    return message;
-  } catch (json::exception const &) {
-    // Not a valid message; the function's caller counts and logs it.
-    return std::nullopt;
-  } catch (std::invalid_argument const &) {
-    // The same: a number is out of range.
-    return std::nullopt;
-  }
+  return readCborArray(
+      Bytes, [](json const &Source) -> std::optional<UsageMessage> {
+        if (Source.size() != FieldCount || readNumber<int>(Source[0]) != Kind ||
+            !Source[3].is_array())
+          return std::nullopt;
+        auto message = UsageMessage{};
+        message.Incarnation = readNumber<std::uint64_t>(Source[1]);
+        message.Report.Window = readNumber<UsageWindow>(Source[2]);
+        auto const &counts = Source[3];
+        for (auto n = std::size_t{0}; n + 1 < counts.size(); n += 2)
+          message.Report.Counts[counts[n].get<std::string>()] =
+              readNumber<std::uint32_t>(counts[n + 1]);
+        return message;
+      });
 }
 
 } // namespace dotterel
--- a/Libraries/LibGateway/CallerServer.cpp
+++ b/Libraries/LibGateway/CallerServer.cpp
@@ -372,7 +372,7 @@
 auto CallerServer::load() const -> CallerLoad {
   return {Impl->Callers.connectionCount(), Impl->Budget->used(),
           Impl->TotalBacklogBytes, Impl->Budget->refusals(),
-          Impl->Callers.closedForRoomCount()};
+          Impl->Callers.evictedCount()};
 }
 
 auto CallerServer::isIdle() const -> bool { return Impl->Sessions.empty(); }
--- a/Libraries/LibGateway/CallerServer.h
+++ b/Libraries/LibGateway/CallerServer.h
@@ -20,7 +20,7 @@
   /// Times that there was no memory for a request.
   std::uint64_t MemoryRefusals = 0;
   /// Connections that were closed to make room for others.
-  std::uint64_t ClosedForRoom = 0;
+  std::uint64_t EvictedConnections = 0;
 };
 
 /// Serves callers, readiness checks and steering (which tells callers to which
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -4,7 +4,7 @@
 #include "LibCore/Error.h"
 #include "LibCore/Log.h"
 #include "LibGateway/CallerServer.h"
-#include "LibGateway/DutyClient.h"
+#include "LibGateway/LeaderClient.h"
 #include "LibGateway/PeerSocket.h"
 #include "LibGateway/QuarantineStore.h"
 #include "LibGateway/RelayLoop.h"
@@ -48,7 +48,7 @@
         Store(Context, Settings.StoreAddress,
               {Settings.Self.Instance, Settings.Self.PeerAddress}, Loop),
         Quarantine(Context, Settings.StoreAddress, Loop),
-        Duties(Context, Settings.DutyAddress, Loop),
+        LeaderCalls(Context, Settings.PlatformAddress, Loop),
         Peers(Context, Settings.Self.PeerAddress, Loop),
         Signals(Context, SIGINT, SIGTERM, SIGHUP) {
     Loop.setEffectHandler([this](relay::Effect &Effect) {
@@ -67,8 +67,8 @@
       Store.run(Effect);
     else if constexpr (requires { Quarantine.run(Effect); })
       Quarantine.run(Effect);
-    else if constexpr (requires { Duties.run(Effect); })
-      Duties.run(Effect);
+    else if constexpr (requires { LeaderCalls.run(Effect); })
+      LeaderCalls.run(Effect);
     else
       Peers.run(Effect);
   }
@@ -168,7 +168,7 @@
   ServerClient Servers;
   StoreFollower Store;
   QuarantineStore Quarantine;
-  DutyClient Duties;
+  LeaderClient LeaderCalls;
   PeerSocket Peers;
   asio::signal_set Signals;
   std::unique_ptr<HttpServer> MetricsServer;
--- a/Libraries/LibGateway/GatewaySettings.cpp
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -2,7 +2,8 @@
 
 #include "LibConfiguration/FieldReader.h"
 #include "LibConfiguration/Settings.h"
-#include "platform/Duties.h"
+#include "LibCore/Error.h"
+#include "platform/LeaderCalls.h"
 
 #include <fmt/format.h>
 
@@ -56,10 +57,12 @@
     "revocationBoundMs": {"type": "integer", "minimum": 1000,
       "maximum": 600000,
       "description": "Time after the removal of a customer's key from which no instance serves it, in ms; without it, instances that are cut off may lag behind."},
-    "dutyAddress": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$",
+    "platformAddress": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$",
       "description": "IPv4 address and port of the platform's interface for usage reports and orders of servers."},
-    "duties": {"type": "array", "items": {"type": "string"}, "default": [],
-      "description": "Duties that one instance performs for all, by the platform's names."},
+    "leaderTasks": {"type": "array", "items": {"type": "string"}, "default": [],
+      "description": "Tasks of the leader, by the platform's names."},
+    "onDemandServerShare": {"type": "number", "minimum": 0, "maximum": 1,
+      "default": 0.2, "description": "Servers that stay on-demand ones where others are reclaimable, as a share of those at the start."},
     "usageWindowSeconds": {"type": "number", "minimum": 1, "maximum": 86400,
       "default": 60, "description": "Length of the windows in which the usage of customers is reported, in s."},
     "usageDeadlineSeconds": {"type": "number", "minimum": 1, "maximum": 86400,
@@ -96,10 +99,15 @@
                            Reader.read<double>("steeringLifetimeSeconds")));
   if (Reader.contains("revocationBoundMs"))
     options.RevocationBound = Reader.readMilliseconds("revocationBoundMs");
-  auto const duties =
-      platform::readDuties(Reader.read<std::vector<std::string>>("duties"));
-  options.OrdersServers = duties.OrdersServers;
-  if (duties.ReportsUsage)
+  auto const tasks = platform::readLeaderTasks(
+      Reader.read<std::vector<std::string>>("leaderTasks"));
+  if ((tasks.ReportsUsage || tasks.OrdersServers) &&
+      !Reader.contains("platformAddress"))
+    throw Error(ResultCode::InvalidSettings,
+                "leaderTasks needs platformAddress, which is missing");
+  options.OrdersServers = tasks.OrdersServers;
+  options.OnDemandServerShare = Reader.read<double>("onDemandServerShare");
+  if (tasks.ReportsUsage)
     options.UsageWindow =
         fromSeconds(Reader.read<double>("usageWindowSeconds"));
   options.UsageDeadline =
@@ -126,8 +134,8 @@
   settings.ReadinessAddress = reader.read<std::string>("readinessAddress");
   settings.DirectoryAddress = reader.read<std::string>("directoryAddress");
   settings.StoreAddress = reader.read<std::string>("storeAddress");
-  if (reader.contains("dutyAddress"))
-    settings.DutyAddress = reader.read<std::string>("dutyAddress");
+  if (reader.contains("platformAddress"))
+    settings.PlatformAddress = reader.read<std::string>("platformAddress");
   settings.MemoryMegabytes = reader.read<std::size_t>("memoryMb");
   settings.Descriptors = reader.read<std::size_t>("descriptors");
   settings.MetricsPort = reader.read<std::uint16_t>("metricsPort");
--- a/Libraries/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/GatewaySettings.h
@@ -18,8 +18,8 @@
   std::string ReadinessAddress;
   std::string DirectoryAddress;
   std::string StoreAddress;
-  /// Empty if there are no duties.
-  std::string DutyAddress;
+  /// Empty if there are no leader.
+  std::string PlatformAddress;
   std::uint16_t MetricsPort = 0;
   /// Memory and file descriptors of the machine that the instance may use.
   std::size_t MemoryMegabytes = 0;
--- a/Libraries/LibGateway/DutyClient.cpp
+++ b/Libraries/LibGateway/LeaderClient.cpp
@@ -1,10 +1,10 @@
-#include "LibGateway/DutyClient.h"
+#include "LibGateway/LeaderClient.h"
 
 #include "LibCore/BootClock.h"
 #include "LibCore/Log.h"
 #include "LibNet/HttpClient.h"
 #include "LibNet/Task.h"
-#include "platform/Duties.h"
+#include "platform/LeaderCalls.h"
 
 #include <deque>
 #include <variant>
@@ -18,7 +18,7 @@
 /// is not confirmed.
 constexpr auto MaximumQueued = std::size_t{64};
 
-using DutyCall = std::variant<relay::SendUsageReport, relay::OrderServers>;
+using LeaderCall = std::variant<relay::SendUsageReport, relay::OrderServers>;
 
 auto makeRequest(relay::SendUsageReport const &Call, std::string &Body)
     -> HttpRequest {
@@ -32,7 +32,7 @@
 
 auto makeResult(relay::SendUsageReport const &Call, unsigned Status)
     -> relay::UsageReported {
-  return {Call.Report.Window, platform::readDutyResult(Status), Status};
+  return {Call.Report.Window, platform::readCallResult(Status), Status};
 }
 
 auto makeResult(relay::OrderServers const &Call, unsigned Status)
@@ -41,26 +41,26 @@
           Call.Domain,
           Call.IsReclaimable,
           Call.Count,
-          platform::readDutyResult(Status),
+          platform::readCallResult(Status),
           Status};
 }
 
 } // namespace
 
-struct DutyClient::Implementation
-    : std::enable_shared_from_this<DutyClient::Implementation> {
+struct LeaderClient::Implementation
+    : std::enable_shared_from_this<LeaderClient::Implementation> {
   Implementation(asio::io_context &Context, std::string Address,
                  RelayLoop &Loop)
       : Context(Context), Address(std::move(Address)), Loop(Loop) {}
 
-  auto push(DutyCall Call) -> void {
+  auto push(LeaderCall Call) -> void {
     if (Address.empty() || Queue.size() >= MaximumQueued)
       return;
     Queue.push_back(std::move(Call));
     if (IsBusy)
       return;
     IsBusy = true;
-    spawnTask(Context, "duty-caller",
+    spawnTask(Context, "leader-caller",
               [self = shared_from_this()] { return self->callAll(); });
   }
 
@@ -73,7 +73,7 @@
         status = co_await std::visit(
             [this](auto const &it) { return send(it); }, call);
       } catch (std::exception const &error) {
-        log(LogLevel::Warning, "duty-call-failed", {{"error", error.what()}});
+        log(LogLevel::Warning, "leader-call-failed", {{"error", error.what()}});
       }
       std::visit([&](auto const &it) { Loop.feed(makeResult(it, status)); },
                  call);
@@ -94,7 +94,7 @@
     auto const request = makeRequest(Call, body);
     // The process may have been suspended while it connected.
     if (bootTime() >= Call.Authority.ValidUntil) {
-      log(LogLevel::Info, "duty-call-dropped",
+      log(LogLevel::Info, "leader-call-dropped",
           {{"fence", Call.Authority.FencingNumber}});
       co_return 0;
     }
@@ -108,22 +108,22 @@
   std::string Address;
   RelayLoop &Loop; // NOLINT
   std::unique_ptr<HttpConnection> Http;
-  std::deque<DutyCall> Queue;
+  std::deque<LeaderCall> Queue;
   bool IsBusy = false;
 };
 
-DutyClient::DutyClient(asio::io_context &Context, std::string Address,
-                       RelayLoop &Loop)
+LeaderClient::LeaderClient(asio::io_context &Context, std::string Address,
+                           RelayLoop &Loop)
     : Impl(std::make_shared<Implementation>(Context, std::move(Address),
                                             Loop)) {}
 
-DutyClient::~DutyClient() = default;
+LeaderClient::~LeaderClient() = default;
 
-auto DutyClient::run(relay::SendUsageReport const &Effect) -> void {
+auto LeaderClient::run(relay::SendUsageReport const &Effect) -> void {
   Impl->push(Effect);
 }
 
-auto DutyClient::run(relay::OrderServers const &Effect) -> void {
+auto LeaderClient::run(relay::OrderServers const &Effect) -> void {
   Impl->push(Effect);
 }
 
--- a/Libraries/LibGateway/DutyClient.h
+++ b/Libraries/LibGateway/LeaderClient.h
@@ -12,13 +12,13 @@
 
 /// Sends one call after another, and none whose authority has ended. Passes the
 /// results on to the loop. Thread safety: none; used on one executor.
-class DutyClient {
+class LeaderClient {
 public:
   /// Precondition: \p Context and \p Loop outlive the client.
-  DutyClient(asio::io_context &Context, std::string Address, RelayLoop &Loop);
-  ~DutyClient();
-  DutyClient(DutyClient const &) = delete;
-  auto operator=(DutyClient const &) -> DutyClient & = delete;
+  LeaderClient(asio::io_context &Context, std::string Address, RelayLoop &Loop);
+  ~LeaderClient();
+  LeaderClient(LeaderClient const &) = delete;
+  auto operator=(LeaderClient const &) -> LeaderClient & = delete;
 
   auto run(relay::SendUsageReport const &Effect) -> void;
   auto run(relay::OrderServers const &Effect) -> void;
--- a/Libraries/LibGateway/RelayMetrics.cpp
+++ b/Libraries/LibGateway/RelayMetrics.cpp
@@ -65,8 +65,8 @@
   case relay::CounterMetric::CustomerStarts:
     return {"dotterel_relay_customer_starts_total",
             "Requests of customers that began to run", "customer"};
-  case relay::CounterMetric::Duties:
-    return {"dotterel_relay_duties_total",
+  case relay::CounterMetric::LeaderCalls:
+    return {"dotterel_relay_leader_calls_total",
             "Usage reports and orders of servers, by outcome", "outcome"};
   }
   return {"dotterel_relay_other_total", "Other events", "kind"};
@@ -180,9 +180,10 @@
   set("caller_request_bytes", static_cast<double>(Callers.RequestBytes));
   set("caller_backlog_bytes", static_cast<double>(Callers.BacklogBytes));
   set("caller_memory_refusals", static_cast<double>(Callers.MemoryRefusals));
-  set("callers_closed_for_room", static_cast<double>(Callers.ClosedForRoom));
+  set("caller_connections_evicted",
+      static_cast<double>(Callers.EvictedConnections));
   set("keys_confirmed", CurrentState.Customers.IsConfirmed ? 1 : 0);
-  set("holds_duties", CurrentState.Duties.Lease.Fence ? 1 : 0);
+  set("is_leader", CurrentState.Leader.Lease.Fence ? 1 : 0);
   set("store_reachable", CurrentState.Store.IsReachable ? 1 : 0);
   set("ready", CurrentState.isReady() ? 1 : 0);
   return prometheus::TextSerializer{}.Serialize(Impl->Registry.Collect());
--- a/Libraries/LibGateway/StoreFollower.cpp
+++ b/Libraries/LibGateway/StoreFollower.cpp
@@ -295,10 +295,10 @@
     });
   }
 
-  auto readDutyLease() -> Awaitable<void> {
+  auto readLeaderLease() -> Awaitable<void> {
     return readLease(
-        platform::DutyLeaseName, [](StoreResponse const &Response) {
-          return platform::readDutyLease(Response.Body, Response.Era);
+        platform::LeaderLeaseName, [](StoreResponse const &Response) {
+          return platform::readLeaderLease(Response.Body, Response.Era);
         });
   }
 
@@ -335,14 +335,14 @@
     Loop.feed(written);
   }
 
-  auto writeDutyLease(relay::WriteDutyLease Effect) -> Awaitable<void> {
+  auto writeLeaderLease(relay::WriteLeaderLease Effect) -> Awaitable<void> {
     auto const writtenAt = bootTime();
     auto response = co_await putLease(
-        platform::DutyLeaseName, Effect.Expected,
-        platform::writeDutyLease(Effect.Record, Effect.Expected));
-    auto written = relay::DutyLeaseWritten{};
+        platform::LeaderLeaseName, Effect.Expected,
+        platform::writeLeaderLease(Effect.Record, Effect.Expected));
+    auto written = relay::LeaderLeaseWritten{};
     if (response) {
-      auto read = platform::readDutyLease(response->Body, response->Era);
+      auto read = platform::readLeaderLease(response->Body, response->Era);
       written = {read.IsRead, read.Version, writtenAt};
     }
     Loop.feed(written);
@@ -385,14 +385,14 @@
             [self = Impl, Effect] { return self->writeLease(Effect); });
 }
 
-auto StoreFollower::run(relay::ReadDutyLease const & /*Effect*/) -> void {
-  spawnTask(Impl->Context, "duty-lease-reader",
-            [self = Impl] { return self->readDutyLease(); });
+auto StoreFollower::run(relay::ReadLeaderLease const & /*Effect*/) -> void {
+  spawnTask(Impl->Context, "leader-lease-reader",
+            [self = Impl] { return self->readLeaderLease(); });
 }
 
-auto StoreFollower::run(relay::WriteDutyLease const &Effect) -> void {
-  spawnTask(Impl->Context, "duty-lease-writer",
-            [self = Impl, Effect] { return self->writeDutyLease(Effect); });
+auto StoreFollower::run(relay::WriteLeaderLease const &Effect) -> void {
+  spawnTask(Impl->Context, "leader-lease-writer",
+            [self = Impl, Effect] { return self->writeLeaderLease(Effect); });
 }
 
 } // namespace dotterel
--- a/Libraries/LibGateway/StoreFollower.h
+++ b/Libraries/LibGateway/StoreFollower.h
@@ -26,8 +26,8 @@
 
   auto run(relay::ReadLease const &Effect) -> void;
   auto run(relay::WriteLease const &Effect) -> void;
-  auto run(relay::ReadDutyLease const &Effect) -> void;
-  auto run(relay::WriteDutyLease const &Effect) -> void;
+  auto run(relay::ReadLeaderLease const &Effect) -> void;
+  auto run(relay::WriteLeaderLease const &Effect) -> void;
 
 private:
   struct Implementation;
--- a/Libraries/LibNet/ConnectionTable.cpp
+++ b/Libraries/LibNet/ConnectionTable.cpp
@@ -1,5 +1,6 @@
 #include "LibNet/ConnectionTable.h"
 
+#include <optional>
 #include <utility>
 
 namespace dotterel {
@@ -23,50 +24,47 @@
   Entries.erase(Target);
 }
 
-auto ConnectionTable::close(Handle Target) -> void {
-  ++Closed;
+auto ConnectionTable::evict(Handle Target) -> void {
+  ++Evicted;
   // The entry is removed once its task has ended.
   Target->Phase = ConnectionPhase::Responding;
   std::exchange(Target->Close, nullptr)();
 }
 
-auto ConnectionTable::closeForConnection(Instant Now) -> bool {
+template <typename Ranking>
+auto ConnectionTable::evictHighest(Ranking Rank) -> bool {
   auto victim = Entries.end();
-  auto highest = std::pair{std::size_t{0}, Duration{}};
+  auto highest = decltype(Rank(ConnectionEntry{})){};
   for (auto it = Entries.begin(); it != Entries.end(); ++it) {
+    // An entry without Close has been evicted already.
     if (it->Phase == ConnectionPhase::Responding || !it->Close)
       continue;
-    auto const rank = std::pair{CountByAddress.at(it->Address),
-                                Duration(Now - it->LastProgressAt)};
-    if (victim != Entries.end() && rank <= highest)
+    auto const rank = Rank(*it);
+    if (!rank || rank <= highest)
       continue;
     victim = it;
     highest = rank;
   }
   if (victim == Entries.end())
     return false;
-  close(victim);
+  evict(victim);
   return true;
 }
 
-auto ConnectionTable::closeForMemory(Instant Now) -> bool {
-  auto victim = Entries.end();
-  auto highest = 0.0;
-  for (auto it = Entries.begin(); it != Entries.end(); ++it) {
-    auto const stalled = Now - it->LastProgressAt;
-    if (it->Phase != ConnectionPhase::Receiving || !it->Close ||
-        stalled < StallTime)
-      continue;
-    auto const rank = static_cast<double>(it->Bytes) * toSeconds(stalled);
-    if (rank <= highest)
-      continue;
-    victim = it;
-    highest = rank;
-  }
-  if (victim == Entries.end())
-    return false;
-  close(victim);
-  return true;
+auto ConnectionTable::evictForConnection(Instant Now) -> bool {
+  return evictHighest([&](ConnectionEntry const &Entry) {
+    return std::optional(std::pair{CountByAddress.at(Entry.Address),
+                                   Duration(Now - Entry.LastProgressAt)});
+  });
+}
+
+auto ConnectionTable::evictForMemory(Instant Now) -> bool {
+  return evictHighest([&](ConnectionEntry const &Entry) {
+    auto const stalled = Now - Entry.LastProgressAt;
+    if (Entry.Phase != ConnectionPhase::Receiving || stalled < StallTime)
+      return std::optional<double>{};
+    return std::optional(static_cast<double>(Entry.Bytes) * toSeconds(stalled));
+  });
 }
 
 } // namespace dotterel
--- a/Libraries/LibNet/ConnectionTable.h
+++ b/Libraries/LibNet/ConnectionTable.h
@@ -1,5 +1,5 @@
 /// \file
-/// The callers' connections of a server, and which one to close for another.
+/// The callers' connections of a server, and which one is evicted for another.
 #pragma once
 
 #include "LibCore/Time.h"
@@ -19,7 +19,7 @@
   Idle,
   /// For the rest of a request.
   Receiving,
-  /// For the response. Such a connection is not closed for another.
+  /// For the response. Such a connection is not evicted.
   Responding,
 };
 
@@ -35,8 +35,9 @@
   std::function<void()> Close;
 };
 
-/// Answers crowds that hold connections or memory without making progress: one
-/// of them goes for each new caller that needs the room. Thread safety: none.
+/// Answers many callers that hold connections or memory without making
+/// progress: one of their connections is closed for each new caller that needs
+/// what it holds. Thread safety: none.
 class ConnectionTable {
 public:
   using Handle = std::list<ConnectionEntry>::iterator;
@@ -44,25 +45,29 @@
   [[nodiscard]] auto add(ConnectionEntry Entry) -> Handle;
   auto remove(Handle Target) -> void;
 
-  /// Closes a connection that waits for its caller: of the address with the
+  /// Evicts a connection that waits for its caller: of the address with the
   /// most connections, the one that has made no progress for longest. Returns
   /// false if all are being responded to.
-  auto closeForConnection(Instant Now) -> bool;
+  auto evictForConnection(Instant Now) -> bool;
 
-  /// Closes the connection whose request holds most for the time that it has
+  /// Evicts the connection whose request holds most for the time that it has
   /// made no progress. Returns false if none has stalled.
-  auto closeForMemory(Instant Now) -> bool;
+  auto evictForMemory(Instant Now) -> bool;
 
   [[nodiscard]] auto size() const -> std::size_t { return Entries.size(); }
-  /// Returns the number of connections that were closed for others.
-  [[nodiscard]] auto closedCount() const -> std::uint64_t { return Closed; }
+  /// Returns the number of connections that were evicted.
+  [[nodiscard]] auto evictedCount() const -> std::uint64_t { return Evicted; }
 
 private:
-  auto close(Handle Target) -> void;
+  /// Evicts the connection with the highest rank of those that wait for their
+  /// caller. \p Rank returns std::nullopt for a connection that must stay.
+  /// Returns false if all must.
+  template <typename Ranking> auto evictHighest(Ranking Rank) -> bool;
+  auto evict(Handle Target) -> void;
 
   std::list<ConnectionEntry> Entries;
   std::map<std::string, std::size_t> CountByAddress;
-  std::uint64_t Closed = 0;
+  std::uint64_t Evicted = 0;
 };
 
 } // namespace dotterel
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -1,13 +1,12 @@
 #include "LibNet/HttpServer.h"
 
 #include "LibCore/Log.h"
-#include "LibNet/ConnectionTable.h"
 #include "LibNet/Endpoint.h"
-#include "LibNet/MeteredBody.h"
+#include "LibNet/ListedConnection.h"
+#include "LibNet/ServerExchange.h"
 #include "LibNet/Task.h"
 
 #include <optional>
-#include <sys/socket.h>
 
 namespace dotterel {
 
@@ -15,10 +14,6 @@
 
 using asio::ip::tcp;
 
-auto toView(beast::string_view Text) -> std::string_view {
-  return {Text.data(), Text.size()};
-}
-
 /// Cancels the operations of a socket on time-out. The socket stays open, so
 /// that a response can still be written.
 class ReadDeadline {
@@ -43,200 +38,6 @@
   std::shared_ptr<bool> HasPassed;
 };
 
-/// An exchange over a TCP connection.
-class Exchange final : public HttpExchange {
-public:
-  Exchange(beast::tcp_stream &Stream, http::request<MeteredBody> Request,
-           Duration WriteTimeout, bool const &IsClosing)
-      : Stream(Stream), Request(std::move(Request)), WriteTimeout(WriteTimeout),
-        IsClosing(IsClosing) {}
-
-  [[nodiscard]] auto method() const -> std::string_view override {
-    return toView(Request.method_string());
-  }
-
-  [[nodiscard]] auto path() const -> std::string_view override {
-    auto target = toView(Request.target());
-    return target.substr(0, target.find('?'));
-  }
-
-  [[nodiscard]] auto target() const -> std::string_view override {
-    return toView(Request.target());
-  }
-
-  auto visitFields(FieldVisitor const &Visitor) const -> void override {
-    for (auto const &it : Request)
-      Visitor(toView(it.name_string()), toView(it.value()));
-  }
-
-  [[nodiscard]] auto query(std::string_view Name) const
-      -> std::string override {
-    auto target = toView(Request.target());
-    auto mark = target.find('?');
-    if (mark == std::string_view::npos)
-      return {};
-    auto rest = target.substr(mark + 1);
-    while (!rest.empty()) {
-      auto end = std::min(rest.find('&'), rest.size());
-      auto item = rest.substr(0, end);
-      rest.remove_prefix(std::min(end + 1, rest.size()));
-      auto equals = item.find('=');
-      if (equals != std::string_view::npos && item.substr(0, equals) == Name)
-        return std::string(item.substr(equals + 1));
-    }
-    return {};
-  }
-
-  [[nodiscard]] auto field(std::string_view Name) const
-      -> std::string override {
-    return std::string(toView(Request[{Name.data(), Name.size()}]));
-  }
-
-  [[nodiscard]] auto body() -> std::string & override {
-    return Request.body().Text;
-  }
-
-  [[nodiscard]] auto callerAddress() const -> std::string override {
-    auto ec = boost::system::error_code{};
-    auto const endpoint = Stream.socket().remote_endpoint(ec);
-    return ec ? std::string{} : endpoint.address().to_string();
-  }
-
-  auto respond(HttpResponse Response) -> Awaitable<void> override {
-    auto message = http::response<http::string_body>{};
-    fill(message, Response);
-    message.body() = std::move(Response.Body);
-    message.prepare_payload();
-    Stream.expires_after(WriteTimeout);
-    co_await http::async_write(Stream, message, asio::use_awaitable);
-    HasResponded = true;
-  }
-
-  auto beginStream(std::string ContentType, std::vector<HttpField> Fields)
-      -> Awaitable<void> override {
-    Fields.push_back({"Cache-Control", "no-cache"});
-    co_await beginResponse({static_cast<unsigned>(http::status::ok),
-                            std::move(ContentType),
-                            std::move(Fields),
-                            {}});
-  }
-
-  auto beginResponse(HttpResponse Header) -> Awaitable<void> override {
-    auto message = http::response<http::empty_body>{};
-    fill(message, Header);
-    message.chunked(true);
-    auto serializer = http::response_serializer<http::empty_body>{message};
-    Stream.expires_after(WriteTimeout);
-    co_await http::async_write_header(Stream, serializer, asio::use_awaitable);
-  }
-
-  auto writeChunk(std::string_view Data) -> Awaitable<void> override {
-    Stream.expires_after(WriteTimeout);
-    co_await asio::async_write(
-        Stream, http::make_chunk(asio::buffer(Data.data(), Data.size())),
-        asio::use_awaitable);
-  }
-
-  auto endStream() -> Awaitable<void> override {
-    Stream.expires_after(WriteTimeout);
-    co_await asio::async_write(Stream, http::make_chunk_last(),
-                               asio::use_awaitable);
-    HasResponded = true;
-  }
-
-  auto notifyOnDisconnect(std::function<void()> Callback) -> void override {
-    IsWatched = std::make_shared<bool>(true);
-    watch(Stream, IsWatched, std::move(Callback));
-  }
-
-  auto abort() -> void override { Stream.close(); }
-
-  /// Returns whether the connection can take another request.
-  auto finish() -> bool {
-    if (IsWatched) {
-      *IsWatched = false;
-      auto ec = boost::system::error_code{};
-      Stream.socket().cancel(ec);
-    }
-    return HasResponded && keepsAlive();
-  }
-
-private:
-  [[nodiscard]] auto keepsAlive() const -> bool {
-    return Request.keep_alive() && !IsClosing;
-  }
-
-  template <typename Message>
-  auto fill(Message &Target, HttpResponse const &Source) const -> void {
-    Target.version(Request.version());
-    Target.result(Source.Status);
-    Target.keep_alive(keepsAlive());
-    if (!Source.ContentType.empty())
-      Target.set(http::field::content_type, Source.ContentType);
-    for (auto const &it : Source.Fields)
-      Target.insert(it.Name, it.Value);
-  }
-
-  static auto watch(beast::tcp_stream &Stream,
-                    std::shared_ptr<bool> const &IsWatched,
-                    std::function<void()> Callback) -> void {
-    Stream.socket().async_wait(
-        tcp::socket::wait_read,
-        [&Stream, IsWatched,
-         callback = std::move(Callback)](boost::system::error_code const &ec) {
-          if (!*IsWatched)
-            return;
-          auto byte = char{};
-          auto n = ec ? 0
-                      : ::recv(Stream.socket().native_handle(), &byte, 1,
-                               MSG_PEEK | MSG_DONTWAIT);
-          // Readable data is a pipelined request, not a disconnect.
-          if (n <= 0)
-            callback();
-        });
-  }
-
-  beast::tcp_stream &Stream; // NOLINT: owned by the session
-  http::request<MeteredBody> Request;
-  Duration WriteTimeout;
-  bool const &IsClosing; // NOLINT: owned by the server
-  bool HasResponded = false;
-  std::shared_ptr<bool> IsWatched;
-};
-
-/// Lists a connection in the table while it exists.
-class ListedConnection {
-public:
-  ListedConnection(ConnectionTable &Table, beast::tcp_stream &Stream)
-      : Table(Table), Entry(Table.add(describe(Stream))) {}
-  ~ListedConnection() { Table.remove(Entry); }
-  ListedConnection(ListedConnection const &) = delete;
-  auto operator=(ListedConnection const &) -> ListedConnection & = delete;
-
-  /// Records that the connection made progress in \p Phase, in which its
-  /// request holds \p Bytes.
-  auto progress(ConnectionPhase Phase, std::size_t Bytes) -> void {
-    // A connection that was closed for another one stays as it is.
-    if (!Entry->Close)
-      return;
-    Entry->Phase = Phase;
-    Entry->Bytes = Bytes;
-    Entry->LastProgressAt = std::chrono::steady_clock::now();
-  }
-
-private:
-  static auto describe(beast::tcp_stream &Stream) -> ConnectionEntry {
-    auto ec = boost::system::error_code{};
-    auto const endpoint = Stream.socket().remote_endpoint(ec);
-    return {ec ? std::string{} : endpoint.address().to_string(),
-            ConnectionPhase::Idle, std::chrono::steady_clock::now(), 0,
-            [&Stream] { Stream.close(); }};
-  }
-
-  ConnectionTable &Table; // NOLINT: owned by the server
-  ConnectionTable::Handle Entry;
-};
-
 /// Returns the memory that the header of \p Source needs, in the message and in
 /// the copies that are made of it.
 template <typename Message>
@@ -290,34 +91,37 @@
         continue;
       }
       socket.set_option(tcp::no_delay(true), ec);
-      if (Table.size() >= Limits.Connections)
-        makeRoom();
+      auto const hasRoom = Table.size() < Limits.Connections || evictIdle();
       // Refused connections hold memory, too, until their response is written.
       if (Table.size() >= Limits.Connections + Limits.Connections / 4)
         continue;
       spawnTask(Acceptor.get_executor(), "caller-connection",
-                [self, stream = std::make_shared<beast::tcp_stream>(
-                           std::move(socket))]() -> Awaitable<void> {
+                [self, hasRoom,
+                 stream = std::make_shared<beast::tcp_stream>(
+                     std::move(socket))]() -> Awaitable<void> {
                   auto listed = ListedConnection(self->Table, *stream);
-                  co_await self->serve(*stream, listed);
+                  co_await self->serve(*stream, listed, hasRoom);
                 });
     }
   }
 
-  /// Closes a connection that makes no progress. Logged at a bounded rate.
-  auto makeRoom() -> void {
+  /// Evicts a connection that makes no progress. Returns false if there is
+  /// none.
+  auto evictIdle() -> bool {
     auto const now = std::chrono::steady_clock::now();
-    Table.closeForConnection(now);
-    logRoom(now, "connections");
+    auto const isEvicted = Table.evictForConnection(now);
+    logEviction(now, "connections");
+    return isEvicted;
   }
 
-  auto logRoom(Instant Now, std::string_view Kind) -> void {
-    if (Now - LastRoomLogAt < RoomLogInterval)
+  /// Logs at a bounded rate which resource is scarce.
+  auto logEviction(Instant Now, std::string_view Kind) -> void {
+    if (Now - LastEvictionLogAt < EvictionLogInterval)
       return;
-    LastRoomLogAt = Now;
-    log(LogLevel::Warning, "callers-closed-for-room",
+    LastEvictionLogAt = Now;
+    log(LogLevel::Warning, "connections-evicted",
         {{"of", Kind},
-         {"closed", Table.closedCount()},
+         {"evicted", Table.evictedCount()},
          {"connections", Table.size()},
          {"bytes", budget()->used()},
          {"refused", budget()->refusals()}});
@@ -327,10 +131,10 @@
     return Limits.Budget ? Limits.Budget : OwnBudget;
   }
 
-  auto serve(beast::tcp_stream &Stream, ListedConnection &Listed)
+  auto serve(beast::tcp_stream &Stream, ListedConnection &Listed, bool HasRoom)
       -> Awaitable<void> {
     auto buffer = beast::flat_buffer{};
-    if (Table.size() > Limits.Connections + 1) {
+    if (!HasRoom) {
       co_await refuse(Stream, buffer, ResultCode::TooManyConnections);
       co_return;
     }
@@ -388,8 +192,8 @@
       co_await refuse(Stream, Buffer, refusalCode(ec, hasHeader));
       co_return false;
     }
-    auto exchange =
-        Exchange(Stream, parser->release(), Limits.WriteTimeout, IsClosing);
+    auto exchange = ServerExchange(Stream, parser->release(),
+                                   Limits.WriteTimeout, IsClosing);
     co_await Handler(exchange);
     co_return exchange.finish();
   }
@@ -410,7 +214,7 @@
                                  useError(ec));
     while (!ec && !Target.is_done()) {
       Listed.progress(ConnectionPhase::Receiving, Charge.bytes());
-      closeStalled();
+      evictStalled();
       co_await http::async_read_some(Stream, Buffer, Target, useError(ec));
     }
     if (ec && deadline.hasPassed())
@@ -418,14 +222,14 @@
     co_return ec;
   }
 
-  /// Closes a connection that holds memory and has stalled, if there is little
+  /// Evicts a connection that holds memory and has stalled, if there is little
   /// left.
-  auto closeStalled() -> void {
+  auto evictStalled() -> void {
     if (!budget()->isScarce())
       return;
     auto const now = std::chrono::steady_clock::now();
-    if (Table.closeForMemory(now))
-      logRoom(now, "memory");
+    if (Table.evictForMemory(now))
+      logEviction(now, "memory");
   }
 
   template <typename Parser>
@@ -462,9 +266,11 @@
   static constexpr auto FirstReadBytes = std::size_t{2048};
   static constexpr auto MaximumDrainedBytes = std::size_t{8} << 20U;
   static constexpr auto AcceptRetryInterval = Duration{20ms};
+  /// Bytes of a body or of the next request that are read with a header.
   static constexpr auto BufferMargin = std::size_t{4096};
+  /// Budget of a server that shares none with others.
   static constexpr auto OwnBudgetBytes = std::size_t{32} << 20U;
-  static constexpr auto RoomLogInterval = Duration{1s};
+  static constexpr auto EvictionLogInterval = Duration{1s};
   /// What the kernel holds for one connection.
   static constexpr auto ReceiveBufferBytes = 32 << 10;
   static constexpr auto ErrorResponseTimeout = Duration{1s};
@@ -478,7 +284,7 @@
   HttpErrorHandler ErrorHandler;
   std::shared_ptr<MemoryBudget> OwnBudget;
   ConnectionTable Table;
-  Instant LastRoomLogAt;
+  Instant LastEvictionLogAt;
   bool IsClosing = false;
 };
 
@@ -517,8 +323,8 @@
   return Impl->Table.size();
 }
 
-auto HttpServer::closedForRoomCount() const -> std::uint64_t {
-  return Impl->Table.closedCount();
+auto HttpServer::evictedCount() const -> std::uint64_t {
+  return Impl->Table.evictedCount();
 }
 
 } // namespace dotterel
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -109,7 +109,7 @@
   [[nodiscard]] auto connectionCount() const -> std::size_t;
 
   /// Returns how many connections were closed to make room for others.
-  [[nodiscard]] auto closedForRoomCount() const -> std::uint64_t;
+  [[nodiscard]] auto evictedCount() const -> std::uint64_t;
 
 private:
   struct Implementation;
--- a/Libraries/LibRelay/CustomerReducer.cpp
+++ b/Libraries/LibRelay/CustomerReducer.cpp
@@ -1,6 +1,6 @@
 #include "LibRelay/CustomerReducer.h"
 
-#include "LibRelay/DutyReducer.h"
+#include "LibRelay/LeaderReducer.h"
 
 namespace dotterel::relay {
 
@@ -106,7 +106,7 @@
   // Windows before these are reported, or overdue.
   auto const open =
       static_cast<UsageWindow>(options.UsageDeadline / options.UsageWindow);
-  auto send = SendUsage{DutyReducer(CurrentState, Output).successors(), {}};
+  auto send = SendUsage{LeaderReducer(CurrentState, Output).successors(), {}};
   for (auto &it : usage.takeOwn(All)) {
     if (it.Window + open >= current)
       send.Messages.push_back({CurrentState.Self.Incarnation, std::move(it)});
--- a/Libraries/LibRelay/Effect.h
+++ b/Libraries/LibRelay/Effect.h
@@ -142,27 +142,19 @@
   std::vector<UsageMessage> Messages;
 };
 
-/// Reads the duty lease from the store.
-struct ReadDutyLease {};
+/// Reads the leader lease from the store.
+struct ReadLeaderLease {};
 
-/// Writes the duty lease if its version is Expected; revision 0 means that it
+/// Writes the leader lease if its version is Expected; revision 0 means that it
 /// must not exist.
-struct WriteDutyLease {
+struct WriteLeaderLease {
   StoreVersion Expected;
-  DutyRecord Record;
-};
-
-/// The right to act for all instances. Nothing is sent after ValidUntil.
-struct DutyAuthority {
-  std::string Holder;
-  std::uint64_t FencingNumber = 0;
-  /// Time since boot.
-  Duration ValidUntil{};
+  LeaderRecord Record;
 };
 
 struct SendUsageReport {
   UsageReport Report;
-  DutyAuthority Authority;
+  LeaderAuthority Authority;
 };
 
 /// Orders the number of servers of one kind in one failure domain.
@@ -171,7 +163,7 @@
   std::string Domain;
   bool IsReclaimable = false;
   std::uint32_t Count = 0;
-  DutyAuthority Authority;
+  LeaderAuthority Authority;
 };
 
 /// Reads the lease from the store.
@@ -229,8 +221,8 @@
   Permits,
   /// Requests of customers that began to run.
   CustomerStarts,
-  /// Calls for the duties that one instance performs for all, by outcome.
-  Duties,
+  /// Calls of the leader to the platform, by outcome.
+  LeaderCalls,
 };
 
 struct IncrementCounter {
@@ -256,8 +248,8 @@
                  AbortStream, SendErrorResponse, CloseIdleConnections,
                  SendSteeringResponse, SendPeerReport, SendPermitRequest,
                  SendPermitResponse, SendConfirmationRequest,
-                 SendConfirmationResponse, SendUsage, ReadDutyLease,
-                 WriteDutyLease, SendUsageReport, OrderServers, ReadLease,
+                 SendConfirmationResponse, SendUsage, ReadLeaderLease,
+                 WriteLeaderLease, SendUsageReport, OrderServers, ReadLease,
                  WriteLease, StoreQuarantine, DeleteQuarantine, SendOrder,
                  WriteLog, IncrementCounter, ObserveDuration, StopProcess>;
 
--- a/Libraries/LibRelay/Event.h
+++ b/Libraries/LibRelay/Event.h
@@ -7,9 +7,9 @@
 #include "LibNet/BodyFraming.h"
 #include "LibRelay/AttemptId.h"
 #include "LibRelay/Configuration.h"
-#include "LibRelay/DutyLease.h"
 #include "LibRelay/EventFramer.h"
 #include "LibRelay/KeyConfirmation.h"
+#include "LibRelay/LeaderLease.h"
 #include "LibRelay/Peers.h"
 #include "LibRelay/PermitMessage.h"
 #include "LibRelay/Request.h"
@@ -194,14 +194,14 @@
   UsageMessage Message;
 };
 
-/// Result of reading the duty lease. Revision 0 means that there is none.
-struct DutyLeaseRead {
+/// Result of reading the leader lease. Revision 0 means that there is none.
+struct LeaderLeaseRead {
   bool IsRead = false;
   StoreVersion Version;
-  DutyRecord Record;
+  LeaderRecord Record;
 };
 
-struct DutyLeaseWritten {
+struct LeaderLeaseWritten {
   /// The write is known to have succeeded.
   bool IsWritten = false;
   StoreVersion Version;
@@ -210,7 +210,7 @@
 };
 
 /// Result of a call of the platform's interface.
-enum class DutyResult : std::uint8_t {
+enum class CallResult : std::uint8_t {
   Accepted,
   /// The call cannot be granted now.
   Refused,
@@ -218,11 +218,11 @@
   Failed,
 };
 
-[[nodiscard]] auto toString(DutyResult Result) -> std::string_view;
+[[nodiscard]] auto toString(CallResult Result) -> std::string_view;
 
 struct UsageReported {
   UsageWindow Window = 0;
-  DutyResult Result = DutyResult::Failed;
+  CallResult Result = CallResult::Failed;
   unsigned Status = 0;
 };
 
@@ -231,7 +231,7 @@
   std::string Domain;
   bool IsReclaimable = false;
   std::uint32_t Count = 0;
-  DutyResult Result = DutyResult::Failed;
+  CallResult Result = CallResult::Failed;
   unsigned Status = 0;
 };
 
@@ -299,9 +299,9 @@
                  StoreReachabilityObserved, StoreEraObserved, PeersListed,
                  PeerReported, PermitRequested, PermitAnswered,
                  ConfirmationRequested, ConfirmationAnswered, UsageReceived,
-                 DutyLeaseRead, DutyLeaseWritten, UsageReported, ServersOrdered,
-                 LeaseRead, LeaseWritten, OrderResultReceived, QuarantineListed,
-                 SteeringRequested, LeaveRequested, Tick>;
+                 LeaderLeaseRead, LeaderLeaseWritten, UsageReported,
+                 ServersOrdered, LeaseRead, LeaseWritten, OrderResultReceived,
+                 QuarantineListed, SteeringRequested, LeaveRequested, Tick>;
 
 /// An event and the time at which it was observed. Times never decrease.
 struct Event {
--- a/Libraries/LibRelay/FleetReducer.cpp
+++ b/Libraries/LibRelay/FleetReducer.cpp
@@ -209,9 +209,9 @@
     watch.Configuration = storeWatch.Configuration;
     storeWatch.Changes.describe(watch);
   }
-  if (auto const &lease = CurrentState.Duties.Lease; lease.Fence) {
-    report.DutyFence = lease.Fence->packed();
-    report.DutyVersion = lease.Version;
+  if (auto const &lease = CurrentState.Leader.Lease; lease.Fence) {
+    report.LeaderFence = lease.Fence->packed();
+    report.LeaderVersion = lease.Version;
   }
   emit(SendPeerReport{std::move(recipients.Addresses), std::move(report)});
 }
--- a/Libraries/LibRelay/KeyConfirmation.cpp
+++ b/Libraries/LibRelay/KeyConfirmation.cpp
@@ -1,7 +1,7 @@
 #include "LibRelay/KeyConfirmation.h"
 
 #include "LibConfiguration/JsonNumber.h"
-#include "LibPeer/CborNesting.h"
+#include "LibPeer/CborArray.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -48,28 +48,18 @@
 
 auto decodeConfirmation(std::string_view Bytes)
     -> std::optional<ConfirmationMessage> {
-  try {
-    if (!isFlatCbor(asBytes(Bytes)))
-      return std::nullopt;
-    auto const document = json::from_cbor(Bytes);
-    if (!document.is_array() || document.empty())
-      return std::nullopt;
-    auto const kind = readNumber<int>(document[0]);
-    if (kind == RequestKind && document.size() == RequestFields)
-      return ConfirmationRequest{decodeTime(document[1])};
-    if (kind != ResponseKind || document.size() != ResponseFields)
-      return std::nullopt;
-    return ConfirmationResponse{
-        decodeTime(document[1]), decodeTime(document[2]),
-        StoreVersion::unpacked(readNumber<std::uint64_t>(
-            document[3], 0, StoreVersion::maximumPacked()))};
-  } catch (json::exception const &) {
-    // Not a valid message; the function's caller counts and logs it.
-    return std::nullopt;
-  } catch (std::invalid_argument const &) {
-    // The same: a number is out of range.
-    return std::nullopt;
-  }
+  return readCborArray(
+      Bytes, [](json const &Source) -> std::optional<ConfirmationMessage> {
+        auto const kind = readNumber<int>(Source[0]);
+        if (kind == RequestKind && Source.size() == RequestFields)
+          return ConfirmationRequest{decodeTime(Source[1])};
+        if (kind != ResponseKind || Source.size() != ResponseFields)
+          return std::nullopt;
+        return ConfirmationResponse{
+            decodeTime(Source[1]), decodeTime(Source[2]),
+            StoreVersion::unpacked(readNumber<std::uint64_t>(
+                Source[3], 0, StoreVersion::maximumPacked()))};
+      });
 }
 
 auto KeyConfirmation::confirm(Duration At) -> void {
--- a/Libraries/LibRelay/Peers.cpp
+++ b/Libraries/LibRelay/Peers.cpp
@@ -149,15 +149,15 @@
   // reject reports with more fields.
   auto fields = json::array(
       {Report.Leaving, Report.ConfigurationVersion, Report.ConfigurationEra});
-  auto const hasFence = Report.DutyFence > 0;
+  auto const hasFence = Report.LeaderFence > 0;
   auto const hasLimits = !Report.Limits.empty() || hasFence;
   if (!Report.Quarantine.isEmpty() || hasLimits)
     fields.push_back(encodeQuarantine(Report.Quarantine));
   if (hasLimits)
     fields.push_back(encodeLimits(Report.Limits));
   if (hasFence) {
-    fields.push_back(Report.DutyFence);
-    fields.push_back(Report.DutyVersion.packed());
+    fields.push_back(Report.LeaderFence);
+    fields.push_back(Report.LeaderVersion.packed());
   }
   loads.push_back(std::move(fields));
   return loads;
@@ -183,10 +183,10 @@
   constexpr auto LimitsIndex = std::size_t{4};
   if (fields.size() > LimitsIndex)
     Report.Limits = decodeLimits(fields[LimitsIndex]);
-  constexpr auto DutyFenceIndex = std::size_t{5};
-  if (fields.size() > DutyFenceIndex + 1) {
-    Report.DutyFence = decodeVersion(fields[DutyFenceIndex]).packed();
-    Report.DutyVersion = decodeVersion(fields[DutyFenceIndex + 1]);
+  constexpr auto LeaderFenceIndex = std::size_t{5};
+  if (fields.size() > LeaderFenceIndex + 1) {
+    Report.LeaderFence = decodeVersion(fields[LeaderFenceIndex]).packed();
+    Report.LeaderVersion = decodeVersion(fields[LeaderFenceIndex + 1]);
   }
 }
 
--- a/Libraries/LibRelay/Peers.h
+++ b/Libraries/LibRelay/Peers.h
@@ -74,10 +74,10 @@
   std::vector<LimitReport> Limits;
   /// Set by watchers of the store.
   std::optional<WatchReport> Watch;
-  /// Fencing number of the duty lease if the instance holds it, or 0.
-  std::uint64_t DutyFence = 0;
+  /// Fencing number of the leader lease if the instance holds it, or 0.
+  std::uint64_t LeaderFence = 0;
   /// Version of its last write of that lease.
-  StoreVersion DutyVersion;
+  StoreVersion LeaderVersion;
 };
 
 /// Returns whether an instance is preferred over another one for work for the
--- a/Libraries/LibRelay/PermitMessage.cpp
+++ b/Libraries/LibRelay/PermitMessage.cpp
@@ -1,7 +1,7 @@
 #include "LibRelay/PermitMessage.h"
 
 #include "LibConfiguration/JsonNumber.h"
-#include "LibPeer/CborNesting.h"
+#include "LibPeer/CborArray.h"
 
 #include <nlohmann/json.hpp>
 
@@ -62,32 +62,24 @@
 
 auto decodePermitMessage(std::string_view Bytes)
     -> std::optional<PermitMessage> {
-  try {
-    if (!isFlatCbor(asBytes(Bytes)))
-      return std::nullopt;
-    auto document = json::from_cbor(Bytes);
-    if (!document.is_array() || document.size() != FieldCount)
-      return std::nullopt;
-    auto kind = readNumber<int>(document[0]);
-    if (kind == RequestKind) {
-      auto request = decodeHeader<PermitRequest>(document);
-      request.PerSecond = readNumber<double>(document[5]);
-      request.Age = decodeMilliseconds(document[6]);
-      return request;
-    }
-    if (kind != ResponseKind)
-      return std::nullopt;
-    auto response = decodeHeader<PermitResponse>(document);
-    response.IsGranted = document[5].get<bool>();
-    response.Wait = decodeMilliseconds(document[6]);
-    return response;
-  } catch (json::exception const &) {
-    // Not a valid message; the function's caller counts and logs it.
-    return std::nullopt;
-  } catch (std::invalid_argument const &) {
-    // The same: a number is out of range.
-    return std::nullopt;
-  }
+  return readCborArray(Bytes,
+                       [](json const &Source) -> std::optional<PermitMessage> {
+                         if (Source.size() != FieldCount)
+                           return std::nullopt;
+                         auto kind = readNumber<int>(Source[0]);
+                         if (kind == RequestKind) {
+                           auto request = decodeHeader<PermitRequest>(Source);
+                           request.PerSecond = readNumber<double>(Source[5]);
+                           request.Age = decodeMilliseconds(Source[6]);
+                           return request;
+                         }
+                         if (kind != ResponseKind)
+                           return std::nullopt;
+                         auto response = decodeHeader<PermitResponse>(Source);
+                         response.IsGranted = Source[5].get<bool>();
+                         response.Wait = decodeMilliseconds(Source[6]);
+                         return response;
+                       });
 }
 
 } // namespace dotterel::relay
--- a/Libraries/LibRelay/Reducer.cpp
+++ b/Libraries/LibRelay/Reducer.cpp
@@ -3,14 +3,16 @@
 #include "LibCore/Dispatcher.h"
 #include "LibRelay/AttemptReducer.h"
 #include "LibRelay/CustomerReducer.h"
-#include "LibRelay/DutyReducer.h"
 #include "LibRelay/FleetReducer.h"
+#include "LibRelay/LeaderReducer.h"
 #include "LibRelay/LimitReducer.h"
 #include "LibRelay/QuarantineReducer.h"
 #include "LibRelay/RequestReducer.h"
 #include "LibRelay/RoleReducer.h"
 #include "LibRelay/ServerListReducer.h"
+#include "LibRelay/ServerOrderReducer.h"
 #include "LibRelay/StoreWatchReducer.h"
+#include "LibRelay/UsageReportReducer.h"
 
 namespace dotterel::relay {
 
@@ -39,8 +41,9 @@
   CurrentState.Now = Event.At;
   std::visit(Dispatcher<State, Effects, CustomerReducer, FleetReducer,
                         ServerListReducer, StoreWatchReducer, RoleReducer,
-                        DutyReducer, QuarantineReducer, LimitReducer,
-                        AttemptReducer, RequestReducer>(CurrentState, effects),
+                        LeaderReducer, UsageReportReducer, ServerOrderReducer,
+                        QuarantineReducer, LimitReducer, AttemptReducer,
+                        RequestReducer>(CurrentState, effects),
              Event.Body);
   return effects;
 }
--- a/Libraries/LibRelay/ServerPlan.cpp
+++ b/Libraries/LibRelay/ServerPlan.cpp
@@ -7,24 +7,19 @@
 
 namespace {
 
-/// Ordinary servers that are kept, as a share of the baseline: what serves the
-/// urgent requests while lost servers are replaced.
-constexpr auto MinimumOrdinaryShare = 0.2;
-
-auto minimumOrdinary(ScaleTraits const &Traits, std::uint32_t Baseline)
-    -> std::uint32_t {
-  auto const share =
-      static_cast<std::uint32_t>(std::ceil(MinimumOrdinaryShare * Baseline));
+auto minimumOnDemand(ScaleTraits const &Traits, std::uint32_t Baseline,
+                     double Share) -> std::uint32_t {
+  auto const share = static_cast<std::uint32_t>(std::ceil(Share * Baseline));
   return std::min(Baseline, std::max({share, Traits.Minimum, 1U}));
 }
 
-/// Returns the reclaimable servers of a failure domain that has to replace
-/// \p Ordinary servers. The others still suffice if one of \p Domains loses
-/// all of its reclaimable servers.
-auto withReserve(std::uint32_t Ordinary, std::size_t Domains) -> std::uint32_t {
+/// Returns the reclaimable servers of a failure domain that replace
+/// \p Replaced on-demand ones, with its share of the reserve: the others still
+/// suffice if one of \p Domains loses all of its reclaimable servers.
+auto withReserve(std::uint32_t Replaced, std::size_t Domains) -> std::uint32_t {
   if (Domains < 2)
-    return Ordinary;
-  return static_cast<std::uint32_t>((Ordinary * Domains + Domains - 2) /
+    return Replaced;
+  return static_cast<std::uint32_t>((Replaced * Domains + Domains - 2) /
                                     (Domains - 1));
 }
 
@@ -34,18 +29,18 @@
   return it == Fleet.Usable.end() ? DomainServers{} : it->second;
 }
 
-/// Adds up to \p Missing ordinary servers where they were at the start, evenly
+/// Adds up to \p Missing on-demand servers where they were at the start, evenly
 /// over the failure domains.
-auto coverWithOrdinary(ScaleTraits const &Traits, ServerFleet const &Fleet,
+auto coverWithOnDemand(ScaleTraits const &Traits, ServerFleet const &Fleet,
                        std::uint32_t Missing, ServersByDomain &Plan) -> void {
   for (auto hasRoom = true; hasRoom && Missing > 0;) {
     hasRoom = false;
     for (auto const &[domain, baseline] : Fleet.Baseline) {
       auto &wanted = Plan[domain];
-      auto const held = wanted.Ordinary + usableIn(Fleet, domain).Reclaimable;
-      if (Missing == 0 || wanted.Ordinary >= baseline || held >= Traits.Maximum)
+      auto const held = wanted.OnDemand + usableIn(Fleet, domain).Reclaimable;
+      if (Missing == 0 || wanted.OnDemand >= baseline || held >= Traits.Maximum)
         continue;
-      ++wanted.Ordinary;
+      ++wanted.OnDemand;
       --Missing;
       hasRoom = true;
     }
@@ -62,34 +57,34 @@
   auto missing = std::uint32_t{0};
   for (auto const &[domain, baseline] : Fleet.Baseline) {
     auto &wanted = plan[domain];
-    wanted.Ordinary = minimumOrdinary(Traits, baseline);
+    wanted.OnDemand = minimumOnDemand(Traits, baseline, Fleet.OnDemandShare);
     auto const reclaimable = std::min(
-        withReserve(baseline - wanted.Ordinary, Fleet.Baseline.size()),
-        Traits.Maximum > wanted.Ordinary ? Traits.Maximum - wanted.Ordinary
+        withReserve(baseline - wanted.OnDemand, Fleet.Baseline.size()),
+        Traits.Maximum > wanted.OnDemand ? Traits.Maximum - wanted.OnDemand
                                          : 0U);
     if (Fleet.Unavailable.contains(domain))
       missing += reclaimable;
     else
       wanted.Reclaimable = reclaimable;
     total += baseline;
-    covered += wanted.Ordinary + usableIn(Fleet, domain).Reclaimable;
+    covered += wanted.OnDemand + usableIn(Fleet, domain).Reclaimable;
   }
   // Other failure domains stand in for those without reclaimable servers.
   for (auto &[domain, wanted] : plan) {
     if (Fleet.Unavailable.contains(domain))
       continue;
-    auto const used = wanted.Ordinary + wanted.Reclaimable;
+    auto const used = wanted.OnDemand + wanted.Reclaimable;
     auto const room = Traits.Maximum > used ? Traits.Maximum - used : 0U;
     auto const more = std::min(room, missing);
     wanted.Reclaimable += more;
     missing -= more;
   }
-  coverWithOrdinary(Traits, Fleet, total > covered ? total - covered : 0U,
+  coverWithOnDemand(Traits, Fleet, total > covered ? total - covered : 0U,
                     plan);
   for (auto &[domain, wanted] : plan) {
-    // Ordinary servers that are still there count towards the maximum.
+    // On-demand servers that are still there count towards the maximum.
     auto const used =
-        std::max(usableIn(Fleet, domain).Ordinary, wanted.Ordinary);
+        std::max(usableIn(Fleet, domain).OnDemand, wanted.OnDemand);
     wanted.Reclaimable = std::min(
         wanted.Reclaimable, Traits.Maximum > used ? Traits.Maximum - used : 0U);
   }
--- a/Libraries/LibRelay/ServerPlan.h
+++ b/Libraries/LibRelay/ServerPlan.h
@@ -2,12 +2,12 @@
 /// Plans how many servers of each kind a service has in each failure domain.
 ///
 /// Answers servers that are paid for by the second: reclaimable servers cost a
-/// fraction of ordinary ones, but the platform takes back those of a failure
+/// fraction of on-demand ones, but the platform takes back those of a failure
 /// domain together, or has none.
 #pragma once
 
 #include "LibRelay/Configuration.h"
-#include "LibRelay/DutyLease.h"
+#include "LibRelay/LeaderLease.h"
 
 #include <map>
 #include <set>
@@ -17,7 +17,7 @@
 
 /// Servers of one failure domain, or the number of them that is wanted.
 struct DomainServers {
-  std::uint32_t Ordinary = 0;
+  std::uint32_t OnDemand = 0;
   std::uint32_t Reclaimable = 0;
 
   auto operator==(DomainServers const &) const -> bool = default;
@@ -33,9 +33,11 @@
   ServersByDomain Usable;
   /// Failure domains that have no reclaimable servers to give now.
   std::set<std::string, std::less<>> Unavailable;
+  /// On-demand servers that are always kept, as a share of the baseline.
+  double OnDemandShare = 0.2;
 };
 
-/// Returns the wanted servers by failure domain. Ordinary servers are replaced
+/// Returns the wanted servers by failure domain. On-demand servers are replaced
 /// by reclaimable ones only as these become usable, and a part of them is kept,
 /// so that the loss of all reclaimable ones does not end the service. There are
 /// enough reclaimable ones for the loss of those of one failure domain.
--- a/Libraries/LibRelay/State.h
+++ b/Libraries/LibRelay/State.h
@@ -5,8 +5,8 @@
 #include "LibCore/TrueTime.h"
 #include "LibCustomer/UsageLedger.h"
 #include "LibRelay/DemandMeter.h"
-#include "LibRelay/DutyLease.h"
 #include "LibRelay/Event.h"
+#include "LibRelay/LeaderLease.h"
 #include "LibRelay/PrefixIndex.h"
 #include "LibRelay/RequestIdentity.h"
 #include "LibRelay/RequestLimits.h"
@@ -65,6 +65,8 @@
   Duration UsageDeadline{};
   /// The number of servers is to be ordered.
   bool OrdersServers = false;
+  /// Servers that stay on-demand ones, as a share of those at the start.
+  double OnDemandServerShare = 0.2;
   /// Longest time for which a caller may cache a steering response.
   Duration SteeringLifetime = 3s;
 
@@ -256,7 +258,8 @@
 
 /// An order of servers that is not known to be carried out.
 struct ServerOrder {
-  std::uint32_t Count = 0;
+  /// None before the first order.
+  std::optional<std::uint32_t> Count;
   Instant NextAt;
   /// The platform has accepted the order.
   bool IsAccepted = false;
@@ -273,9 +276,9 @@
 /// Service, failure domain, and whether the servers are reclaimable.
 using ServerOrderKey = std::tuple<std::string, std::string, bool>;
 
-/// The duties that one instance performs for all.
-struct DutyState {
-  DutyLease Lease;
+/// State of the leader, the one instance that acts for all.
+struct LeaderState {
+  LeaderLease Lease;
   /// The latest write of the lease that a peer announced, and when.
   StoreVersion AnnouncedVersion;
   Instant AnnouncedAt;
@@ -330,7 +333,7 @@
   std::unordered_map<RequestNumber, InFlightRequest> Requests;
   RoleState Roles;
   CustomerState Customers;
-  DutyState Duties;
+  LeaderState Leader;
   /// Readings of the clocks at the last tick.
   Instant TickedAt;
   Duration SinceBootAtTick{};
--- a/Tests/LibGateway/TestUnrulyCallers.cpp
+++ b/Tests/LibGateway/TestResourceExhaustion.cpp
@@ -209,32 +209,32 @@
 
 } // namespace
 
-Test(UnrulyCallers, BodiesThatStopShort) {
+Test(ResourceExhaustion, BodiesThatStopShort) {
   checkCrowd("bodies that stop short", 500, unfinishedBody);
 }
 
-Test(UnrulyCallers, ChunksThatStopShort) {
+Test(ResourceExhaustion, ChunksThatStopShort) {
   checkCrowd("chunks that stop short", 500, unfinishedChunks);
 }
 
-Test(UnrulyCallers, BodiesOverTheLimit) {
+Test(ResourceExhaustion, BodiesOverTheLimit) {
   checkCrowd("bodies over the limit", 200, oversizedBody);
 }
 
-Test(UnrulyCallers, RequestsOfManyFields) {
+Test(ResourceExhaustion, RequestsOfManyFields) {
   checkCrowd("requests of many fields", 2000, manyFields);
 }
 
-Test(UnrulyCallers, HeadsThatStopShort) {
+Test(ResourceExhaustion, HeadsThatStopShort) {
   checkCrowd("heads that stop short", 3500, unfinishedHead);
 }
 
-Test(UnrulyCallers, RequestsSentAhead) {
+Test(ResourceExhaustion, RequestsSentAhead) {
   checkCrowd("requests sent ahead", 200, sentAhead);
 }
 
 // Within the limits a single large request is served, in any framing.
-Test(UnrulyCallers, SingleLargeRequestIsServed) {
+Test(ResourceExhaustion, SingleLargeRequestIsServed) {
   auto platform = FakePlatform();
   auto process = InstanceProcess(platform);
   auto const body = std::string(LegalBodyBytes, 'b');
--- a/Tests/LibRelay/TestDuties.cpp
+++ b/Tests/LibRelay/TestLeader.cpp
@@ -48,9 +48,9 @@
   }
 };
 
-class DutyFleet {
+class LeaderFleet {
 public:
-  explicit DutyFleet(unsigned Seed) : Random(Seed) {
+  explicit LeaderFleet(unsigned Seed) : Random(Seed) {
     for (auto n = 0; n < NodeCount; ++n) {
       auto &node = Nodes.emplace_back(fmt::format("i{}", n));
       node.CurrentState.Options.UsageWindow = Window;
@@ -92,7 +92,7 @@
   /// Returns the holder, or NodeCount if there is none.
   [[nodiscard]] auto holder() const -> std::size_t {
     for (auto n = std::size_t{0}; n < NodeCount; ++n) {
-      if (Nodes[n].CurrentState.Duties.Lease.Fence && Paused[n] < Now)
+      if (Nodes[n].CurrentState.Leader.Lease.Fence && Paused[n] < Now)
         return n;
     }
     return NodeCount;
@@ -111,7 +111,7 @@
 private:
   struct Write {
     std::size_t Node;
-    WriteDutyLease Effect;
+    WriteLeaderLease Effect;
     Duration ExecutesAt;
     Duration SentAt;
     bool IsResponseLost;
@@ -146,12 +146,12 @@
         for (auto const &message : usage->Messages)
           deliver(N, UsageReceived{Nodes[N].CurrentState.Self.PeerAddress,
                                    message});
-      } else if (std::holds_alternative<ReadDutyLease>(it)) {
-        auto read = DutyLeaseRead{};
+      } else if (std::holds_alternative<ReadLeaderLease>(it)) {
+        auto read = LeaderLeaseRead{};
         if (!isCut && !IsStoreDown && draw() >= LossShare)
           read = {true, {0, Revision}, Stored};
         Later.emplace_back(N, read);
-      } else if (auto const *write = std::get_if<WriteDutyLease>(&it)) {
+      } else if (auto const *write = std::get_if<WriteLeaderLease>(&it)) {
         auto const isLate = draw() < LossShare;
         Writes.push_back({N, *write, Now + (isLate ? Duration{3s} : Step), Now,
                           isLate || draw() < LossShare});
@@ -188,7 +188,7 @@
         Stored = write.Effect.Record;
         Revision += 3;
       }
-      auto written = DutyLeaseWritten{};
+      auto written = LeaderLeaseWritten{};
       if (isDone && !write.IsResponseLost)
         written = {true, {0, Revision}, write.SentAt};
       Later.emplace_back(write.Node, written);
@@ -206,7 +206,7 @@
       Cloud.accept(call, Now);
       if (draw() >= LossShare)
         Later.push_back({call.Node, UsageReported{call.Call.Report.Window,
-                                                  DutyResult::Accepted, 200}});
+                                                  CallResult::Accepted, 200}});
     }
   }
 
@@ -215,7 +215,7 @@
 
 private:
   std::mt19937 Random;
-  DutyRecord Stored;
+  LeaderRecord Stored;
   std::uint64_t Revision = 0;
   std::deque<Write> Writes;
   std::deque<Sent> Calls;
@@ -224,7 +224,7 @@
 
 /// Returns the windows that ended long ago and were not reported in time, or
 /// not with the true counts.
-auto faults(DutyFleet const &Fleet) -> std::size_t {
+auto faults(LeaderFleet const &Fleet) -> std::size_t {
   auto n = std::size_t{0};
   auto const first = static_cast<UsageWindow>((Epoch + 15s) / Window);
   auto const last = static_cast<UsageWindow>((Fleet.Now - Deadline) / Window);
@@ -244,8 +244,8 @@
 
 } // namespace
 
-Test(RelayDuties, EachWindowIsReportedOnceInTime) {
-  auto fleet = DutyFleet(1);
+Test(RelayLeader, EachWindowIsReportedOnceInTime) {
+  auto fleet = LeaderFleet(1);
   fleet.run(90s);
   cr_expect_eq(faults(fleet), 0U);
   cr_expect(!fleet.Cloud.HasConflict);
@@ -254,9 +254,9 @@
 
 // The next holder must report every window that the first one has not, with
 // what all instances counted.
-Test(RelayDuties, SuccessorTakesOverInTime) {
+Test(RelayLeader, SuccessorTakesOverInTime) {
   for (auto seed = 1U; seed <= 10; ++seed) {
-    auto fleet = DutyFleet(seed);
+    auto fleet = LeaderFleet(seed);
     fleet.run(40s + seed * 500ms);
     auto const first = fleet.holder();
     cr_assert_lt(first, std::size_t{NodeCount});
@@ -271,9 +271,9 @@
 }
 
 // A holder that wakes or whose link heals finds that it was replaced.
-Test(RelayDuties, NoTwoContentsUnderFailure) {
+Test(RelayLeader, NoTwoContentsUnderFailure) {
   for (auto seed = 1U; seed <= 40; ++seed) {
-    auto fleet = DutyFleet(seed);
+    auto fleet = LeaderFleet(seed);
     auto random = std::mt19937(seed + 1000);
     fleet.LossShare = 0.2;
     fleet.run(20s);
--- a/Tests/LibRelay/TestServerPlan.cpp
+++ b/Tests/LibRelay/TestServerPlan.cpp
@@ -25,7 +25,7 @@
 auto sum(ServersByDomain const &Plan) -> DomainServers {
   auto total = DomainServers{};
   for (auto const &it : Plan) {
-    total.Ordinary += it.second.Ordinary;
+    total.OnDemand += it.second.OnDemand;
     total.Reclaimable += it.second.Reclaimable;
   }
   return total;
@@ -33,10 +33,10 @@
 
 } // namespace
 
-// Ordinary servers must not leave before others can take their work.
+// On-demand servers must not leave before others can take their work.
 Test(ServerPlan, KeepsOrdinaryServersUntilOthersServe) {
   auto const plan = planServers(traits(), fleet());
-  cr_expect_eq(sum(plan).Ordinary, 60U);
+  cr_expect_eq(sum(plan).OnDemand, 60U);
   // Both kinds together are limited.
   cr_expect_eq(sum(plan).Reclaimable, 60U);
 }
@@ -48,7 +48,7 @@
     for (auto &it : now.Usable)
       it.second = {ordinary / 3, n};
     auto const total = sum(planServers(traits(), now));
-    cr_expect_eq(total.Ordinary, ordinary);
+    cr_expect_eq(total.OnDemand, ordinary);
     cr_expect_eq(total.Reclaimable, std::min(72U, 120 - ordinary));
   }
 }
@@ -57,7 +57,7 @@
 Test(ServerPlan, LossOfOneDomainNeedsNoOrdinaryServers) {
   auto now = fleet();
   now.Usable = {{"a", {4, 0}}, {"b", {4, 24}}, {"c", {4, 24}}};
-  cr_expect_eq(sum(planServers(traits(), now)).Ordinary, 12U);
+  cr_expect_eq(sum(planServers(traits(), now)).OnDemand, 12U);
   now.Unavailable.insert("a");
   auto const plan = planServers(traits(), now);
   cr_expect_eq(plan.at("a").Reclaimable, 0U);
@@ -67,7 +67,7 @@
 Test(ServerPlan, OrdinaryServersCoverTheLossOfTwoDomains) {
   auto now = fleet();
   now.Usable = {{"a", {4, 0}}, {"b", {4, 0}}, {"c", {4, 24}}};
-  cr_expect_eq(sum(planServers(traits(), now)).Ordinary, 36U);
+  cr_expect_eq(sum(planServers(traits(), now)).OnDemand, 36U);
 }
 
 Test(ServerPlan, StaysWithinTheBounds) {
@@ -76,7 +76,7 @@
   auto now = fleet();
   now.Unavailable = {"b"};
   for (auto const &it : planServers(narrow, now))
-    cr_expect_leq(it.second.Ordinary + it.second.Reclaimable, 22U, "%s",
+    cr_expect_leq(it.second.OnDemand + it.second.Reclaimable, 22U, "%s",
                   it.first.c_str());
   cr_expect(planServers(traits(), ServerFleet{}).empty());
 }
@@ -86,7 +86,7 @@
   auto now = fleet();
   now.Unavailable = {"a", "b", "c"};
   auto const total = sum(planServers(traits(), now));
-  cr_expect_eq(total.Ordinary, 60U);
+  cr_expect_eq(total.OnDemand, 60U);
   cr_expect_eq(total.Reclaimable, 0U);
 }
 
