Tests, docs: Judge each window after a leader's death, add small pieces and unread responses

Before: one fault allowed. After: none; only the counts of the window in which an instance dies may be lower.

--- a/Tests/LibGateway/TestResourceExhaustion.cpp
+++ b/Tests/LibGateway/TestResourceExhaustion.cpp
@@ -1,8 +1,9 @@
-// Crowds of callers that hold memory or connections at each port of an
-// instance. The instance runs as a process of its own; its memory is sampled
+// Many callers that hold memory or connections at each port of an instance. The
+// instance runs as a process of its own; its memory is sampled
 // while ordinary callers ask for a route that is served.
 #include "LibGateway/RunningGateway.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <csignal>
 #include <fcntl.h>
@@ -23,7 +24,7 @@
 /// Memory and descriptors of the smallest machine that is supported.
 constexpr auto MachineMegabytes = 112.0;
 constexpr auto MachineDescriptors = 2870;
-/// Ordinary requests that must be served while the crowd is there, and after.
+/// Share of ordinary requests that must be served meanwhile, and after.
 constexpr auto ServedShareDuring = 0.9;
 constexpr auto ServedShareAfter = 0.95;
 constexpr auto LegalBodyBytes = std::size_t{1} << 20U;
@@ -75,20 +76,20 @@
   pid_t Pid = 0;
 };
 
-/// Connections that are held until the crowd is destroyed.
-class Crowd {
+/// Connections that stay open until this object is destroyed.
+class HeldConnections {
 public:
-  Crowd() = default;
-  ~Crowd() {
+  HeldConnections() = default;
+  ~HeldConnections() {
     for (auto it : Sockets)
       ::close(it);
   }
-  Crowd(Crowd const &) = delete;
-  auto operator=(Crowd const &) -> Crowd & = delete;
+  HeldConnections(HeldConnections const &) = delete;
+  auto operator=(HeldConnections const &) -> HeldConnections & = delete;
 
   /// Opens a connection and writes as much of \p Bytes as the instance takes
-  /// within some milliseconds.
-  auto send(int Port, std::string_view Bytes) -> void {
+  /// within some milliseconds, at most \p PieceBytes at once.
+  auto send(int Port, std::string_view Bytes, std::size_t PieceBytes) -> void {
     auto const fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
     auto target = sockaddr_in{};
     target.sin_family = AF_INET;
@@ -97,14 +98,17 @@
     // The connection is established meanwhile.
     (void)::connect(fd, reinterpret_cast<sockaddr *>(&target), sizeof(target));
     Sockets.push_back(fd);
-    for (auto n = 0; n < 20 && !Bytes.empty(); ++n) {
-      auto const sent = ::send(fd, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
+    for (auto waits = 0; waits < 20 && !Bytes.empty();) {
+      auto const sent = ::send(
+          fd, Bytes.data(), std::min(Bytes.size(), PieceBytes), MSG_NOSIGNAL);
       if (sent > 0)
         Bytes.remove_prefix(static_cast<std::size_t>(sent));
       else if (errno != EAGAIN)
         return;
-      else
+      else {
         std::this_thread::sleep_for(1ms);
+        ++waits;
+      }
     }
   }
 
@@ -165,41 +169,41 @@
   return static_cast<double>(served) / OrdinaryRequests;
 }
 
-/// A door: a port, and a path there.
-struct Door {
+/// A port of the instance, and a path there.
+struct Target {
   int Port;
   std::string Path;
 };
 
-auto doors() -> std::vector<Door> {
+auto targets() -> std::vector<Target> {
   return {{CallerPort, "/once/x"},
           {CallerPort, "/no-route/x"},
           {ReadyPort, "/-/ready"},
           {DirectoryPort, "/-/resolve"}};
 }
 
-/// Lets \p Count callers send what \p Make returns at each door, and checks the
+/// Lets \p Count callers send what \p Make returns at each port, and checks the
 /// instance and its ordinary callers.
-auto checkCrowd(std::string_view Kind, int Count,
-                std::function<std::string(std::string_view)> const &Make)
-    -> void {
+auto checkHolders(std::string_view Kind, int Count,
+                  std::function<std::string(std::string_view)> const &Make,
+                  std::size_t PieceBytes = SIZE_MAX) -> void {
   auto platform = FakePlatform();
   auto process = InstanceProcess(platform);
-  for (auto const &door : doors()) {
-    auto const bytes = Make(door.Path);
+  for (auto const &target : targets()) {
+    auto const bytes = Make(target.Path);
     {
-      auto crowd = Crowd();
+      auto held = HeldConnections();
       for (auto n = 0; n < Count; ++n)
-        crowd.send(door.Port, bytes);
+        held.send(target.Port, bytes, PieceBytes);
       auto const share = ordinaryShare();
       cr_expect_geq(share, ServedShareDuring, "%s at %d%s: served %.2f",
-                    Kind.data(), door.Port, door.Path.c_str(), share);
+                    Kind.data(), target.Port, target.Path.c_str(), share);
     }
-    cr_assert(process.isAlive(), "%s at %d%s", Kind.data(), door.Port,
-              door.Path.c_str());
+    cr_assert(process.isAlive(), "%s at %d%s", Kind.data(), target.Port,
+              target.Path.c_str());
     auto const peak = process.peakMegabytes();
     cr_expect_lt(peak, MachineMegabytes, "%s at %d%s: %.0f MB", Kind.data(),
-                 door.Port, door.Path.c_str(), peak);
+                 target.Port, target.Path.c_str(), peak);
   }
   auto const after = ordinaryShare();
   cr_expect_geq(after, ServedShareAfter, "%s: served %.2f after", Kind.data(),
@@ -210,27 +214,39 @@
 } // namespace
 
 Test(ResourceExhaustion, BodiesThatStopShort) {
-  checkCrowd("bodies that stop short", 500, unfinishedBody);
+  checkHolders("bodies that stop short", 500, unfinishedBody);
 }
 
 Test(ResourceExhaustion, ChunksThatStopShort) {
-  checkCrowd("chunks that stop short", 500, unfinishedChunks);
+  checkHolders("chunks that stop short", 500, unfinishedChunks);
+}
+
+Test(ResourceExhaustion, BodiesInSmallPieces) {
+  constexpr auto PieceBytes = std::size_t{700};
+  checkHolders("bodies in small pieces", 100, unfinishedBody, PieceBytes);
+}
+
+// The request is complete and its response, which is as long, is not read.
+Test(ResourceExhaustion, ResponsesThatAreNotRead) {
+  checkHolders("responses that are not read", 300, [](std::string_view Path) {
+    return unfinishedBody(Path) + "b";
+  });
 }
 
 Test(ResourceExhaustion, BodiesOverTheLimit) {
-  checkCrowd("bodies over the limit", 200, oversizedBody);
+  checkHolders("bodies over the limit", 200, oversizedBody);
 }
 
 Test(ResourceExhaustion, RequestsOfManyFields) {
-  checkCrowd("requests of many fields", 2000, manyFields);
+  checkHolders("requests of many fields", 2000, manyFields);
 }
 
 Test(ResourceExhaustion, HeadsThatStopShort) {
-  checkCrowd("heads that stop short", 3500, unfinishedHead);
+  checkHolders("heads that stop short", 3500, unfinishedHead);
 }
 
 Test(ResourceExhaustion, RequestsSentAhead) {
-  checkCrowd("requests sent ahead", 200, sentAhead);
+  checkHolders("requests sent ahead", 200, sentAhead);
 }
 
 // Within the limits a single large request is served, in any framing.
--- a/Tests/LibRelay/TestLeader.cpp
+++ b/Tests/LibRelay/TestLeader.cpp
@@ -222,21 +222,32 @@
   std::vector<std::pair<std::size_t, EventBody>> Later;
 };
 
+/// The counts of an instance that is killed are not known for this long.
+constexpr auto LostCounts = Duration{500ms};
+
 /// Returns the windows that ended long ago and were not reported in time, or
-/// not with the true counts.
-auto faults(LeaderFleet const &Fleet) -> std::size_t {
+/// not with the true counts. The report of a window may be lower if an instance
+/// was killed in it, or just after it, at \p KilledAt.
+auto faults(LeaderFleet const &Fleet, Duration KilledAt = Duration::max())
+    -> std::size_t {
   auto n = std::size_t{0};
   auto const first = static_cast<UsageWindow>((Epoch + 15s) / Window);
   auto const last = static_cast<UsageWindow>((Fleet.Now - Deadline) / Window);
   for (auto window = first; window < last; ++window) {
+    auto const start = static_cast<std::int64_t>(window) * Window;
+    auto const end = start + Window;
     auto const report = Fleet.Cloud.Reports.find(window);
-    auto const end = static_cast<std::int64_t>(window + 1) * Window;
+    if (report == Fleet.Cloud.Reports.end() ||
+        Fleet.Cloud.AcceptedAt.at(window) > end + Deadline) {
+      ++n;
+      continue;
+    }
     auto const truth =
         Fleet.Truth.contains(window) ? Fleet.Truth.at(window) : 0;
-    if (report == Fleet.Cloud.Reports.end() ||
-        Fleet.Cloud.AcceptedAt.at(window) > end + Deadline ||
-        (truth > 0 && (!report->second.contains("north") ||
-                       report->second.at("north") != truth)))
+    auto const it = report->second.find("north");
+    auto const counted = it == report->second.end() ? 0 : it->second;
+    auto const mayMiss = KilledAt >= start && KilledAt - LostCounts <= end;
+    if (mayMiss ? counted > truth : counted != truth)
       ++n;
   }
   return n;
@@ -260,11 +271,11 @@
     fleet.run(40s + seed * 500ms);
     auto const first = fleet.holder();
     cr_assert_lt(first, std::size_t{NodeCount});
-    // What it counted last is lost with it; the window is not judged here.
+    auto const killedAt = fleet.Now;
     fleet.Paused[first] = Duration::max();
     fleet.run(60s);
     cr_expect_lt(fleet.holder(), std::size_t{NodeCount}, "seed %u", seed);
-    cr_expect_leq(faults(fleet), 1U, "seed %u", seed);
+    cr_expect_eq(faults(fleet, killedAt), 0U, "seed %u", seed);
     cr_expect(!fleet.Cloud.HasConflict, "seed %u", seed);
     cr_expect(!fleet.Cloud.HasFallingFence, "seed %u", seed);
   }
--- a/Tests/LibRelay/TestServerPlan.cpp
+++ b/Tests/LibRelay/TestServerPlan.cpp
@@ -34,7 +34,7 @@
 } // namespace
 
 // On-demand servers must not leave before others can take their work.
-Test(ServerPlan, KeepsOrdinaryServersUntilOthersServe) {
+Test(ServerPlan, KeepsOnDemandServersUntilOthersServe) {
   auto const plan = planServers(traits(), fleet());
   cr_expect_eq(sum(plan).OnDemand, 60U);
   // Both kinds together are limited.
@@ -54,7 +54,7 @@
 }
 
 // The platform takes back all reclaimable servers of a failure domain.
-Test(ServerPlan, LossOfOneDomainNeedsNoOrdinaryServers) {
+Test(ServerPlan, LossOfOneDomainNeedsNoOnDemandServers) {
   auto now = fleet();
   now.Usable = {{"a", {4, 0}}, {"b", {4, 24}}, {"c", {4, 24}}};
   cr_expect_eq(sum(planServers(traits(), now)).OnDemand, 12U);
@@ -64,7 +64,7 @@
   cr_expect_eq(sum(plan).Reclaimable, 72U);
 }
 
-Test(ServerPlan, OrdinaryServersCoverTheLossOfTwoDomains) {
+Test(ServerPlan, OnDemandServersCoverTheLossOfTwoDomains) {
   auto now = fleet();
   now.Usable = {{"a", {4, 0}}, {"b", {4, 0}}, {"c", {4, 24}}};
   cr_expect_eq(sum(planServers(traits(), now)).OnDemand, 36U);
