--- a/review/standin/Main.cpp
+++ b/review/standin/Main.cpp
@@ -48,7 +48,8 @@
              std::string const &Method = "GET") -> void {
   auto const start = Clock::now();
   auto response = Message{};
-  Log.add("consumer sends " + Method + " " + Target + " as " + Result.Id);
+  Log.addDetail("sent by consumers",
+                "consumer sends " + Method + " " + Target + " as " + Result.Id);
   auto const body = Method == "POST" ? std::string("{}") : std::string{};
   Result.IsComplete =
       Connection.send(
@@ -57,7 +58,11 @@
   Result.Status = response.status();
   Result.Bytes = response.Body.size();
   Result.Taken = std::chrono::duration_cast<Milliseconds>(Clock::now() - start);
-  Log.add(describe(Result));
+  if (Result.IsComplete)
+    Log.addDetail("answered with " + std::to_string(Result.Status),
+                  describe(Result));
+  else
+    Log.add(describe(Result));
 }
 
 /// Ends the scenario. Threads of the stand-ins still wait for their peers, so
@@ -316,11 +321,119 @@
   return finish(log, after * 4 < WavesAfter * Wave ? Broken : Held);
 }
 
+/// Sends a part of a request and the rest after a second, or gives up instead
+/// and closes the channel: after the time that the manifest allows for sending
+/// a request, and up to two milliseconds later.
+auto sendSlowly(Relay const &Target, Record &Log, std::string const &Id,
+                bool GivesUp) -> void {
+  constexpr auto DeadlineMs = 8000;
+  constexpr auto SentBytes = std::size_t{400};
+  constexpr auto JitterUs = 2000;
+  auto const jitter = std::chrono::microseconds(
+      static_cast<int>(std::hash<std::string>{}(Id) % JitterUs));
+  auto channel = Channel();
+  auto response = Message{};
+  auto const text =
+      requestText("POST", "/book/x", Id, DeadlineMs, std::string(800, 'b'));
+  if (!channel.connect(Target.callerAddress()))
+    return;
+  auto const start = Clock::now();
+  if (!channel.send(text.substr(0, SentBytes)))
+    return;
+  Log.addDetail("begun by slow consumers", "slow consumer begins " + Id);
+  if (GivesUp)
+    return std::this_thread::sleep_until(start + Milliseconds(HeaderTimeoutMs) +
+                                         jitter);
+  std::this_thread::sleep_until(start + Milliseconds{1000});
+  if (channel.send(text.substr(SentBytes)) &&
+      channel.read(response, Milliseconds(DeadlineMs)))
+    Log.addDetail("answered to slow consumers", Id + " is answered");
+}
+
+/// Has work done until \p IsDone. Every other consumer opens a channel for each
+/// request. Returns whether an answer was lost on a channel that was kept.
+auto book(Relay const &Target, Record &Log, int Number,
+          std::atomic<bool> const &IsDone) -> bool {
+  constexpr auto DeadlineMs = 8000;
+  constexpr auto Pause = Milliseconds{100};
+  auto const keepsChannel = Number % 2 == 0;
+  auto kept = Channel();
+  if (!kept.connect(Target.callerAddress()))
+    return false;
+  for (auto round = 0; !IsDone; ++round) {
+    auto opened = Channel();
+    if (!keepsChannel && !opened.connect(Target.callerAddress()))
+      return false;
+    auto outcome =
+        Outcome{"book-" + std::to_string(Number) + "-" + std::to_string(round)};
+    request(keepsChannel ? kept : opened, Log, "/book/x", outcome, DeadlineMs,
+            0, "POST");
+    if (!outcome.IsComplete && !IsDone)
+      return keepsChannel && round > 0;
+    std::this_thread::sleep_for(Pause);
+  }
+  return false;
+}
+
+/// Many consumers send requests slowly and give up. Others have work done
+/// meanwhile.
+auto runGiveUp(Scenario const &Context) -> int {
+  constexpr auto Slow = 200;
+  constexpr auto Bookers = 60;
+  constexpr auto Length = std::chrono::seconds{85};
+  // They come together, as after an outage of their network.
+  constexpr auto Interval = Milliseconds{3500};
+  constexpr auto AllowedLosses = 3;
+  auto &log = Context.Record;
+  auto store = Store();
+  auto desk = Server(store, log, {"s-1", "desk", Milliseconds{15}, 800});
+  store.put("config", "main",
+            manifest({{"book", "non_idempotent", "desk", 8000, 1000, 1}}));
+  desk.start();
+  auto relay = Relay("relay-1", store.address(), Context.Folder, log);
+  relay.start(true);
+  if (!relay.awaitReady(Milliseconds{10000}))
+    return finish(log, NotRun);
+  log.summarizeDetails();
+  auto const begin = Clock::now();
+  auto const until = begin + Length;
+  auto isDone = std::atomic<bool>{false};
+  auto lost = std::atomic<int>{0};
+  auto threads = std::vector<std::thread>{};
+  for (auto n = 0; n < Bookers; ++n)
+    threads.emplace_back(
+        [&, n] { lost += book(relay, log, n, isDone) ? 1 : 0; });
+  for (auto n = 0; n < Slow; ++n)
+    threads.emplace_back([&, n] {
+      for (auto round = 0; !isDone; ++round) {
+        std::this_thread::sleep_until(begin + round * Interval);
+        sendSlowly(relay, log,
+                   "slow-" + std::to_string(n) + "-" + std::to_string(round),
+                   Context.HasTrouble);
+      }
+    });
+  auto hasCrashed = false;
+  while (!hasCrashed && Clock::now() < until) {
+    std::this_thread::sleep_for(Milliseconds{20});
+    hasCrashed = relay.hasEnded();
+  }
+  std::this_thread::sleep_for(Milliseconds{200});
+  log.add("relay has ended by itself: " + std::to_string(hasCrashed) +
+          ", non-idempotent requests lost on kept channels: " +
+          std::to_string(lost));
+  isDone = true;
+  return finish(log, desk.runs() < Bookers                ? NotRun
+                     : hasCrashed && lost > AllowedLosses ? Broken
+                                                          : Held);
+}
+
 auto run(std::string const &Name, Scenario const &Context) -> int {
   if (Name == "stop")
     return runStop(Context);
   if (Name == "memory")
     return runMemory(Context);
+  if (Name == "give-up")
+    return runGiveUp(Context);
   if (Name == "scale-in")
     return runScaleIn(Context);
   return NotRun;
--- a/review/standin/Standin.cpp
+++ b/review/standin/Standin.cpp
@@ -67,13 +67,30 @@
 
 } // namespace
 
-auto Record::add(std::string const &Line) -> void {
-  auto lock = std::lock_guard(Mutex);
+auto Record::write(std::string const &Line) -> void {
   auto at =
       std::chrono::duration_cast<Milliseconds>(Clock::now() - Start).count();
   Output << at << " ms " << Line << std::endl;
 }
 
+auto Record::add(std::string const &Line) -> void {
+  auto lock = std::lock_guard(Mutex);
+  write(Line);
+}
+
+auto Record::addDetail(std::string const &Kind, std::string const &Line)
+    -> void {
+  auto lock = std::lock_guard(Mutex);
+  if (!IsSummarizing)
+    return write(Line);
+  ++Counts[Kind];
+  if (Clock::now() - SummarizedAt < std::chrono::seconds(1))
+    return;
+  SummarizedAt = Clock::now();
+  for (auto const &it : Counts)
+    write(it.first + ": " + std::to_string(it.second) + " so far");
+}
+
 auto Message::field(std::string const &Name) const -> std::string {
   for (auto const &it : Fields) {
     if (::strcasecmp(it.first.c_str(), Name.c_str()) == 0)
@@ -234,19 +251,22 @@
 }
 
 auto freePort() -> int {
+  // Below the ports that the system assigns to outgoing connections.
+  constexpr auto First = 20000;
+  constexpr auto Count = 12000;
+  static auto mutex = std::mutex();
+  static auto next = static_cast<int>(::getpid() * 37 % Count);
+  auto lock = std::lock_guard(mutex);
   while (true) {
+    auto const port = First + next;
+    next = (next + 1) % Count;
     auto stream = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     auto datagram = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
-    auto target = sockaddr_in{};
-    auto size = socklen_t{sizeof target};
-    auto isFree = bindTo(stream, 0) &&
-                  ::getsockname(stream, reinterpret_cast<sockaddr *>(&target),
-                                &size) == 0 &&
-                  bindTo(datagram, ntohs(target.sin_port));
+    auto const isFree = bindTo(stream, port) && bindTo(datagram, port);
     ::close(stream);
     ::close(datagram);
     if (isFree)
-      return ntohs(target.sin_port);
+      return port;
   }
 }
 
@@ -434,7 +454,7 @@
       continue;
     }
     ++Runs;
-    Log.add("server " + Settings.Id + " runs " + id);
+    Log.addDetail("run by a server", "server " + Settings.Id + " runs " + id);
     ++InProgress;
     std::this_thread::sleep_for(Settings.Work);
     --InProgress;
@@ -442,7 +462,8 @@
             200, {{"Attempt-Id", id}, {"Server-Seal", Settings.Id + "." + id}},
             body)))
       return;
-    Log.add("server " + Settings.Id + " has answered " + id);
+    Log.addDetail("answered by a server",
+                  "server " + Settings.Id + " has answered " + id);
   }
 }
 
@@ -572,7 +593,7 @@
           {"limits",
            {{"max_header_bytes", 16384},
             {"max_body_bytes", 4194304},
-            {"header_timeout_ms", 3000},
+            {"header_timeout_ms", HeaderTimeoutMs},
             {"idle_timeout_ms", 15000}}}};
 }
 
--- a/review/standin/Standin.h
+++ b/review/standin/Standin.h
@@ -31,9 +31,17 @@
 public:
   explicit Record(std::string const &Path) : Output(Path) {}
   auto add(std::string const &Line) -> void;
+  /// Adds a line about one request, or counts it in a line for each second.
+  auto addDetail(std::string const &Kind, std::string const &Line) -> void;
+  auto summarizeDetails() -> void { IsSummarizing = true; }
 
 private:
+  auto write(std::string const &Line) -> void;
+
   std::mutex Mutex;
+  std::atomic<bool> IsSummarizing = false;
+  std::map<std::string, unsigned> Counts;
+  Clock::time_point SummarizedAt = Clock::now();
   std::ofstream Output;
   Clock::time_point Start = Clock::now();
 };
@@ -229,6 +237,8 @@
   int TargetMs;
   int MaximumServers;
 };
+/// The manifest's `header_timeout_ms`.
+constexpr auto HeaderTimeoutMs = 3000;
 [[nodiscard]] auto manifest(std::vector<Route> const &Routes) -> Json;
 
 /// Returns the bytes of a request of a consumer.
