--- a/review/standin/Standin.cpp
+++ b/review/standin/Standin.cpp
@@ -441,6 +441,11 @@
   Registry.remove("servers", Settings.Id);
 }
 
+auto Server::hasRun(std::string const &Id) -> bool {
+  auto lock = std::lock_guard(Mutex);
+  return Ids.contains(Id);
+}
+
 auto Server::serve(Channel &Peer) -> void {
   constexpr auto IdleTimeout = Milliseconds{60000};
   auto const body = std::string(Settings.BodyBytes, 'x');
@@ -454,6 +459,10 @@
       continue;
     }
     ++Runs;
+    {
+      auto lock = std::lock_guard(Mutex);
+      Ids.insert(id);
+    }
     Log.addDetail("run by a server", "server " + Settings.Id + " runs " + id);
     ++InProgress;
     std::this_thread::sleep_for(Settings.Work);
--- a/review/standin/Standin.h
+++ b/review/standin/Standin.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <thread>
 #include <utility>
@@ -172,6 +173,7 @@
   /// reports "draining"; it continues to serve.
   auto leave() -> void;
   [[nodiscard]] auto runs() const -> unsigned { return Runs; }
+  [[nodiscard]] auto hasRun(std::string const &Id) -> bool;
   /// Returns the number of requests that it works on.
   [[nodiscard]] auto inProgress() const -> int { return InProgress; }
 
@@ -184,6 +186,8 @@
   int Port;
   std::atomic<unsigned> Runs = 0;
   std::atomic<int> InProgress = 0;
+  std::mutex Mutex;
+  std::set<std::string> Ids;
   Listener Accept;
 };
 
