--- a/review/standin/Main.cpp
+++ b/review/standin/Main.cpp
@@ -45,7 +45,8 @@
 /// Sends a request on an open channel and reads its answer.
 auto request(Channel &Connection, Record &Log, std::string const &Target,
              Outcome &Result, int DeadlineMs, double BytesPerSecond,
-             std::string const &Method = "GET") -> void {
+             std::string const &Method = "GET", std::string const &Prompt = {})
+    -> void {
   auto const start = Clock::now();
   auto response = Message{};
   Log.addDetail("sent by consumers",
@@ -53,7 +54,7 @@
   auto const body = Method == "POST" ? std::string("{}") : std::string{};
   Result.IsComplete =
       Connection.send(
-          requestText(Method, Target, Result.Id, DeadlineMs, body)) &&
+          requestText(Method, Target, Result.Id, DeadlineMs, body, Prompt)) &&
       Connection.read(response, Milliseconds(DeadlineMs), BytesPerSecond);
   Result.Status = response.status();
   Result.Bytes = response.Body.size();
@@ -321,6 +322,84 @@
   return finish(log, after * 4 < WavesAfter * Wave ? Broken : Held);
 }
 
+/// Asks with a prompt of its own that begins with the part that all share.
+auto ask(Relay const &Target, Record &Log, std::string const &Id,
+         std::string const &Middle) -> bool {
+  constexpr auto DeadlineMs = 6000;
+  auto channel = Channel();
+  auto outcome = Outcome{Id};
+  if (!channel.connect(Target.callerAddress()))
+    return false;
+  auto const own = std::to_string(std::hash<std::string>{}(Id) % 1000000);
+  request(channel, Log, "/ask/x", outcome, DeadlineMs, 0, "GET",
+          "5c1e07a2:800," + Middle + "ab" + own + ":250");
+  return isServed(outcome);
+}
+
+auto askAll(Relay const &Target, Record &Log, std::string const &Prefix,
+            int Count) -> int {
+  auto served = 0;
+  for (auto n = 0; n < Count; ++n) {
+    served += ask(Target, Log, Prefix + "-" + std::to_string(n), "") ? 1 : 0;
+    std::this_thread::sleep_for(Milliseconds{100});
+  }
+  return served;
+}
+
+/// A few requests crash the servers that run them by one part of their prompts.
+/// Sound ones share the other parts. Later all processes are killed.
+auto runDeadly(Scenario const &Context) -> int {
+  constexpr auto RecoverSeconds = 12;
+  constexpr auto Before = 40;
+  constexpr auto Deadly = 4;
+  constexpr auto After = 100;
+  auto &log = Context.Record;
+  auto store = Store();
+  auto servers = std::vector<std::unique_ptr<Server>>{};
+  for (auto n = 1; n <= 12; ++n)
+    servers.push_back(std::make_unique<Server>(
+        store, log,
+        Server::Options{"s-" + std::to_string(n), "answers", Milliseconds{50},
+                        800, "91bd3f06"}));
+  store.put("config", "main",
+            manifest({{"ask", "idempotent", "answers", 6000, 1000, 2}}));
+  for (auto &it : servers)
+    it->start();
+  auto relay = Relay("relay-1", store.address(), Context.Folder, log);
+  relay.start(true);
+  if (!relay.awaitReady(Milliseconds{10000}))
+    return finish(log, NotRun);
+  auto const before = askAll(relay, log, "a", Before);
+  // Nobody asks for six seconds.
+  std::this_thread::sleep_for(Milliseconds{6000});
+  auto threads = std::vector<std::thread>{};
+  for (auto n = 0; n < Deadly; ++n)
+    threads.emplace_back([&, n] {
+      (void)ask(relay, log, "b-" + std::to_string(n),
+                Context.HasTrouble ? "91bd3f06:410," : "77bd3f06:410,");
+    });
+  for (auto &it : threads)
+    it.join();
+  std::this_thread::sleep_for(Milliseconds{5000});
+  log.add("final fault: all processes of the system are killed");
+  relay.signal(SIGKILL);
+  relay.join(Milliseconds{1000});
+  std::this_thread::sleep_for(Milliseconds{600});
+  relay.start(false);
+  std::this_thread::sleep_for(std::chrono::seconds(RecoverSeconds));
+  auto const after = askAll(relay, log, "c", After);
+  log.add("sound requests served before the final fault: " +
+          std::to_string(before) + " of " + std::to_string(Before) +
+          ", after recover_s: " + std::to_string(after) + " of " +
+          std::to_string(After) + "; objects of kind quarantine: " +
+          std::to_string(store.count("quarantine")));
+  relay.signal(SIGTERM);
+  relay.join(Milliseconds(Relay::GraceSeconds * 1000));
+  if (before * 4 < Before)
+    return finish(log, NotRun);
+  return finish(log, after * 4 < After ? Broken : Held);
+}
+
 /// Sends a part of a request and the rest after a second, or gives up instead
 /// and closes the channel: after the time that the manifest allows for sending
 /// a request, and up to two milliseconds later.
@@ -434,6 +513,8 @@
     return runStop(Context);
   if (Name == "memory")
     return runMemory(Context);
+  if (Name == "deadly")
+    return runDeadly(Context);
   if (Name == "give-up")
     return runGiveUp(Context);
   if (Name == "scale-in")
--- a/review/standin/Standin.cpp
+++ b/review/standin/Standin.cpp
@@ -464,6 +464,20 @@
       Ids.insert(id);
     }
     Log.addDetail("run by a server", "server " + Settings.Id + " runs " + id);
+    if (!Settings.DeadlyPart.empty() &&
+        request.field("Prompt-Prefix").find(Settings.DeadlyPart) !=
+            std::string::npos) {
+      if (!IsEnding.exchange(true))
+        std::thread([this] {
+          std::this_thread::sleep_for(Milliseconds{100});
+          exit();
+          std::this_thread::sleep_for(Milliseconds{2000});
+          IsEnding = false;
+          start();
+        }).detach();
+      std::this_thread::sleep_for(Milliseconds{1000});
+      return;
+    }
     ++InProgress;
     std::this_thread::sleep_for(Settings.Work);
     --InProgress;
@@ -607,11 +621,13 @@
 }
 
 auto requestText(std::string const &Method, std::string const &Target,
-                 std::string const &Id, int DeadlineMs, std::string const &Body)
-    -> std::string {
+                 std::string const &Id, int DeadlineMs, std::string const &Body,
+                 std::string const &Prompt) -> std::string {
   auto text = Method + " " + Target + " HTTP/1.1\r\nHost: h.example\r\n";
   text += "Attempt-Id: " + Id + "\r\n";
   text += "Deadline-Ms: " + std::to_string(DeadlineMs) + "\r\n";
+  if (!Prompt.empty())
+    text += "Model: m\r\nPrompt-Prefix: " + Prompt + "\r\n";
   if (!Body.empty())
     text += "Content-Length: " + std::to_string(Body.size()) + "\r\n";
   return text + "\r\n" + Body;
--- a/review/standin/Standin.h
+++ b/review/standin/Standin.h
@@ -161,6 +161,8 @@
     std::string Service;
     Milliseconds Work{20};
     std::size_t BodyBytes = 800;
+    /// A part of a prompt that ends the process; it is back after 2 s.
+    std::string DeadlyPart = {};
   };
 
   Server(Store &Registry, Record &Log, Options Settings);
@@ -186,6 +188,7 @@
   int Port;
   std::atomic<unsigned> Runs = 0;
   std::atomic<int> InProgress = 0;
+  std::atomic<bool> IsEnding = false;
   std::mutex Mutex;
   std::set<std::string> Ids;
   Listener Accept;
@@ -248,7 +251,7 @@
 /// Returns the bytes of a request of a consumer.
 [[nodiscard]] auto requestText(std::string const &Method,
                                std::string const &Target, std::string const &Id,
-                               int DeadlineMs, std::string const &Body = {})
-    -> std::string;
+                               int DeadlineMs, std::string const &Body = {},
+                               std::string const &Prompt = {}) -> std::string;
 
 } // namespace review
