LibRelay: Try ambiguous segments instead of refusing them for an hour

Cause: the segment that all prompts share was in progress at the same crashes as the deadly one beside it. SuspectQuarantine put both into quarantine as causes, a segment had no trial, and the store kept it.

Evidence: the log of the case has suspect-quarantined kind=segment crashes=7 for two keys, the store two objects. A request key as the cause would have logged kind=request: ruled out.

Why this works: segments that the crashes do not tell apart are ambiguous. One prompt that lacks some of them is tried at the coordinator; its completion releases its segments, its crash releases the others. Without a trial they are released 30 s after the last crash. What had reached its engine goes on.

--- a/Libraries/LibRelay/CrashEvidence.cpp
+++ b/Libraries/LibRelay/CrashEvidence.cpp
@@ -232,6 +232,7 @@
   struct Count {
     std::size_t Crashes = 0;
     std::size_t Unexplained = 0;
+    Instant LastAt;
     std::set<SuspectKey> Contents;
   };
   auto counts = std::map<SuspectKey, Count>{};
@@ -243,8 +244,11 @@
       continue;
     auto contents = std::map<SuspectKey, std::set<SuspectKey>>{};
     for (auto const &request : crash.Interruptions) {
-      for (auto segment : request.Segments)
+      for (auto segment : request.Segments) {
         contents[segment].insert(request.Identity.Content);
+        auto &lastAt = counts[segment].LastAt;
+        lastAt = std::max(lastAt, request.At);
+      }
     }
     for (auto &it : contents) {
       auto &count = counts[it.first];
@@ -259,7 +263,8 @@
       segments.push_back({{key, SuspectKind::Segment},
                           count.Crashes,
                           count.Contents.size(),
-                          count.Unexplained});
+                          count.Unexplained,
+                          count.LastAt});
   }
   return keepMostFrequent(std::move(segments));
 }
@@ -338,18 +343,23 @@
   }
 }
 
-auto CrashEvidence::crashesOf(SuspectKey Key, Explanation const &Explain) const
+auto CrashEvidence::crashesOf(Suspect const &Target,
+                              Explanation const &Explain) const
     -> SuspectCrashes {
-  auto crashes = SuspectCrashes{{Key, SuspectKind::Request}, 0, 1, 0};
+  auto crashes = SuspectCrashes{Target, 0, 1, 0};
   for (auto const &[server, crash] : Crashes) {
-    auto isWith = [Key](Interruption const &Target) {
-      return std::ranges::find(Target.RequestKeys, Key) !=
-             Target.RequestKeys.end();
+    auto isWith = [&Target](Interruption const &Interrupted) {
+      auto const &keys = isSegment(Target.Kind) ? Interrupted.Segments
+                                                : Interrupted.RequestKeys;
+      return std::ranges::find(keys, Target.Key) != keys.end();
     };
     if (!crash.ConfirmedAt || std::ranges::none_of(crash.Interruptions, isWith))
       continue;
+    auto const isExplained =
+        isSegment(Target.Kind) ? crash.explain(Explain).has_value()
+                               : crash.isExplainedWithout(Target.Key, Explain);
     ++crashes.Crashes;
-    crashes.Unexplained += crash.isExplainedWithout(Key, Explain) ? 0 : 1;
+    crashes.Unexplained += isExplained ? 0 : 1;
   }
   return crashes;
 }
--- a/Libraries/LibRelay/CrashEvidence.h
+++ b/Libraries/LibRelay/CrashEvidence.h
@@ -108,10 +108,11 @@
   auto countAlone(std::span<SuspectCrashes> Requests, Instant Known,
                   Explanation const &Explain) const -> void;
 
-  /// Returns the crashes during which a request with \p Key was in progress.
-  /// Those that another request explains are not \ref
-  /// SuspectCrashes::Unexplained.
-  [[nodiscard]] auto crashesOf(SuspectKey Key, Explanation const &Explain) const
+  /// Returns the crashes during which a request with \p Target was in
+  /// progress. Those that a request without it explains, or if it is a segment
+  /// anything else, are not \ref SuspectCrashes::Unexplained.
+  [[nodiscard]] auto crashesOf(Suspect const &Target,
+                               Explanation const &Explain) const
       -> SuspectCrashes;
 
 private:
--- a/Libraries/LibRelay/Peers.cpp
+++ b/Libraries/LibRelay/Peers.cpp
@@ -62,17 +62,24 @@
   // Instances of the first format know segments only.
   auto segments = json::array();
   auto requests = json::array();
+  auto ambiguousSegments = json::array();
   for (auto const &it : Report.Quarantined) {
     if (it.Suspect.Kind == SuspectKind::Segment) {
       segments.push_back(it.Suspect.Key);
       continue;
     }
+    if (it.Suspect.Kind == SuspectKind::AmbiguousSegment) {
+      ambiguousSegments.push_back(it.Suspect.Key);
+      ambiguousSegments.push_back(toMilliseconds(it.CrashAge));
+      continue;
+    }
     requests.push_back(it.Suspect.Key);
     requests.push_back(it.Suspect.Kind == SuspectKind::AmbiguousRequest);
     requests.push_back(toMilliseconds(it.CrashAge));
   }
   return json::array({std::move(interrupted), std::move(cleared),
-                      std::move(segments), std::move(requests)});
+                      std::move(segments), std::move(requests),
+                      std::move(ambiguousSegments)});
 }
 
 auto decodeQuarantine(json const &Source) -> QuarantineReport {
@@ -111,6 +118,14 @@
     report.Quarantined.push_back({{readNumber<SuspectKey>(requests[n]), kind},
                                   readAge(requests[n + 2])});
   }
+  constexpr auto AmbiguousSegmentsIndex = std::size_t{4};
+  if (Source.size() <= AmbiguousSegmentsIndex)
+    return report;
+  auto const &ambiguous = Source[AmbiguousSegmentsIndex];
+  for (auto n = std::size_t{0}; n + 1 < ambiguous.size(); n += 2)
+    report.Quarantined.push_back(
+        {{readNumber<SuspectKey>(ambiguous[n]), SuspectKind::AmbiguousSegment},
+         readAge(ambiguous[n + 1])});
   return report;
 }
 
--- a/Libraries/LibRelay/QuarantineReducer.cpp
+++ b/Libraries/LibRelay/QuarantineReducer.cpp
@@ -43,10 +43,12 @@
   }
 }
 
-auto QuarantineReducer::admitTrial(Suspect const &Target) -> bool {
+auto QuarantineReducer::admitTrial(Suspect const &Target,
+                                   std::span<SuspectKey const> Keys) -> bool {
   // Until it knows its peers well, each instance takes itself for the
   // coordinator.
-  if (Target.Kind != SuspectKind::AmbiguousRequest ||
+  if (!isAmbiguous(Target.Kind) ||
+      !CurrentState.Quarantine.isDistinctive(Keys) ||
       now() - CurrentState.StartedAt < PeerListTimeout ||
       findCoordinator(CurrentState, Target.Key) !=
           CurrentState.Self.PeerAddress ||
@@ -62,10 +64,9 @@
 }
 
 auto QuarantineReducer::refusal(Suspect const &Target) const -> Refusal {
-  auto code = Target.Kind == SuspectKind::Segment
-                  ? ResultCode::PromptQuarantined
-                  : ResultCode::RequestQuarantined;
-  auto retryAfter = Target.Kind == SuspectKind::AmbiguousRequest
+  auto code = isSegment(Target.Kind) ? ResultCode::PromptQuarantined
+                                     : ResultCode::RequestQuarantined;
+  auto retryAfter = isAmbiguous(Target.Kind)
                         ? RetryAfterAmbiguity
                         : CurrentState.Quarantine.timeLeft(Target.Key, now());
   return {code, retryAfter};
@@ -128,10 +129,14 @@
   for (auto const &it : CurrentState.Requests) {
     auto const &request = it.second;
     auto const keys = request.suspectKeys();
-    auto isDecoded = request.CurrentAttempt &&
-                     !request.CurrentAttempt->IsPrefill &&
-                     request.CurrentAttempt->HasFirstPart;
-    if (!isDecoded && std::ranges::find(keys, Target.Key) != keys.end())
+    auto const &attempt = request.CurrentAttempt;
+    // Most requests with an ambiguous segment are sound, and those that reached
+    // their engine show it.
+    auto continues =
+        attempt && !attempt->IsPrefill &&
+        (attempt->HasFirstPart ||
+         (Target.Kind == SuspectKind::AmbiguousSegment && attempt->IsSent));
+    if (!continues && std::ranges::find(keys, Target.Key) != keys.end())
       affected.push_back(it.first);
   }
   for (auto it : affected) {
--- a/Libraries/LibRelay/QuarantineReducer.h
+++ b/Libraries/LibRelay/QuarantineReducer.h
@@ -25,9 +25,10 @@
   /// this instance has in progress there have been interrupted.
   auto observeCrash(ServerKey Key) -> void;
 
-  /// Returns whether a request with a suspect in quarantine is admitted
-  /// nevertheless, as a trial of an ambiguous request.
-  [[nodiscard]] auto admitTrial(Suspect const &Target) -> bool;
+  /// Returns whether a request with the suspects \p Keys is admitted although
+  /// \p Target among them is in quarantine, as a trial of an ambiguous one.
+  [[nodiscard]] auto admitTrial(Suspect const &Target,
+                                std::span<SuspectKey const> Keys) -> bool;
   /// Records the end of a request, which may be a trial.
   auto endTrial(InFlightRequest const &Request) -> void;
 
--- a/Libraries/LibRelay/RequestIdentity.cpp
+++ b/Libraries/LibRelay/RequestIdentity.cpp
@@ -61,6 +61,8 @@
     return "request";
   case SuspectKind::AmbiguousRequest:
     return "ambiguous-request";
+  case SuspectKind::AmbiguousSegment:
+    return "ambiguous-segment";
   }
   return "segment";
 }
--- a/Libraries/LibRelay/RequestIdentity.h
+++ b/Libraries/LibRelay/RequestIdentity.h
@@ -47,8 +47,20 @@
   Request,
   /// One of several requests of which only one may be the cause.
   AmbiguousRequest,
+  /// One of several segments of which only one may be the cause.
+  AmbiguousSegment,
 };
 
+/// Thread safety, of both: safe from any thread.
+[[nodiscard]] constexpr auto isSegment(SuspectKind Kind) -> bool {
+  return Kind == SuspectKind::Segment || Kind == SuspectKind::AmbiguousSegment;
+}
+
+[[nodiscard]] constexpr auto isAmbiguous(SuspectKind Kind) -> bool {
+  return Kind == SuspectKind::AmbiguousRequest ||
+         Kind == SuspectKind::AmbiguousSegment;
+}
+
 /// Returns the name of \p Kind as used in logs.
 [[nodiscard]] auto toString(SuspectKind Kind) -> std::string_view;
 
--- a/Libraries/LibRelay/RequestReducer.cpp
+++ b/Libraries/LibRelay/RequestReducer.cpp
@@ -99,8 +99,9 @@
   auto const identity = identify(content);
   auto segments = sharedSegments(content);
   auto quarantine = QuarantineReducer(CurrentState, Output);
-  auto suspect = CurrentState.Quarantine.find(suspectKeys(identity, segments));
-  if (suspect && !quarantine.admitTrial(*suspect)) {
+  auto const keys = suspectKeys(identity, segments);
+  auto suspect = CurrentState.Quarantine.find(keys);
+  if (suspect && !quarantine.admitTrial(*suspect, keys)) {
     auto const refusal = quarantine.refusal(*suspect);
     return refuse(refusal.Code, refusal.RetryAfter);
   }
--- a/Libraries/LibRelay/State.h
+++ b/Libraries/LibRelay/State.h
@@ -130,7 +130,7 @@
   /// The customer's usage contains the request.
   bool IsCounted = false;
   std::vector<SuspectKey> SharedSegments;
-  /// Set if the request is the trial of an ambiguous request in quarantine.
+  /// Set if the request is the trial of an ambiguous suspect in quarantine.
   std::optional<SuspectKey> TrialOf;
   Instant ArrivedAt;
   Instant Deadline;
--- a/Libraries/LibRelay/SuspectQuarantine.cpp
+++ b/Libraries/LibRelay/SuspectQuarantine.cpp
@@ -15,6 +15,10 @@
 /// crashes show which.
 constexpr auto MinimumTiedCrashes = std::size_t{5};
 constexpr auto QuarantineTime = Duration{1h};
+/// Sound prompts are refused meanwhile, because their segments may be in all
+/// prompts of an application. Without a trial that tells the segments apart,
+/// the next crashes renew it.
+constexpr auto AmbiguousSegmentTime = Duration{30s};
 /// An observation is repeated in the reports for this long, because reports may
 /// be lost.
 constexpr auto ReportPeriod = Duration{1s};
@@ -104,7 +108,7 @@
   }
   auto it = Quarantined.find(Cleared.Key);
   if (it == Quarantined.end() ||
-      (it->second.Kind != SuspectKind::Segment && at < it->second.CrashAt))
+      (!isSegment(it->second.Kind) && at < it->second.CrashAt))
     return false;
   Quarantined.erase(it);
   return true;
@@ -125,27 +129,32 @@
 
 auto SuspectQuarantine::quarantine(Suspect const &Target, Instant CrashAt,
                                    Instant Now) -> bool {
-  if (Target.Kind == SuspectKind::Segment
-          ? isHarmless(Target.Key, Now)
-          : isClearedSince(Target.Key, CrashAt)) {
+  if (isSegment(Target.Kind) ? isHarmless(Target.Key, Now)
+                             : isClearedSince(Target.Key, CrashAt)) {
     reportCleared(Target.Key, Now);
     return false;
   }
+  // All instances count from the crash, so none brings it back at a peer.
+  auto const until = Target.Kind == SuspectKind::AmbiguousSegment
+                         ? CrashAt + AmbiguousSegmentTime
+                         : Now + QuarantineTime;
+  if (until <= Now)
+    return false;
   auto it = Quarantined.find(Target.Key);
   if (it == Quarantined.end()) {
     if (Quarantined.size() >= MaximumQuarantined)
       return false;
-    Quarantined.emplace(
-        Target.Key,
-        Entry{Target.Kind, CrashAt, Now + QuarantineTime, Now + ReportPeriod});
+    Quarantined.emplace(Target.Key,
+                        Entry{Target.Kind, CrashAt, until, Now + ReportPeriod});
     return true;
   }
   auto &entry = it->second;
   entry.CrashAt = std::max(entry.CrashAt, CrashAt);
-  if (entry.Kind != SuspectKind::AmbiguousRequest ||
-      Target.Kind != SuspectKind::Request)
+  if (entry.Kind == SuspectKind::AmbiguousSegment)
+    entry.Until = std::max(entry.Until, until);
+  if (!isAmbiguous(entry.Kind) || isAmbiguous(Target.Kind))
     return false;
-  entry.Kind = SuspectKind::Request;
+  entry.Kind = Target.Kind;
   entry.IsStored = false;
   entry.ReportUntil = Now + ReportPeriod;
   return true;
@@ -154,8 +163,7 @@
 auto SuspectQuarantine::explain(SuspectKey Key) const
     -> std::optional<SuspectKind> {
   auto it = Quarantined.find(Key);
-  if (it == Quarantined.end() ||
-      it->second.Kind == SuspectKind::AmbiguousRequest)
+  if (it == Quarantined.end() || isAmbiguous(it->second.Kind))
     return std::nullopt;
   return it->second.Kind;
 }
@@ -194,16 +202,20 @@
     auto const required = isTied ? MinimumTiedCrashes : MinimumCrashes;
     return it.Crashes < required || it.Requests < MinimumRequests;
   });
+  if (isTied) {
+    for (auto &it : segments)
+      it.Suspect.Kind = SuspectKind::AmbiguousSegment;
+  }
   return segments;
 }
 
 auto SuspectQuarantine::clearOthers(Instant Now) -> std::vector<SuspectKey> {
   auto cleared = std::vector<SuspectKey>{};
   for (auto const &[key, entry] : Quarantined) {
-    if (entry.Kind != SuspectKind::AmbiguousRequest)
+    if (!isAmbiguous(entry.Kind))
       continue;
-    auto const crashes =
-        Evidence.crashesOf(key, [this](SuspectKey it) { return explain(it); });
+    auto const crashes = Evidence.crashesOf(
+        {key, entry.Kind}, [this](SuspectKey it) { return explain(it); });
     if (crashes.Unexplained < crashes.Crashes &&
         crashes.Unexplained < MinimumCrashes)
       cleared.push_back(key);
@@ -286,7 +298,7 @@
     if (it == Quarantined.end())
       continue;
     auto const suspect = Suspect{key, it->second.Kind};
-    if (suspect.Kind != SuspectKind::AmbiguousRequest)
+    if (!isAmbiguous(suspect.Kind))
       return suspect;
     if (!found)
       found = suspect;
@@ -299,10 +311,22 @@
   return std::max(Duration{}, Quarantined.at(Key).Until - Now);
 }
 
+auto SuspectQuarantine::isDistinctive(std::span<SuspectKey const> Keys) const
+    -> bool {
+  auto ambiguous = std::size_t{0};
+  auto contained = std::size_t{0};
+  for (auto const &[key, entry] : Quarantined) {
+    if (entry.Kind != SuspectKind::AmbiguousSegment)
+      continue;
+    ++ambiguous;
+    contained += std::ranges::find(Keys, key) == Keys.end() ? 0 : 1;
+  }
+  return contained < 2 || contained < ambiguous;
+}
+
 auto SuspectQuarantine::startTrial(SuspectKey Key) -> bool {
   auto it = Quarantined.find(Key);
-  return it != Quarantined.end() &&
-         it->second.Kind == SuspectKind::AmbiguousRequest &&
+  return it != Quarantined.end() && isAmbiguous(it->second.Kind) &&
          std::exchange(it->second.HasTrial, false);
 }
 
@@ -372,10 +396,8 @@
 }
 
 auto SuspectQuarantine::segmentCount() const -> std::size_t {
-  return static_cast<std::size_t>(
-      std::ranges::count_if(Quarantined, [](auto const &it) {
-        return it.second.Kind == SuspectKind::Segment;
-      }));
+  return static_cast<std::size_t>(std::ranges::count_if(
+      Quarantined, [](auto const &it) { return isSegment(it.second.Kind); }));
 }
 
 } // namespace dotterel::relay
--- a/Libraries/LibRelay/SuspectQuarantine.h
+++ b/Libraries/LibRelay/SuspectQuarantine.h
@@ -62,7 +62,10 @@
 ///
 /// A segment is put into quarantine after several servers crashed with several
 /// requests in progress whose prompts contain it. A request that explains the
-/// crashes goes before its segments.
+/// crashes goes before its segments. If several segments were in progress at
+/// the same crashes, all of them are put into quarantine for a short time, as
+/// ambiguous ones. A prompt with some of them is tried: one that is completed
+/// clears them, one that crashes a server clears the others.
 ///
 /// A completed request shows that it caused no crash until then, and that its
 /// segments caused none until shortly after it. Servers that crash at the same
@@ -99,7 +102,8 @@
 
   /// Puts a suspect into quarantine that was in progress at a crash at
   /// \p CrashAt. Returns false if that changes nothing, or if it was shown to
-  /// be harmless since, or recently if it is a segment.
+  /// be harmless since, or recently if it is a segment. An ambiguous segment is
+  /// released some time after its last crash.
   auto quarantine(Suspect const &Target, Instant CrashAt, Instant Now) -> bool;
 
   /// Puts the suspects into quarantine for which there is enough evidence. A
@@ -120,7 +124,12 @@
   /// in quarantine.
   [[nodiscard]] auto timeLeft(SuspectKey Key, Instant Now) const -> Duration;
 
-  /// Starts the trial of an ambiguous request at this instance. Returns false
+  /// Returns whether a trial of a request with \p Keys can tell suspects
+  /// apart: it lacks one of several ambiguous segments.
+  [[nodiscard]] auto isDistinctive(std::span<SuspectKey const> Keys) const
+      -> bool;
+
+  /// Starts the trial of an ambiguous suspect at this instance. Returns false
   /// if it is not ambiguous or has had its trial.
   auto startTrial(SuspectKey Key) -> bool;
   /// Takes a trial back that reached no server.
@@ -177,8 +186,8 @@
   /// Explains a crash by what is in quarantine and not ambiguous.
   [[nodiscard]] auto explain(SuspectKey Key) const
       -> std::optional<SuspectKind>;
-  /// Clears the ambiguous requests most of whose crashes another suspect
-  /// explains, and returns them.
+  /// Clears the ambiguous suspects most of whose crashes another one explains,
+  /// and returns them.
   auto clearOthers(Instant Now) -> std::vector<SuspectKey>;
   /// Returns whether a suspect was shown to be harmless recently.
   [[nodiscard]] auto isHarmless(SuspectKey Key, Instant Now) const -> bool;
--- a/Tests/LibRelay/SuspectEvidence.h
+++ b/Tests/LibRelay/SuspectEvidence.h
@@ -54,7 +54,7 @@
   auto added() -> std::vector<SuspectKey> {
     auto segments = std::vector<SuspectKey>{};
     for (auto const &it : Quarantine.evaluate(PropagationTime, Now).Added) {
-      if (it.Suspect.Kind == SuspectKind::Segment)
+      if (isSegment(it.Suspect.Kind))
         segments.push_back(it.Suspect.Key);
     }
     return segments;
@@ -64,7 +64,7 @@
   auto addedRequests() -> std::vector<Suspect> {
     auto requests = std::vector<Suspect>{};
     for (auto const &it : Quarantine.evaluate(PropagationTime, Now).Added) {
-      if (it.Suspect.Kind != SuspectKind::Segment)
+      if (!isSegment(it.Suspect.Kind))
         requests.push_back(it.Suspect);
     }
     return requests;
--- a/Tests/LibRelay/TestQuarantine.cpp
+++ b/Tests/LibRelay/TestQuarantine.cpp
@@ -58,6 +58,28 @@
   return number;
 }
 
+/// Lets the engine of a stream send its only event and end the stream.
+auto endStream(RelayNode &Node, RequestNumber Number) -> void {
+  auto header = ServerResponse{};
+  header.Status = 200;
+  header.Framing = BodyFraming::Chunked;
+  Node.feed(AttemptStreamStarted{Node.attemptId(Number), header});
+  Node.feed(AttemptEventsReceived{Node.attemptId(Number),
+                                  {{1, true, "id: 1\ndata: x\n\n"}}});
+  Node.feed(AttemptStreamEnded{Node.attemptId(Number), ""});
+}
+
+/// Reports that a server crashed with a prompt in progress.
+auto crashWith(RelayNode &Node, ServerKey Server,
+               std::vector<PromptSegment> Segments) -> void {
+  auto request = Request{};
+  request.PromptSegments = std::move(Segments);
+  auto &quarantine = Node.CurrentState.Quarantine;
+  quarantine.recordInterruption(
+      {Server, identify(request), sharedSegments(request), {}}, Node.Now);
+  quarantine.recordCrash(Server, Node.Now);
+}
+
 } // namespace
 
 Test(RelayQuarantine, RequestIsRefusedAtOnceWithTheTimeLeft) {
@@ -165,7 +187,8 @@
                         {{{8, SuspectKind::Segment}, {}},
                          {{9, SuspectKind::Segment}, {}},
                          {{12, SuspectKind::Request}, 30ms},
-                         {{13, SuspectKind::AmbiguousRequest}, 40ms}}};
+                         {{13, SuspectKind::AmbiguousRequest}, 40ms},
+                         {{17, SuspectKind::AmbiguousSegment}, 50ms}}};
   auto decoded = decodePeerReport(encodePeerReport(message));
   cr_assert(decoded.has_value());
   auto const &read = decoded->Quarantine;
@@ -359,4 +382,37 @@
   cr_assert_eq(node.CurrentState.Quarantine.requestCount(), 0);
 }
 
+// Regression test: the segment that all prompts share was refused for an hour
+// together with one beside it that crashes engines.
+Test(RelayQuarantine, SoundSegmentBesideACrashingOneIsServedAgain) {
+  constexpr auto Shared = std::uint64_t{0x500d};
+  auto node = RelayNode();
+  node.feed(PeersListed{});
+  node.advance(2s);
+  for (auto n = 0U; n < 5; ++n) {
+    crashWith(node, 100 + n, {{Shared, 800}, {Segment, 410}, {200 + n, 250}});
+    node.advance(100ms);
+  }
+  node.advance(2s);
+  auto const sound = std::vector<PromptSegment>{{Shared, 800}, {300, 250}};
+  auto number = node.request(RouteKind::Stream, sound);
+  cr_assert_not_null(node.currentAttempt(number), "no prompt is tried");
+  advanceToDecode(node, number);
+  // Until its end, others are refused for a moment.
+  node.request(RouteKind::Stream, sound);
+  auto const *refused = effect<SendErrorResponse>(node.LastEffects);
+  cr_assert(refused->Code == ResultCode::PromptQuarantined);
+  cr_assert(*refused->RetryAfter == 1s);
+  endStream(node, number);
+  node.advance(100ms);
+  cr_assert_eq(node.CurrentState.Quarantine.segmentCount(), 1);
+  number = node.request(RouteKind::Stream, sound);
+  cr_assert_not_null(node.currentAttempt(number));
+  // The other one is the cause now.
+  node.request(RouteKind::Stream, {{Segment, 410}, {301, 250}});
+  refused = effect<SendErrorResponse>(node.LastEffects);
+  cr_assert(refused->Code == ResultCode::PromptQuarantined);
+  cr_assert(*refused->RetryAfter > 50min);
+}
+
 } // namespace dotterel::relay::test
--- a/Tests/Platform/TestStoreFormat.cpp
+++ b/Tests/Platform/TestStoreFormat.cpp
@@ -156,8 +156,9 @@
 
 Test(PlatformStore, SuspectsInQuarantineKeepTheirKind) {
   using relay::SuspectKind;
-  for (auto kind : {SuspectKind::Segment, SuspectKind::Request,
-                    SuspectKind::AmbiguousRequest}) {
+  for (auto kind :
+       {SuspectKind::Segment, SuspectKind::Request,
+        SuspectKind::AmbiguousRequest, SuspectKind::AmbiguousSegment}) {
     auto const suspect = relay::Suspect{0xabcd, kind};
     auto const body = json::parse(writeQuarantine(suspect));
     auto const name = body["metadata"]["name"].get<std::string>();
