LibRelay: Count only broken requests as evidence of a crash

Cause: the removal of an entry that does not drain counted as a crash, and all requests in progress there as interrupted, though their connections were open.

Evidence: on three server-removed lines are followed by suspect-quarantined kind=request crashes=3, with no attempt-failed line before: no connection had broken. That rules out that the servers cut them.

Why this works: a server that cannot be found any more has disappeared. Its requests count as interrupted only if they end without a response, and a server that answers afterwards has not crashed. A later run in a server's place still shows its end at once. The same holds for servers that two instances cannot reach, which had the same fault. server-disappeared and server-not-crashed are logged.

--- a/Libraries/LibRelay/AttemptReducer.cpp
+++ b/Libraries/LibRelay/AttemptReducer.cpp
@@ -215,6 +215,8 @@
 auto AttemptReducer::observeNotice(InFlightRequest const &Request,
                                    unsigned Status, ServerNotice const &Notice)
     -> void {
+  QuarantineReducer(CurrentState, Output)
+      .observeAnswer(Request.CurrentAttempt->Key);
   auto *server = serverOf(Request);
   if (server == nullptr)
     return;
@@ -408,6 +410,8 @@
     request->LongestPause = std::max(
         request->LongestPause, now() - request->CurrentAttempt->LastPartAt);
   request->CurrentAttempt->LastPartAt = now();
+  QuarantineReducer(CurrentState, Output)
+      .observeAnswer(request->CurrentAttempt->Key);
   beginStream(number, *request);
   auto bytes = std::string{};
   for (auto const &it : Event.Events) {
--- a/Libraries/LibRelay/CrashEvidence.cpp
+++ b/Libraries/LibRelay/CrashEvidence.cpp
@@ -194,6 +194,14 @@
   });
 }
 
+auto CrashEvidence::withdrawCrash(ServerKey Server) -> bool {
+  auto it = Crashes.find(Server);
+  if (it == Crashes.end() || !it->second.ConfirmedAt)
+    return false;
+  it->second.ConfirmedAt.reset();
+  return true;
+}
+
 auto CrashEvidence::remove(SuspectKey Key, Instant At) -> void {
   if (!contains(Key))
     return;
--- a/Libraries/LibRelay/CrashEvidence.h
+++ b/Libraries/LibRelay/CrashEvidence.h
@@ -73,6 +73,10 @@
   /// Records that the run of a server ended without notice.
   auto recordCrash(ServerKey Server, Instant Now) -> void;
 
+  /// Records that a server that seemed to have crashed has answered since.
+  /// Returns whether that changes anything.
+  auto withdrawCrash(ServerKey Server) -> bool;
+
   /// Removes a suspect that was shown at \p At to be harmless: a segment from
   /// all requests, a request from the crashes until then.
   auto remove(SuspectKey Key, Instant At) -> void;
--- a/Libraries/LibRelay/FleetReducer.cpp
+++ b/Libraries/LibRelay/FleetReducer.cpp
@@ -107,9 +107,9 @@
                            std::uint64_t Incarnation) -> void {
   if (!Target.Suspicion.record(Incarnation, now()))
     return;
-  QuarantineReducer(CurrentState, Output).observeCrash(Target.Key);
   log(LogLevel::Info, "server-suspected", "server={} address={} by={}",
       Target.Description.Id, Target.Description.Address, PeerAddress);
+  QuarantineReducer(CurrentState, Output).observeDisappearance(Target.Key);
 }
 
 auto FleetReducer::on(SteeringRequested const &Event) -> void {
--- a/Libraries/LibRelay/QuarantineReducer.cpp
+++ b/Libraries/LibRelay/QuarantineReducer.cpp
@@ -43,6 +43,21 @@
   }
 }
 
+auto QuarantineReducer::observeDisappearance(ServerKey Key) -> void {
+  auto inProgress =
+      std::ranges::count_if(CurrentState.Requests, [Key](auto const &it) {
+        return it.second.CurrentAttempt && it.second.CurrentAttempt->Key == Key;
+      });
+  log(LogLevel::Info, "server-disappeared", "key={} in_progress={}", Key,
+      inProgress);
+  CurrentState.Quarantine.recordCrash(Key, now());
+}
+
+auto QuarantineReducer::observeAnswer(ServerKey Key) -> void {
+  if (CurrentState.Quarantine.withdrawCrash(Key))
+    log(LogLevel::Info, "server-not-crashed", "key={}", Key);
+}
+
 auto QuarantineReducer::admitTrial(Suspect const &Target,
                                    std::span<SuspectKey const> Keys) -> bool {
   // Until it knows its peers well, each instance takes itself for the
--- a/Libraries/LibRelay/QuarantineReducer.h
+++ b/Libraries/LibRelay/QuarantineReducer.h
@@ -21,9 +21,15 @@
   auto observeInterruption(InFlightRequest const &Request) -> void;
   /// Records that a request received a complete response.
   auto observeCompletion(InFlightRequest const &Request) -> void;
-  /// Records that the run of a server ended without notice. The requests that
-  /// this instance has in progress there have been interrupted.
+  /// Records that the run of a server has ended: another one has its place. The
+  /// requests that this instance has in progress there have been interrupted.
   auto observeCrash(ServerKey Key) -> void;
+  /// Records that a server cannot be found any more. It has crashed or left
+  /// without notice; the requests in progress there show which, as they end.
+  auto observeDisappearance(ServerKey Key) -> void;
+  /// Records that a server has answered. One that had disappeared has left
+  /// without notice.
+  auto observeAnswer(ServerKey Key) -> void;
 
   /// Returns whether a request with the suspects \p Keys is admitted although
   /// \p Target among them is in quarantine, as a trial of an ambiguous one.
--- a/Libraries/LibRelay/ServerListReducer.cpp
+++ b/Libraries/LibRelay/ServerListReducer.cpp
@@ -98,7 +98,7 @@
   if (server == nullptr)
     return;
   if (!server->isLeaving())
-    QuarantineReducer(CurrentState, Output).observeCrash(server->Key);
+    QuarantineReducer(CurrentState, Output).observeDisappearance(server->Key);
   auto &run = CurrentState.Servers.history().at(server->Key);
   run.RemovedAt = std::max(Version, server->Description.Version);
   run.WasDraining = server->isLeaving();
--- a/Libraries/LibRelay/SuspectQuarantine.h
+++ b/Libraries/LibRelay/SuspectQuarantine.h
@@ -91,6 +91,12 @@
   /// Records that the run of a server ended without notice.
   auto recordCrash(ServerKey Server, Instant Now) -> void;
 
+  /// Records that a server that seemed to have crashed has answered since.
+  /// Returns whether that changes anything.
+  auto withdrawCrash(ServerKey Server) -> bool {
+    return Evidence.withdrawCrash(Server);
+  }
+
   /// Records that this instance received a complete response to a request with
   /// the suspects \p Keys. Returns those that were released from quarantine.
   auto recordCompletion(std::span<SuspectKey const> Keys, Instant Now)
--- a/Tests/LibRelay/TestQuarantine.cpp
+++ b/Tests/LibRelay/TestQuarantine.cpp
@@ -58,6 +58,18 @@
   return number;
 }
 
+auto removeEntry(RelayNode &Node, std::string const &Server,
+                 std::uint64_t Revision) -> void {
+  Node.feed(ServersUpdated{{{Server, atRevision(Revision), std::nullopt}},
+                           atRevision(Revision)});
+}
+
+auto respond(RelayNode &Node, RequestNumber Number) -> void {
+  auto response = ServerResponse{};
+  response.Status = 200;
+  Node.feed(AttemptResponded{Node.attemptId(Number), response});
+}
+
 /// Lets the engine of a stream send its only event and end the stream.
 auto endStream(RelayNode &Node, RequestNumber Number) -> void {
   auto header = ServerResponse{};
@@ -382,6 +394,46 @@
   cr_assert_eq(node.CurrentState.Quarantine.requestCount(), 0);
 }
 
+// Regression test: servers that left as planned, without a notice, counted as
+// crashed with all requests in progress. These were ended, and their path was
+// refused for an hour.
+Test(RelayQuarantine, ServersThatLeaveWithoutNoticeHaveNotCrashed) {
+  auto node = RelayNode();
+  auto numbers = std::vector<RequestNumber>{};
+  for (auto n = 0; n < 6; ++n) {
+    numbers.push_back(node.request(RouteKind::Lookup));
+    (void)node.connect(numbers.back());
+  }
+  for (auto n = 0; n < 3; ++n)
+    removeEntry(node, "p" + std::to_string(n), 20 + n);
+  node.advance(500ms);
+  cr_assert_eq(node.CurrentState.Quarantine.requestCount(), 0);
+  for (auto it : numbers)
+    respond(node, it);
+  cr_assert(node.CurrentState.Requests.empty());
+}
+
+// Regression test: as above, for callers that give up while their servers
+// leave. A server that answers after its entry was removed has not crashed.
+Test(RelayQuarantine, ServerThatAnswersAfterItsRemovalHasNotCrashed) {
+  auto node = RelayNode();
+  auto streams = std::vector<RequestNumber>{};
+  for (auto n = 0; n < 3; ++n) {
+    streams.push_back(startStream(node));
+    auto const engine = node.currentAttempt(streams.back())->Server;
+    auto const given = node.request(RouteKind::Stream, crashingPrompt());
+    advanceToDecode(node, given);
+    removeEntry(node, engine, 20 + n);
+    node.feed(CallerDisconnected{given});
+  }
+  for (auto it : streams)
+    node.feed(AttemptEventsReceived{node.attemptId(it),
+                                    {{8, true, "id: 8\ndata: x\n\n"}}});
+  node.advance(500ms);
+  cr_assert_eq(node.CurrentState.Quarantine.requestCount(), 0);
+  cr_assert_eq(node.CurrentState.Quarantine.segmentCount(), 0);
+}
+
 // Regression test: the segment that all prompts share was refused for an hour
 // together with one beside it that crashes engines.
 Test(RelayQuarantine, SoundSegmentBesideACrashingOneIsServedAgain) {
