LibRelay: Try what was in progress at servers that failed together

Cause: crashes at one moment are no evidence against something that was completed shortly before, but after a quiet time nothing was, and they counted like crashes at different moments. For segments, moments were not counted.

Why this works: with fewer than three moments a suspect is ambiguous. Its trial shows whether it is harmless, and what had reached its server goes on.

Before: RequestsOfServersThatFailTogetherAreTriedAgain fails (nothing is tried). After: it passes.

ContentIsQuarantinedIfCallersDiffer let all crashes happen at one moment, which is the fault; it is about the callers' addresses. Its crashes are 100 ms apart now, as in the other tests of Evidence. All its checks are as before.

--- a/Libraries/LibRelay/CrashEvidence.cpp
+++ b/Libraries/LibRelay/CrashEvidence.cpp
@@ -240,7 +240,7 @@
   struct Count {
     std::size_t Crashes = 0;
     std::size_t Unexplained = 0;
-    Instant LastAt;
+    std::vector<Instant> Moments;
     std::set<SuspectKey> Contents;
   };
   auto counts = std::map<SuspectKey, Count>{};
@@ -250,29 +250,32 @@
     auto const explanation = crash.explain(Explain);
     if (explanation == SuspectKind::Segment)
       continue;
-    auto contents = std::map<SuspectKey, std::set<SuspectKey>>{};
+    auto firstAt = std::map<SuspectKey, Instant>{};
     for (auto const &request : crash.Interruptions) {
       for (auto segment : request.Segments) {
-        contents[segment].insert(request.Identity.Content);
-        auto &lastAt = counts[segment].LastAt;
-        lastAt = std::max(lastAt, request.At);
+        counts[segment].Contents.insert(request.Identity.Content);
+        auto &at = firstAt.try_emplace(segment, request.At).first->second;
+        at = std::min(at, request.At);
       }
     }
-    for (auto &it : contents) {
-      auto &count = counts[it.first];
+    for (auto const &[segment, at] : firstAt) {
+      auto &count = counts[segment];
       ++count.Crashes;
       count.Unexplained += explanation ? 0 : 1;
-      count.Contents.merge(it.second);
+      count.Moments.push_back(at);
     }
   }
   auto segments = std::vector<SuspectCrashes>{};
-  for (auto const &[key, count] : counts) {
-    if (count.Unexplained > 0)
-      segments.push_back({{key, SuspectKind::Segment},
-                          count.Crashes,
-                          count.Contents.size(),
-                          count.Unexplained,
-                          count.LastAt});
+  for (auto &[key, count] : counts) {
+    if (count.Unexplained == 0)
+      continue;
+    std::ranges::sort(count.Moments);
+    segments.push_back({{key, SuspectKind::Segment},
+                        count.Crashes,
+                        count.Contents.size(),
+                        count.Unexplained,
+                        count.Moments.back(),
+                        countMoments(count.Moments)});
   }
   return keepMostFrequent(std::move(segments));
 }
--- a/Libraries/LibRelay/CrashEvidence.h
+++ b/Libraries/LibRelay/CrashEvidence.h
@@ -48,7 +48,8 @@
   std::size_t Unexplained = 0;
   /// Time of the last one.
   Instant LastAt{};
-  /// Moments at which servers crashed, if several crashed together.
+  /// Moments at which servers crashed. Those that crash together may have lost
+  /// power.
   std::size_t Moments = 0;
   /// Crashes during which none of the suspects that it is compared with was in
   /// progress.
--- a/Libraries/LibRelay/QuarantineReducer.cpp
+++ b/Libraries/LibRelay/QuarantineReducer.cpp
@@ -145,12 +145,11 @@
     auto const &request = it.second;
     auto const keys = request.suspectKeys();
     auto const &attempt = request.CurrentAttempt;
-    // Most requests with an ambiguous segment are sound, and those that reached
-    // their engine show it.
-    auto continues =
-        attempt && !attempt->IsPrefill &&
-        (attempt->HasFirstPart ||
-         (Target.Kind == SuspectKind::AmbiguousSegment && attempt->IsSent));
+    // Most requests with an ambiguous suspect are sound, and those that reached
+    // their server show it.
+    auto continues = attempt && !attempt->IsPrefill &&
+                     (attempt->HasFirstPart ||
+                      (isAmbiguous(Target.Kind) && attempt->IsSent));
     if (!continues && std::ranges::find(keys, Target.Key) != keys.end())
       affected.push_back(it.first);
   }
--- a/Libraries/LibRelay/SuspectQuarantine.cpp
+++ b/Libraries/LibRelay/SuspectQuarantine.cpp
@@ -177,6 +177,10 @@
     return explain(it.Suspect.Key).has_value() ||
            (isPopular ? it.Moments : it.Crashes) < MinimumCrashes;
   });
+  for (auto &it : requests) {
+    if (it.Moments < MinimumCrashes)
+      it.Suspect.Kind = SuspectKind::AmbiguousRequest;
+  }
   if (requests.size() < 2)
     return requests;
   // More crashes alone do not show it: another one may have been cleared of
@@ -202,8 +206,8 @@
     auto const required = isTied ? MinimumTiedCrashes : MinimumCrashes;
     return it.Crashes < required || it.Requests < MinimumRequests;
   });
-  if (isTied) {
-    for (auto &it : segments)
+  for (auto &it : segments) {
+    if (isTied || it.Moments < MinimumCrashes)
       it.Suspect.Kind = SuspectKind::AmbiguousSegment;
   }
   return segments;
--- a/Libraries/LibRelay/SuspectQuarantine.h
+++ b/Libraries/LibRelay/SuspectQuarantine.h
@@ -70,9 +70,10 @@
 /// A completed request shows that it caused no crash until then, and that its
 /// segments caused none until shortly after it. Servers that crash at the same
 /// moment are no evidence against one that was completed shortly before: they
-/// lost power together, and popular requests are in progress at all of them. A
-/// crash that a suspect in quarantine explains counts against no other one.
-/// Thread safety: none.
+/// lost power together, and popular requests are in progress at all of them.
+/// After a quiet time nothing was completed shortly before, so what has only
+/// such crashes is ambiguous. A crash that a suspect in quarantine explains
+/// counts against no other one. Thread safety: none.
 class SuspectQuarantine {
 public:
   /// \p ConfirmationTime is the longest time from a broken connection until it
--- a/Tests/LibRelay/TestQuarantine.cpp
+++ b/Tests/LibRelay/TestQuarantine.cpp
@@ -467,4 +467,35 @@
   cr_assert(*refused->RetryAfter > 50min);
 }
 
+// Regression test: servers that lost power together after a quiet time put
+// what their requests had in common into quarantine for an hour.
+Test(RelayQuarantine, RequestsOfServersThatFailTogetherAreTriedAgain) {
+  auto node = RelayNode();
+  node.feed(PeersListed{});
+  node.advance(6s);
+  for (auto n = 0; n < 3; ++n) {
+    auto const number = node.request(RouteKind::Booking);
+    (void)node.connect(number);
+    auto const server = node.currentAttempt(number)->Server;
+    node.feed(AttemptInterrupted{node.attemptId(number), "reset"});
+    removeEntry(node, server, 20 + n);
+  }
+  for (auto n = 0U; n < 3; ++n)
+    crashWith(node, 100 + n, {{Segment, 410}, {200 + n, 250}});
+  node.advance(2s);
+  auto const server = describeServer("p9", "plain");
+  node.feed(
+      ServersUpdated{{{server.Id, atRevision(30), server}}, atRevision(30)});
+  auto number = node.request(RouteKind::Booking);
+  cr_assert_not_null(node.currentAttempt(number));
+  (void)node.connect(number);
+  respond(node, number);
+  number = node.request(RouteKind::Stream, crashingPrompt());
+  cr_assert_not_null(node.currentAttempt(number));
+  advanceToDecode(node, number);
+  endStream(node, number);
+  cr_assert_eq(node.CurrentState.Quarantine.requestCount(), 0);
+  cr_assert_eq(node.CurrentState.Quarantine.segmentCount(), 0);
+}
+
 } // namespace dotterel::relay::test
--- a/Tests/LibRelay/TestSuspectRequests.cpp
+++ b/Tests/LibRelay/TestSuspectRequests.cpp
@@ -119,6 +119,7 @@
     evidence.Quarantine.recordOwnInterruption(
         {static_cast<ServerKey>(n), identity, {}, {}}, evidence.Now);
     evidence.Quarantine.recordCrash(static_cast<ServerKey>(n), evidence.Now);
+    evidence.Now += 100ms;
   }
   evidence.Now += PropagationTime;
   auto const expected = std::vector{request(identityOf(11).Content),
