LibNet: Keep handlers from using connections that are gone

Cause: ReadDeadline's timer refers to the connection. The handler of an expired timer is queued and cannot be cancelled; if the end of the connection, or the last byte of its request, is handled first, the handler uses a connection that is gone, or cancels the watch for the caller's departure. The watch of ServerExchange could outlive its connection in the same way if writing a response failed.

The other order is deterministic: a loop that is busy while both become ready takes the caller for one that has left.

Why this works: what the handlers refer to is cleared when the deadline is lifted and when the exchange ends.

--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -19,23 +19,36 @@
 class ReadDeadline {
 public:
   ReadDeadline(beast::tcp_stream &Stream, Duration Timeout)
-      : Timer(Stream.get_executor()), HasPassed(std::make_shared<bool>(false)) {
+      : Timer(Stream.get_executor()),
+        Current(std::make_shared<Status>(&Stream, false)) {
     Timer.expires_after(Timeout);
-    Timer.async_wait(
-        [&Stream, passed = HasPassed](boost::system::error_code const &ec) {
-          if (ec)
-            return;
-          *passed = true;
-          auto ignored = boost::system::error_code{};
-          Stream.socket().cancel(ignored);
-        });
+    Timer.async_wait([status = Current](boost::system::error_code const &ec) {
+      if (ec || status->Stream == nullptr)
+        return;
+      status->HasPassed = true;
+      auto ignored = boost::system::error_code{};
+      status->Stream->socket().cancel(ignored);
+    });
   }
+  // A handler that is queued can no longer be cancelled.
+  ~ReadDeadline() { Current->Stream = nullptr; }
+  ReadDeadline(ReadDeadline const &) = delete;
+  auto operator=(ReadDeadline const &) -> ReadDeadline & = delete;
 
-  [[nodiscard]] auto hasPassed() const -> bool { return *HasPassed; }
+  [[nodiscard]] auto hasPassed() const -> bool { return Current->HasPassed; }
 
 private:
+  struct Status {
+    Status(beast::tcp_stream *Stream, bool HasPassed)
+        : Stream(Stream), HasPassed(HasPassed) {}
+
+    /// Null once the deadline has been lifted.
+    beast::tcp_stream *Stream;
+    bool HasPassed;
+  };
+
   asio::steady_timer Timer;
-  std::shared_ptr<bool> HasPassed;
+  std::shared_ptr<Status> Current;
 };
 
 /// Returns the memory that the header of \p Source needs, in the message and in
--- a/Libraries/LibNet/ServerExchange.h
+++ b/Libraries/LibNet/ServerExchange.h
@@ -16,6 +16,10 @@
                  Duration WriteTimeout, bool const &IsClosing)
       : Stream(Stream), Request(std::move(Request)), WriteTimeout(WriteTimeout),
         IsClosing(IsClosing) {}
+  // The handler may be queued, and the connection gone when it runs.
+  ~ServerExchange() override { endWatch(); }
+  ServerExchange(ServerExchange const &) = delete;
+  auto operator=(ServerExchange const &) -> ServerExchange & = delete;
 
   [[nodiscard]] auto method() const -> std::string_view override {
     return asView(Request.method_string());
@@ -120,7 +124,7 @@
   /// Returns whether the connection can take another request.
   auto finish() -> bool {
     if (IsWatched) {
-      *IsWatched = false;
+      endWatch();
       auto ec = boost::system::error_code{};
       Stream.socket().cancel(ec);
     }
@@ -128,6 +132,11 @@
   }
 
 private:
+  auto endWatch() -> void {
+    if (IsWatched)
+      *IsWatched = false;
+  }
+
   [[nodiscard]] static auto asView(beast::string_view Text)
       -> std::string_view {
     return {Text.data(), Text.size()};
