LibNet: Bound what is kept of a response's head

Another operator's report: a faulty server sends bytes that are no answer, without end, in a head or in a body, and the machine runs out of memory.

Cause: the read buffer of HttpConnection had no maximum. The header section is limited by the parser; chunk headers and trailers are kept until their end.

Why this works: the buffer holds 64 KB at most; beyond it reading fails.

HeadThatStopsShortIsNoResponse shows, for each byte of a head and both ends of the connection, that a server that fails there makes no response (the report of a 200 with an empty body).

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -13,6 +13,9 @@
 
 constexpr auto ReadBufferBytes = std::size_t{2048};
 constexpr auto MaximumInterimResponses = 8;
+/// Bound on what is kept of a header section, chunk header or trailer that does
+/// not end.
+constexpr auto MaximumBufferBytes = std::size_t{64} << 10U;
 /// A peer that acknowledges nothing for this long is considered dead. Well
 /// above any round-trip time within a deployment, and well below the time that
 /// callers wait.
@@ -40,7 +43,7 @@
 
 struct HttpConnection::Implementation {
   explicit Implementation(asio::any_io_executor const &Executor)
-      : Stream(Executor) {
+      : Stream(Executor), Buffer(MaximumBufferBytes) {
     expectResponse();
   }
 
--- a/Tests/LibNet/TestHttpClient.cpp
+++ b/Tests/LibNet/TestHttpClient.cpp
@@ -68,4 +68,44 @@
   cr_assert_not(reception.IsComplete);
 }
 
+// Regression test: a server whose chunks or trailers never ended filled the
+// memory.
+Test(HttpClient, EndlessHeadIsNotKept) {
+  constexpr auto MaximumBytes = std::size_t{16} << 20U;
+  for (auto const *it :
+       {"HTTP/1.1 200 OK\r\nA: ", "HTTP/1.1 200 OK\r\nA: b\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;a=",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: "}) {
+    auto server = ScriptedServer(
+        ServerAddress, {it, ConnectionEnd::Repeat, std::string(1000, 'b')});
+    auto context = asio::io_context{1};
+    auto reception = Reception{};
+    auto bytes = std::size_t{0};
+    spawnTask(context, "reception", [&] { return receive(reception); });
+    spawnTask(context, "watch", [&]() -> Awaitable<void> {
+      for (auto n = 0; n < 100 && server.connectionsEnded() == 0; ++n)
+        co_await sleepFor(10ms);
+      bytes = server.bytesSent();
+      context.stop();
+    });
+    context.run();
+    cr_expect_not(reception.IsComplete, "%s", it);
+    cr_expect_lt(bytes, MaximumBytes, "%s: %zu bytes", it, bytes);
+  }
+}
+
+// A server that fails within the head of its response.
+Test(HttpClient, HeadThatStopsShortIsNoResponse) {
+  auto const head =
+      std::string("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+                  "Content-Length: 0\r\n\r\n");
+  for (auto end : {ConnectionEnd::Close, ConnectionEnd::Reset}) {
+    for (auto n = std::size_t{0}; n < head.size(); ++n) {
+      auto const reception = receiveFrom({head.substr(0, n), end, ""});
+      cr_expect_eq(reception.Status, 0U, "%zu bytes", n);
+      cr_expect_not(reception.IsComplete, "%zu bytes", n);
+    }
+  }
+}
+
 } // namespace dotterel::test
