LibGateway: Let sessions outlive the server of their callers

Cause: open connections are destroyed with the event loop, after the servers. SessionEnd then removed its session from the table of a destroyed CallerServer.

Evidence: the wait status is 11 only if a response is unwritten at the end.

Why this works: the sessions are in a table of their own, to which SessionEnd holds a weak reference.

InstanceProcess moves to a header of its own, as two files use it.

--- a/Libraries/LibGateway/CallerServer.cpp
+++ b/Libraries/LibGateway/CallerServer.cpp
@@ -80,20 +80,31 @@
 } // namespace
 
 struct CallerServer::Implementation {
-  using SessionMap =
-      std::unordered_map<RequestNumber, std::shared_ptr<Session>>;
+  struct SessionTable {
+    std::unordered_map<RequestNumber, std::shared_ptr<Session>> ByNumber;
+    /// Bytes of all sessions that wait to be written.
+    std::size_t BacklogBytes = 0;
+  };
 
   /// Removes a session when its response has ended in any way.
   class SessionEnd {
   public:
-    SessionEnd(Implementation &Owner, RequestNumber Number)
-        : Owner(Owner), Number(Number) {}
-    ~SessionEnd() { Owner.close(Number); }
+    SessionEnd(std::shared_ptr<SessionTable> const &Table, RequestNumber Number)
+        : Table(Table), Number(Number) {}
+    ~SessionEnd() {
+      // When the process ends, connections outlive their server.
+      auto const table = Table.lock();
+      if (!table)
+        return;
+      auto it = table->ByNumber.find(Number);
+      table->BacklogBytes -= it->second->BacklogBytes;
+      table->ByNumber.erase(it);
+    }
     SessionEnd(SessionEnd const &) = delete;
     auto operator=(SessionEnd const &) -> SessionEnd & = delete;
 
   private:
-    Implementation &Owner; // NOLINT: outlives the session
+    std::weak_ptr<SessionTable> Table;
     RequestNumber Number;
   };
 
@@ -156,22 +167,16 @@
     auto number = ++LastRequest;
     auto session = open(number);
     Loop.feed(relay::SteeringRequested{number});
-    auto const ended = SessionEnd(*this, number);
+    auto const ended = SessionEnd(Sessions, number);
     co_await writeAll(Exchange, *session);
   }
 
   auto open(RequestNumber Number) -> std::shared_ptr<Session> {
     auto session = std::make_shared<Session>(Context);
-    Sessions[Number] = session;
+    Sessions->ByNumber[Number] = session;
     return session;
   }
 
-  auto close(RequestNumber Number) -> void {
-    auto it = Sessions.find(Number);
-    TotalBacklogBytes -= it->second->BacklogBytes;
-    Sessions.erase(it);
-  }
-
   auto serveCaller(HttpExchange &Exchange) -> Awaitable<void> {
     auto number = ++LastRequest;
     auto session = open(number);
@@ -183,7 +188,7 @@
         std::make_shared<relay::Request const>(platform::readRequest(Exchange));
     session->RequestId = content->Id;
     Loop.feed(relay::RequestArrived{number, std::move(content), bootTime()});
-    auto const ended = SessionEnd(*this, number);
+    auto const ended = SessionEnd(Sessions, number);
     try {
       co_await writeAll(Exchange, *session);
     } catch (...) {
@@ -229,7 +234,7 @@
 
   auto shrinkBacklog(Session &Target, std::size_t Bytes) -> void {
     Target.BacklogBytes -= Bytes;
-    TotalBacklogBytes -= Bytes;
+    Sessions->BacklogBytes -= Bytes;
   }
 
   /// Returns whether more waits to be written to \p Target than its share, or
@@ -237,8 +242,9 @@
   [[nodiscard]] auto isBacklogExceeded(Session const &Target) const -> bool {
     if (Target.BacklogBytes > MaximumBacklogBytes)
       return true;
-    return TotalBacklogBytes > Budget->limit() / 2 &&
-           Target.BacklogBytes * Sessions.size() > TotalBacklogBytes;
+    return Sessions->BacklogBytes > Budget->limit() / 2 &&
+           Target.BacklogBytes * Sessions->ByNumber.size() >
+               Sessions->BacklogBytes;
   }
 
   /// Closes the connection of a caller that reads too slowly, and cancels its
@@ -289,10 +295,14 @@
     co_return true;
   }
 
+  auto find(RequestNumber Number) -> Session * {
+    auto it = Sessions->ByNumber.find(Number);
+    return it == Sessions->ByNumber.end() ? nullptr : it->second.get();
+  }
+
   auto push(RequestNumber Number, CallerEffect Effect) -> void {
-    auto it = Sessions.find(Number);
-    if (it != Sessions.end())
-      it->second->push(std::move(Effect));
+    if (auto *session = find(Number))
+      session->push(std::move(Effect));
   }
 
   asio::io_context &Context; // NOLINT: outlives this object
@@ -300,13 +310,11 @@
   std::size_t MemoryMegabytes;
   std::size_t Descriptors;
   std::shared_ptr<MemoryBudget> Budget;
-  /// Bytes of all sessions that wait to be written.
-  std::size_t TotalBacklogBytes = 0;
   HttpServer Callers;
   HttpServer Readiness;
   HttpServer Directory;
   RequestNumber LastRequest = 0;
-  SessionMap Sessions;
+  std::shared_ptr<SessionTable> Sessions = std::make_shared<SessionTable>();
 };
 
 CallerServer::CallerServer(asio::io_context &Context,
@@ -332,16 +340,15 @@
 }
 
 auto CallerServer::run(relay::ForwardBytes &Effect) -> void {
-  auto it = Impl->Sessions.find(Effect.Number);
-  if (it == Impl->Sessions.end())
+  auto *session = Impl->find(Effect.Number);
+  if (session == nullptr)
     return;
   auto number = Effect.Number;
-  auto &session = *it->second;
-  session.BacklogBytes += Effect.Bytes.size();
-  Impl->TotalBacklogBytes += Effect.Bytes.size();
-  session.push(std::move(Effect));
-  if (Impl->isBacklogExceeded(session))
-    Impl->abandonBacklog(number, session);
+  session->BacklogBytes += Effect.Bytes.size();
+  Impl->Sessions->BacklogBytes += Effect.Bytes.size();
+  session->push(std::move(Effect));
+  if (Impl->isBacklogExceeded(*session))
+    Impl->abandonBacklog(number, *session);
 }
 
 auto CallerServer::run(relay::EndStream &Effect) -> void {
@@ -371,10 +378,12 @@
 
 auto CallerServer::load() const -> CallerLoad {
   return {Impl->Callers.connectionCount(), Impl->Budget->used(),
-          Impl->TotalBacklogBytes, Impl->Budget->refusals(),
+          Impl->Sessions->BacklogBytes, Impl->Budget->refusals(),
           Impl->Callers.evictedCount()};
 }
 
-auto CallerServer::isIdle() const -> bool { return Impl->Sessions.empty(); }
+auto CallerServer::isIdle() const -> bool {
+  return Impl->Sessions->ByNumber.empty();
+}
 
 } // namespace dotterel
--- a/Tests/LibGateway/TestResourceExhaustion.cpp
+++ b/Tests/LibGateway/TestResourceExhaustion.cpp
@@ -1,18 +1,16 @@
 // Many callers that hold memory or connections at each port of an instance. The
 // instance runs as a process of its own; its memory is sampled
 // while ordinary callers ask for a route that is served.
+#include "LibGateway/InstanceProcess.h"
 #include "LibGateway/RunningGateway.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
-#include <csignal>
 #include <fcntl.h>
 #include <fmt/format.h>
-#include <fstream>
 #include <functional>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 #include <criterion/criterion.h>
@@ -21,61 +19,12 @@
 
 namespace {
 
-/// Memory and descriptors of the smallest machine that is supported.
-constexpr auto MachineMegabytes = 112.0;
-constexpr auto MachineDescriptors = 2870;
 /// Share of ordinary requests that must be served meanwhile, and after.
 constexpr auto ServedShareDuring = 0.9;
 constexpr auto ServedShareAfter = 0.95;
 constexpr auto LegalBodyBytes = std::size_t{1} << 20U;
 constexpr auto OrdinaryRequests = 60;
 
-/// An instance in a child process.
-class InstanceProcess {
-public:
-  explicit InstanceProcess(FakePlatform const &Platform) {
-    auto const text = fmt::format(
-        R"({{"instance":"i0","failureDomain":"z1","host":"127.0.0.1",
-             "callerAddress":"{}","readinessAddress":"{}",
-             "directoryAddress":"{}","peerPort":{},"storeAddress":"{}",
-             "memoryMb":{},"descriptors":{},"logLevel":"error"}})",
-        address(CallerPort), address(ReadyPort), address(DirectoryPort),
-        PeerPort, Platform.storeAddress(), static_cast<int>(MachineMegabytes),
-        MachineDescriptors);
-    Pid = ::fork();
-    if (Pid == 0) {
-      ::signal(SIGTERM, SIG_DFL);
-      Gateway(GatewaySettings::parse(text), "unused").run();
-      ::_exit(0);
-    }
-    for (auto n = 0; n < 200 && status(get(ReadyPort, "/-/ready")) != 200; ++n)
-      std::this_thread::sleep_for(20ms);
-  }
-  ~InstanceProcess() {
-    ::kill(Pid, SIGKILL);
-    ::waitpid(Pid, nullptr, 0);
-  }
-  InstanceProcess(InstanceProcess const &) = delete;
-  auto operator=(InstanceProcess const &) -> InstanceProcess & = delete;
-
-  [[nodiscard]] auto isAlive() const -> bool {
-    return ::waitpid(Pid, nullptr, WNOHANG) == 0;
-  }
-
-  /// Returns the highest resident memory so far.
-  [[nodiscard]] auto peakMegabytes() const -> double {
-    auto file = std::ifstream(fmt::format("/proc/{}/status", Pid));
-    for (auto line = std::string{}; std::getline(file, line);) {
-      if (line.starts_with("VmHWM:"))
-        return std::stod(line.substr(6)) / 1024;
-    }
-    return 0;
-  }
-
-private:
-  pid_t Pid = 0;
-};
-
 /// Connections that stay open until this object is destroyed.
 class HeldConnections {
 public:
