LibRelay, LibGateway: Let callers read their responses before a process ends

Cause: a request leaves the reducer's state when its response is queued. The process stopped after its minimum time, and waited half a second for the writes, whatever was left of the time to leave.

Evidence: the log has instance-stopped answers_out=false at 3.1 s.

Why this works: StopProcess names the time that is left, and the process ends earlier if all responses are written.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -25,8 +25,6 @@
 /// Idle connections are checked once in this many ticks.
 constexpr auto TicksBetweenExpiry = 20U;
 constexpr auto StopPollInterval = Duration{20ms};
-/// Limit on the wait for final responses to be written.
-constexpr auto StopTimeout = Duration{500ms};
 constexpr auto MetricsPath = std::string_view{"/metrics"};
 constexpr auto StatusOk = 200U;
 constexpr auto StatusNotFound = 404U;
@@ -77,7 +75,10 @@
     logLine(Effect.Level, Effect.Event, Effect.Pairs);
   }
 
-  auto carryOut(relay::StopProcess & /*Effect*/) -> void { IsStopping = true; }
+  auto carryOut(relay::StopProcess &Effect) -> void {
+    WriteTime = Effect.WriteTime;
+    IsStopping = true;
+  }
 
   auto awaitSignal() -> void {
     Signals.async_wait([this](boost::system::error_code const &ec, int Number) {
@@ -148,8 +149,8 @@
       co_await timer.async_wait(useError(ec));
     }
     // Every request has its final response; wait until all are written.
-    for (auto waited = Duration{}; !Callers.isIdle() && waited < StopTimeout;
-         waited += StopPollInterval) {
+    auto const until = std::chrono::steady_clock::now() + WriteTime;
+    while (!Callers.isIdle() && std::chrono::steady_clock::now() < until) {
       timer.expires_after(StopPollInterval);
       co_await timer.async_wait(useError(ec));
     }
@@ -174,6 +175,8 @@
   std::unique_ptr<HttpServer> MetricsServer;
   std::shared_ptr<relay::Configuration const> Applied;
   bool IsStopping = false;
+  /// Time that callers have to read their responses before the process ends.
+  Duration WriteTime{};
 };
 
 Gateway::Gateway(GatewaySettings Settings, std::string SettingsPath)
--- a/Libraries/LibRelay/Effect.h
+++ b/Libraries/LibRelay/Effect.h
@@ -239,8 +239,11 @@
   Duration Value{};
 };
 
-/// Ends the process. The final responses of all requests have been emitted.
-struct StopProcess {};
+/// Ends the process. The final responses of all requests have been emitted;
+/// callers have up to \ref WriteTime to read them.
+struct StopProcess {
+  Duration WriteTime{};
+};
 
 using Effect =
     std::variant<ConnectAttempt, SendAttempt, CancelAttempt, ReleasePrefill,
--- a/Libraries/LibRelay/FleetReducer.cpp
+++ b/Libraries/LibRelay/FleetReducer.cpp
@@ -25,6 +25,9 @@
 /// responses have to reach their callers and the process has to exit, also on a
 /// slow machine.
 constexpr auto LeaveMargin = Duration{1100ms};
+/// The process ends this long before the leave timeout, even if responses are
+/// still being written.
+constexpr auto ExitMargin = Duration{600ms};
 /// A server that a peer announces as changing its stage is avoided until it is
 /// missing from several of the peer's reports.
 constexpr auto ChangingServerBackoff = Duration{700ms};
@@ -219,11 +222,13 @@
 auto FleetReducer::stopWhenDrained() -> void {
   if (!CurrentState.LeavingSince)
     return;
-  auto elapsed = now() - *CurrentState.LeavingSince;
+  auto const elapsed = now() - *CurrentState.LeavingSince;
+  auto const stop = StopProcess{std::max(
+      Duration{}, CurrentState.Options.LeaveTimeout - ExitMargin - elapsed)};
   if (CurrentState.Requests.empty() && elapsed >= MinimumLeaveDuration) {
     if (CurrentState.Options.UsageWindow > Duration{})
       CustomerReducer(CurrentState, Output).sendUsage(true);
-    return emit(StopProcess{});
+    return emit(stop);
   }
   if (elapsed < CurrentState.Options.LeaveTimeout - LeaveMargin)
     return;
@@ -233,7 +238,7 @@
   for (auto it : numbers)
     RequestReducer(CurrentState, Output)
         .fail(it, ResultCode::InstanceLeaving, Duration{});
-  emit(StopProcess{});
+  emit(stop);
 }
 
 auto FleetReducer::updateBehindPeers() -> void {
--- a/Tests/LibGateway/TestSlowReaders.cpp
+++ b/Tests/LibGateway/TestSlowReaders.cpp
@@ -69,6 +69,29 @@
 
 } // namespace
 
+// Regression test: a stopping instance waited half a second for what its
+// callers still had to read, cut their responses, and ended with a crash.
+Test(SlowReaders, StopWaitsForResponsesThatAreBeingRead) {
+  constexpr auto ResponseBytes = std::size_t{14} << 20U;
+  constexpr auto BytesPerSecond = std::size_t{5} << 19U;
+  auto const response = responseOf(ResponseBytes);
+  auto server = ScriptedServer(address(ScriptedPort), {response});
+  auto platform = FakePlatform(address(ScriptedPort));
+  auto process = InstanceProcess(platform);
+  auto first = SlowReader(BytesPerSecond);
+  auto second = SlowReader(BytesPerSecond);
+  std::this_thread::sleep_for(500ms);
+  process.terminate();
+  first.await();
+  second.await();
+  cr_expect_gt(first.received(), ResponseBytes);
+  cr_expect_gt(second.received(), ResponseBytes);
+  auto const ended = process.awaitEnd(2s);
+  cr_assert(ended.has_value());
+  cr_assert(WIFEXITED(*ended) && WEXITSTATUS(*ended) == 0, "wait status %d",
+            *ended);
+}
+
 // Regression test: the process crashed at its end if a caller had not read its
 // response.
 Test(SlowReaders, StopWithAnUnreadResponseIsNoCrash) {
