LibRelay, LibGateway, LibNet: Pass large bodies on as callers read them

Cause: a response that is no stream was read completely, up to 16 MB, before it was passed on, and then waited for its caller without a bound on the sum.

Streams and requests are bounded and stay so: ruled out.

Why this works: a body above 32 KB is passed on in parts and read at most 256 KB ahead of its caller, less if all together hold much. Its length, if known, is kept. What is smaller is read first, so that it can still be repeated. A caller that still reads at its deadline gets the rest.

LargeResponsesAreComplete passes before and after.

--- a/Libraries/LibGateway/CallerServer.cpp
+++ b/Libraries/LibGateway/CallerServer.cpp
@@ -39,6 +39,10 @@
 
 /// Maximum number of bytes of a stream that wait to be written to its caller.
 constexpr auto MaximumBacklogBytes = std::size_t{4} << 20U;
+/// A large body is read from its server up to this far ahead of its caller.
+constexpr auto MaximumAheadBytes = std::size_t{256} << 10U;
+/// Part of the callers' memory that large bodies may use to read ahead.
+constexpr auto AheadMemoryShare = 4;
 
 using CallerEffect =
     std::variant<relay::ForwardResponse, relay::BeginStream,
@@ -47,8 +51,9 @@
 
 /// The effects that still have to be written to the caller of one request.
 struct Session {
-  explicit Session(asio::io_context &Context) : Wake(Context) {
+  explicit Session(asio::io_context &Context) : Wake(Context), Room(Context) {
     Wake.expires_at(asio::steady_timer::time_point::max());
+    Room.expires_at(asio::steady_timer::time_point::max());
   }
 
   auto push(CallerEffect Effect) -> void {
@@ -57,10 +62,12 @@
   }
 
   asio::steady_timer Wake;
+  /// Cancelled when bytes were written.
+  asio::steady_timer Room;
   std::deque<CallerEffect> Pending;
   /// Request id that the caller chose; empty for steering requests.
   std::string RequestId;
-  /// Number of bytes of ForwardBytes effects in Pending.
+  /// Number of bytes of ForwardBytes effects in Pending or being written.
   std::size_t BacklogBytes = 0;
 };
 
@@ -98,6 +105,7 @@
         return;
       auto it = table->ByNumber.find(Number);
       table->BacklogBytes -= it->second->BacklogBytes;
+      it->second->Room.cancel();
       table->ByNumber.erase(it);
     }
     SessionEnd(SessionEnd const &) = delete;
@@ -208,10 +216,12 @@
       }
       auto effect = std::move(Target.Pending.front());
       Target.Pending.pop_front();
-      if (auto const *bytes = std::get_if<relay::ForwardBytes>(&effect))
-        shrinkBacklog(Target, bytes->Bytes.size());
+      auto const *bytes = std::get_if<relay::ForwardBytes>(&effect);
+      auto const n = bytes == nullptr ? 0 : bytes->Bytes.size();
       auto isLast = co_await std::visit(
           [&](auto &Effect) { return write(Exchange, Effect); }, effect);
+      // The backlog may have been abandoned meanwhile.
+      shrinkBacklog(Target, std::min(n, Target.BacklogBytes));
       if (isLast)
         co_return;
     }
@@ -227,14 +237,27 @@
 
   static auto write(HttpExchange &Exchange, relay::BeginStream &Effect)
       -> Awaitable<bool> {
-    co_await Exchange.beginResponse(
-        {Effect.Header.Status, "", std::move(Effect.Header.Fields), ""});
+    auto header = HttpResponse{Effect.Header.Status, "",
+                               std::move(Effect.Header.Fields), ""};
+    if (Effect.Header.Length)
+      co_await Exchange.beginResponse(std::move(header), *Effect.Header.Length);
+    else
+      co_await Exchange.beginResponse(std::move(header));
     co_return false;
   }
 
   auto shrinkBacklog(Session &Target, std::size_t Bytes) -> void {
     Target.BacklogBytes -= Bytes;
     Sessions->BacklogBytes -= Bytes;
+    Target.Room.cancel();
+  }
+
+  /// Returns whether no more should be read for \p Target now.
+  [[nodiscard]] auto isAhead(Session const &Target) const -> bool {
+    if (Target.BacklogBytes > MaximumAheadBytes)
+      return true;
+    return Sessions->BacklogBytes > Budget->limit() / AheadMemoryShare &&
+           Target.BacklogBytes > 0;
   }
 
   /// Returns whether more waits to be written to \p Target than its share, or
@@ -382,6 +405,17 @@
           Impl->Callers.evictedCount()};
 }
 
+auto CallerServer::awaitRoom(RequestNumber Number) -> Awaitable<void> {
+  while (true) {
+    auto const it = Impl->Sessions->ByNumber.find(Number);
+    if (it == Impl->Sessions->ByNumber.end() || !Impl->isAhead(*it->second))
+      co_return;
+    auto const session = it->second;
+    auto ec = boost::system::error_code{};
+    co_await session->Room.async_wait(useError(ec));
+  }
+}
+
 auto CallerServer::isIdle() const -> bool {
   return Impl->Sessions->ByNumber.empty();
 }
--- a/Libraries/LibGateway/CallerServer.h
+++ b/Libraries/LibGateway/CallerServer.h
@@ -15,7 +15,7 @@
   std::size_t Connections = 0;
   /// Memory of requests that are received or in progress.
   std::size_t RequestBytes = 0;
-  /// Bytes of streams that wait to be written.
+  /// Bytes of streams and large bodies that wait to be written.
   std::size_t BacklogBytes = 0;
   /// Times that there was no memory for a request.
   std::uint64_t MemoryRefusals = 0;
@@ -53,6 +53,10 @@
 
   [[nodiscard]] auto load() const -> CallerLoad;
 
+  /// Waits until the caller has read most of what was passed on of its
+  /// response, or the response has ended.
+  [[nodiscard]] auto awaitRoom(relay::RequestNumber Number) -> Awaitable<void>;
+
   /// Returns whether every response has been written.
   [[nodiscard]] auto isIdle() const -> bool;
 
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -42,7 +42,11 @@
       : Settings(std::move(InitialSettings)), SettingsPath(std::move(Path)),
         Context(1), Loop(relay::makeState(Settings.Self, Settings.Options,
                                           std::chrono::steady_clock::now())),
-        Callers(Context, Settings, Loop), Servers(Context, Loop),
+        Callers(Context, Settings, Loop),
+        Servers(Context, Loop,
+                [this](relay::RequestNumber Number) {
+                  return Callers.awaitRoom(Number);
+                }),
         Store(Context, Settings.StoreAddress,
               {Settings.Self.Instance, Settings.Self.PeerAddress}, Loop),
         Quarantine(Context, Settings.StoreAddress, Loop),
--- a/Libraries/LibGateway/ServerClient.cpp
+++ b/Libraries/LibGateway/ServerClient.cpp
@@ -21,8 +21,14 @@
 /// it is reached.
 constexpr auto ExchangeTimeout = Duration{60s};
 constexpr auto ReleasePrefillTimeout = Duration{1s};
-/// Maximum size of a response body that is not streamed.
-constexpr auto MaximumBodyBytes = std::size_t{16} << 20U;
+/// Bodies up to this size are read before they are passed on, so that a request
+/// can be repeated if its response is truncated.
+constexpr auto MaximumBufferedBytes = std::size_t{32} << 10U;
+/// Larger bodies are passed on in parts of about this size.
+constexpr auto BodyPartBytes = std::size_t{32} << 10U;
+/// Maximum size of a body whose length is not known, and of the body of a
+/// response to another request.
+constexpr auto MaximumUnknownBytes = std::size_t{16} << 20U;
 /// Maximum size of the body of a response that is not forwarded: prefill
 /// handles, reports, results of orders.
 constexpr auto MaximumControlBytes = std::size_t{1} << 20U;
@@ -58,8 +64,9 @@
 } // namespace
 
 struct ServerClient::Implementation {
-  Implementation(asio::io_context &Context, RelayLoop &Loop)
-      : Context(Context), Loop(Loop) {}
+  Implementation(asio::io_context &Context, RelayLoop &Loop,
+                 RoomWaiter AwaitRoom)
+      : Context(Context), Loop(Loop), AwaitRoom(std::move(AwaitRoom)) {}
 
   using ConnectionPointer = std::shared_ptr<HttpConnection>;
 
@@ -181,12 +188,12 @@
     co_return 0;
   }
 
-  /// Reads and discards a body of up to MaximumBodyBytes. Returns whether it
+  /// Reads and discards a body of up to MaximumUnknownBytes. Returns whether it
   /// was complete.
   static auto skipBody(HttpConnection &Connection) -> Awaitable<bool> {
     auto skipped = std::size_t{0};
     auto part = std::string{};
-    while (skipped <= MaximumBodyBytes &&
+    while (skipped <= MaximumUnknownBytes &&
            co_await Connection.readSome(part, ExchangeTimeout)) {
       skipped += part.size();
       part.clear();
@@ -251,11 +258,16 @@
                 relay::ServerResponse Response, bool CanReuse)
       -> Awaitable<void> {
     auto connection = Target->Connection;
+    auto const isForwarded = !Effect.Parameters.IsPrefill &&
+                             !Response.IsNotExecuted && !Response.IsMisdirected;
     Response.Body = co_await readLimited(
-        *connection,
-        Effect.Parameters.IsPrefill ? MaximumControlBytes : MaximumBodyBytes);
+        *connection, isForwarded ? MaximumBufferedBytes : MaximumControlBytes);
     if (Target->IsCancelled)
       co_return;
+    if (isForwarded && !connection->isComplete() &&
+        Response.Body.size() > MaximumBufferedBytes)
+      co_return co_await forwardBody(Effect.Attempt, Target,
+                                     std::move(Response), CanReuse);
     // A refusal is valid even if the rest of its response is lost.
     if (!connection->isComplete() && !Response.IsNotExecuted &&
         !Response.IsMisdirected)
@@ -275,6 +287,36 @@
            relay::AttemptResponded{Effect.Attempt, std::move(Response)});
   }
 
+  /// Passes a large body on as its caller reads it. \p Response holds its first
+  /// part.
+  auto forwardBody(AttemptId Attempt, ActiveAttemptPointer Target,
+                   relay::ServerResponse Response, bool CanReuse)
+      -> Awaitable<void> {
+    auto connection = Target->Connection;
+    auto received = Response.Body.size();
+    Response.Length = connection->bodyLength();
+    auto const limit =
+        Response.Length.value_or(std::uint64_t{MaximumUnknownBytes});
+    Loop.feed(relay::AttemptBodyStarted{Attempt, std::move(Response)});
+    for (auto isOpen = true; isOpen && received <= limit;) {
+      if (!Target->IsCancelled)
+        co_await AwaitRoom(Attempt.Request);
+      auto bytes = std::string{};
+      while (isOpen && !Target->IsCancelled && bytes.size() < BodyPartBytes)
+        isOpen = co_await connection->readSome(bytes, ExchangeTimeout);
+      if (Target->IsCancelled)
+        co_return;
+      received += bytes.size();
+      if (!bytes.empty())
+        Loop.feed(relay::AttemptBodyReceived{Attempt, std::move(bytes)});
+    }
+    if (!connection->isComplete())
+      co_return finish(
+          Attempt, Target, false,
+          relay::AttemptInterrupted{Attempt, "response truncated"});
+    finish(Attempt, Target, CanReuse, relay::AttemptBodyEnded{Attempt});
+  }
+
   auto readStream(relay::SendAttempt const &Effect, ActiveAttemptPointer Target,
                   relay::ServerResponse Header, bool CanReuse)
       -> Awaitable<void> {
@@ -370,12 +412,15 @@
 
   asio::io_context &Context; // NOLINT: outlives the client
   RelayLoop &Loop;           // NOLINT
+  RoomWaiter AwaitRoom;
   std::map<AttemptId, ActiveAttemptPointer> Attempts;
   std::unordered_map<std::string, Pool> Pools;
 };
 
-ServerClient::ServerClient(asio::io_context &Context, RelayLoop &Loop)
-    : Impl(std::make_unique<Implementation>(Context, Loop)) {}
+ServerClient::ServerClient(asio::io_context &Context, RelayLoop &Loop,
+                           RoomWaiter AwaitRoom)
+    : Impl(std::make_unique<Implementation>(Context, Loop,
+                                            std::move(AwaitRoom))) {}
 
 ServerClient::~ServerClient() = default;
 
--- a/Libraries/LibGateway/ServerClient.h
+++ b/Libraries/LibGateway/ServerClient.h
@@ -5,6 +5,7 @@
 #include "LibGateway/RelayLoop.h"
 #include "LibNet/HttpClient.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -17,7 +18,11 @@
 /// Thread safety: none; used on one executor.
 class ServerClient {
 public:
-  ServerClient(asio::io_context &Context, RelayLoop &Loop);
+  /// Waits until the caller of a request can take more of its response.
+  using RoomWaiter = std::function<Awaitable<void>(relay::RequestNumber)>;
+
+  ServerClient(asio::io_context &Context, RelayLoop &Loop,
+               RoomWaiter AwaitRoom);
   ~ServerClient();
   ServerClient(ServerClient const &) = delete;
   auto operator=(ServerClient const &) -> ServerClient & = delete;
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -158,6 +158,11 @@
                                   : BodyFraming::Length;
 }
 
+auto HttpConnection::bodyLength() const -> std::optional<std::uint64_t> {
+  auto const length = Impl->Parser->content_length();
+  return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
 auto HttpConnection::readSome(std::string &Out, Duration Timeout)
     -> Awaitable<bool> {
   if (Impl->Parser->is_done())
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -101,6 +101,10 @@
   /// Precondition: the header section has been read.
   [[nodiscard]] auto framing() const -> BodyFraming;
 
+  /// Returns the length of the body, if the header section names it.
+  /// Precondition: the header section has been read.
+  [[nodiscard]] auto bodyLength() const -> std::optional<std::uint64_t>;
+
   /// Appends the next part of the body to \p Out. Returns false at the end of
   /// the body and on errors; isComplete tells them apart.
   auto readSome(std::string &Out, Duration Timeout) -> Awaitable<bool>;
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -66,6 +66,9 @@
   /// Begins a response with the status and fields of \p Header and a body of
   /// unknown length, which is sent in chunks.
   virtual auto beginResponse(HttpResponse Header) -> Awaitable<void> = 0;
+  /// As beginResponse, with a body of \p Length bytes in all.
+  virtual auto beginResponse(HttpResponse Header, std::uint64_t Length)
+      -> Awaitable<void> = 0;
   virtual auto writeChunk(std::string_view Data) -> Awaitable<void> = 0;
   virtual auto endStream() -> Awaitable<void> = 0;
 
--- a/Libraries/LibNet/ServerExchange.h
+++ b/Libraries/LibNet/ServerExchange.h
@@ -95,22 +95,33 @@
     auto message = http::response<http::empty_body>{};
     fill(message, Header);
     message.chunked(true);
-    auto serializer = http::response_serializer<http::empty_body>{message};
-    Stream.expires_after(WriteTimeout);
-    co_await http::async_write_header(Stream, serializer, asio::use_awaitable);
+    co_await writeHeader(message);
+  }
+
+  auto beginResponse(HttpResponse Header, std::uint64_t Length)
+      -> Awaitable<void> override {
+    auto message = http::response<http::empty_body>{};
+    fill(message, Header);
+    message.content_length(Length);
+    IsChunked = false;
+    co_await writeHeader(message);
   }
 
   auto writeChunk(std::string_view Data) -> Awaitable<void> override {
+    auto const bytes = asio::buffer(Data.data(), Data.size());
     Stream.expires_after(WriteTimeout);
-    co_await asio::async_write(
-        Stream, http::make_chunk(asio::buffer(Data.data(), Data.size())),
-        asio::use_awaitable);
+    if (IsChunked)
+      co_await asio::async_write(Stream, http::make_chunk(bytes),
+                                 asio::use_awaitable);
+    else
+      co_await asio::async_write(Stream, bytes, asio::use_awaitable);
   }
 
   auto endStream() -> Awaitable<void> override {
     Stream.expires_after(WriteTimeout);
-    co_await asio::async_write(Stream, http::make_chunk_last(),
-                               asio::use_awaitable);
+    if (IsChunked)
+      co_await asio::async_write(Stream, http::make_chunk_last(),
+                                 asio::use_awaitable);
     HasResponded = true;
   }
 
@@ -146,6 +157,13 @@
     return Request.keep_alive() && !IsClosing;
   }
 
+  auto writeHeader(http::response<http::empty_body> &Message)
+      -> Awaitable<void> {
+    auto serializer = http::response_serializer<http::empty_body>{Message};
+    Stream.expires_after(WriteTimeout);
+    co_await http::async_write_header(Stream, serializer, asio::use_awaitable);
+  }
+
   template <typename Message>
   auto fill(Message &Target, HttpResponse const &Source) const -> void {
     Target.version(Request.version());
@@ -181,6 +199,7 @@
   Duration WriteTimeout;
   bool const &IsClosing; // NOLINT: owned by the server
   bool HasResponded = false;
+  bool IsChunked = true;
   std::shared_ptr<bool> IsWatched;
 };
 
--- a/Libraries/LibRelay/AttemptReducer.cpp
+++ b/Libraries/LibRelay/AttemptReducer.cpp
@@ -283,7 +283,21 @@
 auto AttemptReducer::handleResponse(RequestNumber Number,
                                     InFlightRequest &Request,
                                     ServerResponse Response) -> void {
-  auto isError = Response.Status >= FirstErrorStatus;
+  if (Response.Status < FirstErrorStatus)
+    QuarantineReducer(CurrentState, Output).observeCompletion(Request);
+  auto const status = Response.Status;
+  if (!acceptResponse(Number, Request, status))
+    return;
+  emit(ForwardResponse{Number, std::move(Response)});
+  RequestReducer(CurrentState, Output).endAttempt(Request);
+  RequestReducer(CurrentState, Output)
+      .finish(Number, ResultCode::Completed, status);
+}
+
+auto AttemptReducer::acceptResponse(RequestNumber Number,
+                                    InFlightRequest &Request, unsigned Status)
+    -> bool {
+  auto isError = Status >= FirstErrorStatus;
   auto &attempt = *Request.CurrentAttempt;
   if (!Request.MatchedRoute->IsStream)
     CustomerReducer(CurrentState, Output).countStart(Request, attempt.SentAt);
@@ -296,26 +310,65 @@
       server->observeDuration(now() - attempt.SentAt,
                               Request.MatchedRoute->TargetLatency);
   }
-  if (!isError)
-    QuarantineReducer(CurrentState, Output).observeCompletion(Request);
   if (isError && Request.isRetryable() &&
       retry(Number, ResultCode::RetriesExhausted))
-    return;
-  if (Request.HasHeader)
-    return RequestReducer(CurrentState, Output)
-        .fail(Number, ResultCode::AnswerLost, std::nullopt);
-  auto status = Response.Status;
+    return false;
   // The server did not report that the request was not executed, so a status
   // that implies this must not be forwarded.
-  if (impliesNotExecuted(status) && !Request.isRetryable())
-    return RequestReducer(CurrentState, Output)
+  if (Request.HasHeader ||
+      (impliesNotExecuted(Status) && !Request.isRetryable())) {
+    RequestReducer(CurrentState, Output)
         .fail(Number, ResultCode::AnswerLost, std::nullopt);
+    return false;
+  }
   emit(ObserveDuration{DurationMetric::FirstPart, Request.MatchedRoute->Name,
                        now() - Request.ArrivedAt});
-  emit(ForwardResponse{Number, std::move(Response)});
-  RequestReducer(CurrentState, Output).endAttempt(Request);
-  RequestReducer(CurrentState, Output)
-      .finish(Number, ResultCode::Completed, status);
+  return true;
+}
+
+auto AttemptReducer::on(AttemptBodyStarted const &Event) -> void {
+  auto *request = findCurrent(Event.Attempt);
+  if (request == nullptr)
+    return;
+  auto const number = Event.Attempt.Request;
+  observeNotice(*request, Event.Response.Status, Event.Response.Notice);
+  if (!acceptResponse(number, *request, Event.Response.Status))
+    return emit(CancelAttempt{Event.Attempt});
+  auto &attempt = *request->CurrentAttempt;
+  attempt.ForwardsBody = true;
+  attempt.HasFirstPart = true;
+  attempt.LastPartAt = now();
+  request->HasHeader = true;
+  auto &header = request->StreamHeader.emplace(Event.Response);
+  auto body = std::exchange(header.Body, {});
+  log(LogLevel::Info, "body-started", "id={} attempt={} server={} framing={}",
+      quoteLogValue(request->Content->Id), attempt.Number, attempt.Server,
+      toString(header.Framing));
+  emit(BeginStream{number, header});
+  emit(ForwardBytes{number, std::move(body)});
+}
+
+auto AttemptReducer::on(AttemptBodyReceived const &Event) -> void {
+  auto *request = findCurrent(Event.Attempt);
+  if (request == nullptr)
+    return;
+  request->CurrentAttempt->LastPartAt = now();
+  QuarantineReducer(CurrentState, Output)
+      .observeAnswer(request->CurrentAttempt->Key);
+  emit(ForwardBytes{Event.Attempt.Request, Event.Bytes});
+}
+
+auto AttemptReducer::on(AttemptBodyEnded const &Event) -> void {
+  auto *request = findCurrent(Event.Attempt);
+  if (request == nullptr)
+    return;
+  auto const status = request->StreamHeader->Status;
+  if (status < FirstErrorStatus)
+    QuarantineReducer(CurrentState, Output).observeCompletion(*request);
+  emit(EndStream{Event.Attempt.Request});
+  auto requests = RequestReducer(CurrentState, Output);
+  requests.endAttempt(*request);
+  requests.finish(Event.Attempt.Request, ResultCode::Completed, status);
 }
 
 auto AttemptReducer::observeFirstPart(InFlightRequest &Request) -> void {
@@ -463,7 +516,9 @@
                                         std::string_view Reason) -> void {
   observeFailure(Request, Id, Reason);
   QuarantineReducer(CurrentState, Output).observeInterruption(Request);
-  auto mayRetry = Request.CurrentAttempt->IsPrefill || Request.isRetryable();
+  // The caller has a part of this very response.
+  auto mayRetry = !Request.CurrentAttempt->ForwardsBody &&
+                  (Request.CurrentAttempt->IsPrefill || Request.isRetryable());
   if (mayRetry && retry(Id.Request, ResultCode::RetriesExhausted))
     return;
   RequestReducer(CurrentState, Output)
--- a/Libraries/LibRelay/AttemptReducer.h
+++ b/Libraries/LibRelay/AttemptReducer.h
@@ -15,6 +15,9 @@
   auto on(AttemptUnreachable const &Event) -> void;
   auto on(ConnectionReleased const &Event) -> void;
   auto on(AttemptResponded const &Event) -> void;
+  auto on(AttemptBodyStarted const &Event) -> void;
+  auto on(AttemptBodyReceived const &Event) -> void;
+  auto on(AttemptBodyEnded const &Event) -> void;
   auto on(AttemptPrefilled const &Event) -> void;
   auto on(AttemptStreamStarted const &Event) -> void;
   auto on(AttemptEventsReceived const &Event) -> void;
@@ -45,6 +48,10 @@
                           std::string_view Reason) -> void;
   auto handleResponse(RequestNumber Number, InFlightRequest &Request,
                       ServerResponse Response) -> void;
+  /// Returns whether a response goes to the caller. Otherwise the request was
+  /// retried or has failed.
+  auto acceptResponse(RequestNumber Number, InFlightRequest &Request,
+                      unsigned Status) -> bool;
 };
 
 } // namespace dotterel::relay
--- a/Libraries/LibRelay/Event.h
+++ b/Libraries/LibRelay/Event.h
@@ -76,6 +76,8 @@
   bool IsMisdirected = false;
   BodyFraming Framing = BodyFraming::Length;
   ServerNotice Notice{};
+  /// Length of the body if it is passed on in parts and the length is known.
+  std::optional<std::uint64_t> Length{};
 };
 
 /// Returns whether \p Status tells a caller that its request was not executed
@@ -89,6 +91,22 @@
   ServerResponse Response;
 };
 
+/// A response whose body is too large to be held; Response has its first part.
+struct AttemptBodyStarted {
+  AttemptId Attempt;
+  ServerResponse Response;
+};
+
+struct AttemptBodyReceived {
+  AttemptId Attempt;
+  std::string Bytes;
+};
+
+/// The body is complete.
+struct AttemptBodyEnded {
+  AttemptId Attempt;
+};
+
 /// Prefill is complete; the server keeps the KV cache under the handle until
 /// another server fetches it.
 struct AttemptPrefilled {
@@ -293,6 +311,7 @@
 using EventBody =
     std::variant<RequestArrived, CallerDisconnected, AttemptConnected,
                  AttemptUnreachable, ConnectionReleased, AttemptResponded,
+                 AttemptBodyStarted, AttemptBodyReceived, AttemptBodyEnded,
                  AttemptPrefilled, AttemptStreamStarted, AttemptEventsReceived,
                  AttemptStreamEnded, AttemptInterrupted, ConfigurationReceived,
                  ConfigurationConfirmed, ServersListed, ServersUpdated,
--- a/Libraries/LibRelay/RequestReducer.cpp
+++ b/Libraries/LibRelay/RequestReducer.cpp
@@ -445,13 +445,18 @@
 
 auto RequestReducer::checkTimeouts(RequestNumber Number,
                                    InFlightRequest &Request) -> void {
+  auto const *attempt =
+      Request.CurrentAttempt ? &*Request.CurrentAttempt : nullptr;
+  // A caller that still reads a response gets all of it, also late.
+  if (attempt != nullptr && attempt->ForwardsBody &&
+      (now() < Request.Deadline ||
+       now() - attempt->LastPartAt < MinimumStallTimeout))
+    return;
   if (now() >= Request.Deadline) {
     if (Request.CurrentAttempt)
       QuarantineReducer(CurrentState, Output).observeInterruption(Request);
     return fail(Number, ResultCode::DeadlineInfeasible, Duration{});
   }
-  auto const *attempt =
-      Request.CurrentAttempt ? &*Request.CurrentAttempt : nullptr;
   if (attempt != nullptr && attempt->PermitRequestedAt)
     return LimitReducer(CurrentState, Output).timeOut(Number);
   if (attempt == nullptr || !attempt->IsSent)
--- a/Libraries/LibRelay/State.h
+++ b/Libraries/LibRelay/State.h
@@ -99,6 +99,8 @@
   bool HasOutstandingTokens = false;
   Instant SentAt;
   Instant LastPartAt;
+  /// A large body is being passed on.
+  bool ForwardsBody = false;
   /// Framing of the streamed response, once its header has arrived.
   std::optional<BodyFraming> Framing;
   /// Prompt tokens to prefill for this attempt, and prompt tokens that were
--- a/Tests/Fuzz/FuzzCallerFront.cpp
+++ b/Tests/Fuzz/FuzzCallerFront.cpp
@@ -36,6 +36,10 @@
       -> Awaitable<void> override {
     co_return;
   }
+  auto beginResponse(dotterel::HttpResponse /*Header*/,
+                     std::uint64_t /*Length*/) -> Awaitable<void> override {
+    co_return;
+  }
   [[nodiscard]] auto path() const -> std::string_view override {
     return {ParsedRequest.target().data(), ParsedRequest.target().size()};
   }
--- a/Tests/Platform/TestHeaders.cpp
+++ b/Tests/Platform/TestHeaders.cpp
@@ -52,6 +52,10 @@
   auto beginResponse(HttpResponse /*Header*/) -> Awaitable<void> override {
     co_return;
   }
+  auto beginResponse(HttpResponse /*Header*/, std::uint64_t /*Length*/)
+      -> Awaitable<void> override {
+    co_return;
+  }
   auto writeChunk(std::string_view /*Data*/) -> Awaitable<void> override {
     co_return;
   }
