LibGateway: Serve callers if the port of the metrics is taken

Callers saw: nothing; the process ended at its start with exit status 1.

Cause: an exception of the metrics' server left Gateway::run.

Why this works: the failure is logged and the instance goes on without metrics. The ports for callers, readiness and steering stay a condition of the start.

ServesCallersIfThePortOfTheMetricsIsTaken passes; it was not run on the code before.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -129,7 +129,13 @@
     };
     MetricsServer = std::make_unique<HttpServer>(
         Context, metricsAddress(Settings), HttpLimits{}, handler, refuse);
-    MetricsServer->start();
+    // Callers are served without metrics, too.
+    try {
+      MetricsServer->start();
+    } catch (boost::system::system_error const &error) {
+      log(LogLevel::Error, "metrics-unavailable",
+          {{"address", metricsAddress(Settings)}, {"error", error.what()}});
+    }
   }
 
   auto applyConfiguration() -> void {
--- a/Tests/LibGateway/TestGateway.cpp
+++ b/Tests/LibGateway/TestGateway.cpp
@@ -1,4 +1,5 @@
 #include "LibGateway/RunningGateway.h"
+#include "LibTest/ScriptedServer.h"
 
 #include "LibRelay/PermitMessage.h"
 
@@ -239,6 +240,14 @@
       std::string::npos);
 }
 
+// Regression test: the process ended at its start if another one had the port
+// of the metrics.
+Test(Gateway, ServesCallersIfThePortOfTheMetricsIsTaken) {
+  auto const other = ScriptedServer(address(MetricsPort), {"taken"});
+  auto gateway = RunningGateway();
+  cr_assert_eq(status(gateway.request("once")), 200);
+}
+
 Test(Gateway, StopsWhenAllRequestsAreComplete) {
   auto gateway = RunningGateway();
   auto started = std::chrono::steady_clock::now();
