--- a/Tests/LibRelay/TestFleet.cpp
+++ b/Tests/LibRelay/TestFleet.cpp
@@ -306,6 +306,24 @@
   cr_assert(node.CurrentState.Requests.empty());
 }
 
+// What a stopping instance has taken is answered before the process ends, also
+// if its server has not responded.
+Test(RelayFleet, RequestTakenWhileLeavingIsAnsweredBeforeTheEnd) {
+  auto node = RelayNode();
+  node.feed(LeaveRequested{});
+  node.advance(1900ms);
+  auto const number = node.request(RouteKind::Booking);
+  cr_assert(node.connect(number).has_value());
+  auto isAnswered = false;
+  for (auto const &it : node.advance(6s)) {
+    if (std::holds_alternative<SendErrorResponse>(it))
+      isAnswered = true;
+    if (std::holds_alternative<StopProcess>(it))
+      cr_assert(isAnswered);
+  }
+  cr_assert(isAnswered);
+}
+
 Test(RelayPeers, ReportsRoundTrip) {
   auto message = report("i1", 3);
   message.Weight = 0.084;
