Tests: Let both memory tests of slow readers share their frame

The two tests differed in the server's script and the callers' rate. Bound, number of callers and rates are as before; both now wait 3 s after the last caller, where one waited 2 s, and callers come 20 ms apart in both, where endless bodies had them at once.

--- a/Tests/LibGateway/TestSlowReaders.cpp
+++ b/Tests/LibGateway/TestSlowReaders.cpp
@@ -67,6 +67,25 @@
   std::thread Thread;
 };
 
+/// Lets 60 callers read the responses of a server that plays \p Steps, and
+/// checks the memory of the instance.
+auto checkMemory(Script Steps, std::size_t BytesPerSecond) -> void {
+  constexpr auto Readers = 60;
+  auto server = ScriptedServer(address(ScriptedPort), std::move(Steps));
+  auto platform = FakePlatform(address(ScriptedPort));
+  auto process = InstanceProcess(platform);
+  auto readers = std::vector<std::unique_ptr<SlowReader>>{};
+  for (auto n = 0; n < Readers; ++n) {
+    readers.push_back(std::make_unique<SlowReader>(BytesPerSecond));
+    std::this_thread::sleep_for(20ms);
+  }
+  std::this_thread::sleep_for(3s);
+  cr_assert(process.isAlive());
+  auto const peak = process.peakMegabytes();
+  cr_expect_lt(peak, MachineMegabytes, "%.0f MB", peak);
+  cr_expect_eq(status(get(ReadyPort, "/-/ready")), 200U);
+}
+
 } // namespace
 
 // Regression test: a stopping instance waited half a second for what its
@@ -111,41 +130,16 @@
 // Regression test: complete responses waited in memory for callers that read
 // them slowly, until the process was over its machine's limit.
 Test(SlowReaders, LargeResponsesStayWithinTheMemory) {
-  constexpr auto Readers = 60;
-  auto const response = responseOf(std::size_t{8} << 20U);
-  auto server = ScriptedServer(address(ScriptedPort), {response});
-  auto platform = FakePlatform(address(ScriptedPort));
-  auto process = InstanceProcess(platform);
-  auto readers = std::vector<std::unique_ptr<SlowReader>>{};
-  for (auto n = 0; n < Readers; ++n) {
-    readers.push_back(std::make_unique<SlowReader>(std::size_t{256} << 10U));
-    std::this_thread::sleep_for(20ms);
-  }
-  std::this_thread::sleep_for(2s);
-  cr_assert(process.isAlive());
-  auto const peak = process.peakMegabytes();
-  cr_expect_lt(peak, MachineMegabytes, "%.0f MB", peak);
-  cr_expect_eq(status(get(ReadyPort, "/-/ready")), 200U);
+  checkMemory({responseOf(std::size_t{8} << 20U)}, std::size_t{256} << 10U);
 }
 
 // Regression test: a faulty server sent bodies without end, all of which were
 // kept up to a limit for each.
 Test(SlowReaders, EndlessBodiesStayWithinTheMemory) {
-  constexpr auto Callers = 60;
-  auto server = ScriptedServer(
-      address(ScriptedPort), {"HTTP/1.1 200 OK\r\nAttempt-Id: 9c41\r\n"
-                              "Server-Seal: s\r\n\r\n",
-                              ConnectionEnd::Repeat, std::string(65536, 'r')});
-  auto platform = FakePlatform(address(ScriptedPort));
-  auto process = InstanceProcess(platform);
-  auto readers = std::vector<std::unique_ptr<SlowReader>>{};
-  for (auto n = 0; n < Callers; ++n)
-    readers.push_back(std::make_unique<SlowReader>(std::size_t{1} << 20U));
-  std::this_thread::sleep_for(3s);
-  cr_assert(process.isAlive());
-  auto const peak = process.peakMegabytes();
-  cr_expect_lt(peak, MachineMegabytes, "%.0f MB", peak);
-  cr_expect_eq(status(get(ReadyPort, "/-/ready")), 200U);
+  checkMemory({"HTTP/1.1 200 OK\r\nAttempt-Id: 9c41\r\n"
+               "Server-Seal: s\r\n\r\n",
+               ConnectionEnd::Repeat, std::string(65536, 'r')},
+              std::size_t{1} << 20U);
 }
 
 // Responses of callers that read at once are complete, however many there are.
