--- a/review/standin-2/Cases.h
+++ b/review/standin-2/Cases.h
@@ -31,10 +31,9 @@
 /// Clients that leave early with prompts of many parts, then one that stays.
 auto runHang(std::string const &Base, bool HasTrouble) -> bool {
   auto site = Site(Base, 182);
-  auto app = Servers(site.Events, site.Registry, "app", site.addresses(40, 4),
-                     6, [](std::size_t, Message const &It) {
-                       return planPlain(It, 15);
-                     });
+  auto app =
+      Servers(site.Events, site.Registry, "app", site.addresses(40, 4), 6,
+              [](std::size_t, Message const &It) { return planPlain(It, 15); });
   auto lm = Servers(site.Events, site.Registry, "lm", site.addresses(60, 6), 64,
                     [](std::size_t, Message const &It) {
                       return planStream(It, 600, 5, 30);
@@ -56,9 +55,9 @@
   for (auto n = 0; n < Windows; ++n) {
     for (auto at = 0.0; at < Window; at += Interval)
       site.Events.after(n * (Window + Pause) + at, [&] {
-        early.push_back(site.Clients->send(
-            "POST", "/lm/" + std::to_string(early.size()), 8000, prompt,
-            HasTrouble ? 300 : 0));
+        early.push_back(
+            site.Clients->send("POST", "/lm/" + std::to_string(early.size()),
+                               8000, prompt, HasTrouble ? 300 : 0));
       });
   }
   site.Events.run(leavingEnds);
@@ -79,8 +78,8 @@
   auto longest = 0.0;
   for (auto const &it : ordinary) {
     if (it->SentAt + PlainTimeout + 500 <= ends)
-      longest = std::max(longest, (it->EndedAt < 0 ? ends : it->EndedAt) -
-                                      it->SentAt);
+      longest = std::max(longest,
+                         (it->EndedAt < 0 ? ends : it->EndedAt) - it->SentAt);
   }
   for (auto at = leavingEnds - 3000; at < ends - PlainTimeout - 500;
        at += 1000) {
@@ -199,8 +198,7 @@
       site.Events.after(n * (Window + Pause) + at, [&] {
         auto const call = site.Clients->send(
             "POST", "/lm/" + std::to_string(number), 8000,
-            promptFields(0x100000 + number * 1700, 1700),
-            HasTrouble ? 300 : 0);
+            promptFields(0x100000 + number * 1700, 1700), HasTrouble ? 300 : 0);
         left += HasTrouble ? 1 : 0;
         ++number;
       });
@@ -262,21 +260,23 @@
       });
   site.configure(KeptTraffic::routes());
   site.start();
-  auto const codings = std::vector<std::string>{"gzip", "identity",
-                                                "chunked, gzip"};
+  auto const codings =
+      std::vector<std::string>{"gzip", "identity", "chunked, gzip"};
   auto isBroken = false;
   for (auto n = std::size_t{0}; n < codings.size(); ++n) {
     auto const number = std::to_string(n);
     auto const inner = "POST /plain/cancel HTTP/1.1\r\nHost: site.example\r\n"
-                       "Attempt-Id: inside-" + number +
+                       "Attempt-Id: inside-" +
+                       number +
                        "\r\nDeadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n";
     auto const framing =
         HasTrouble ? "Transfer-Encoding: " + codings[n]
                    : "Content-Length: " + std::to_string(inner.size());
     auto const channel = site.Events.connect(site.Process->front());
     channel->Out = "POST /plain/book HTTP/1.1\r\nHost: site.example\r\n"
-                   "Attempt-Id: outside-" + number +
-                   "\r\nDeadline-Ms: 3000\r\n" + framing + "\r\n\r\n" + inner;
+                   "Attempt-Id: outside-" +
+                   number + "\r\nDeadline-Ms: 3000\r\n" + framing + "\r\n\r\n" +
+                   inner;
     record("%8.0f ms: a client sends one request, id outside-%zu, %s, "
            "%zu bytes of body that contain a request with id inside-%zu",
            now(), n, framing.c_str(), inner.size(), n);
--- a/review/standin-2/Driver.cpp
+++ b/review/standin-2/Driver.cpp
@@ -121,8 +121,8 @@
     auto connection = std::make_shared<Connection>();
     connection->Handle = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
     auto const at = endpoint(Address);
-    (void)::connect(connection->Handle,
-                    reinterpret_cast<sockaddr const *>(&at), sizeof at);
+    (void)::connect(connection->Handle, reinterpret_cast<sockaddr const *>(&at),
+                    sizeof at);
     Connections.push_back(connection);
     return connection;
   }
@@ -164,10 +164,9 @@
       polled.push_back({it.Handle, POLLIN, 0});
     auto const open = Connections;
     for (auto const &it : open)
-      polled.push_back({it->Handle,
-                        static_cast<short>(POLLIN |
-                                           (it->Out.empty() ? 0 : POLLOUT)),
-                        0});
+      polled.push_back(
+          {it->Handle,
+           static_cast<short>(POLLIN | (it->Out.empty() ? 0 : POLLOUT)), 0});
     auto const next = Timers.empty() ? Until : Timers.top().At;
     auto const wait = std::max(0.0, std::min(next, Until) - now());
     ::poll(polled.data(), polled.size(), static_cast<int>(wait) + 1);
@@ -202,8 +201,8 @@
     if (!Target.IsOpen || Events == 0)
       return;
     if ((Events & POLLOUT) != 0 && !Target.Out.empty()) {
-      auto const n = ::send(Target.Handle, Target.Out.data(),
-                            Target.Out.size(), MSG_NOSIGNAL);
+      auto const n = ::send(Target.Handle, Target.Out.data(), Target.Out.size(),
+                            MSG_NOSIGNAL);
       if (n > 0)
         Target.Out.erase(0, static_cast<std::size_t>(n));
       if (Target.Out.empty() && Target.ClosesAfterOut)
@@ -244,8 +243,8 @@
   if (end == std::string::npos)
     return false;
   auto const header = In.substr(0, end + 2);
-  auto const length = std::strtoul(field(header, "Content-Length").c_str(),
-                                   nullptr, 10);
+  auto const length =
+      std::strtoul(field(header, "Content-Length").c_str(), nullptr, 10);
   if (In.size() < end + 4 + length)
     return false;
   auto line = std::istringstream(header);
@@ -259,10 +258,9 @@
 
 auto respond(Loop::Connection &Target, std::string const &Status,
              std::string const &Body, std::string const &Fields = "") -> void {
-  Target.Out += "HTTP/1.1 " + Status +
-                "\r\nContent-Type: application/json\r\n" + Fields +
-                "Content-Length: " + std::to_string(Body.size()) +
-                "\r\n\r\n" + Body;
+  Target.Out +=
+      "HTTP/1.1 " + Status + "\r\nContent-Type: application/json\r\n" + Fields +
+      "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
 }
 
 /// The platform's store: objects by kind and name, lists, watches, and
@@ -312,14 +310,14 @@
 
   static auto objectText(std::string const &Name, Object const &It)
       -> std::string {
-    return R"({"metadata":{"name":")" + Name +
-           R"(","revision":)" + std::to_string(It.Revision) +
+    return R"({"metadata":{"name":")" + Name + R"(","revision":)" +
+           std::to_string(It.Revision) +
            R"(,"created":1,"finalizers":[],"deleting":false},"spec":)" +
            It.Spec + R"(,"status":null})";
   }
 
-  auto changed(std::string const &Kind, std::string const &Name,
-               bool IsDeleted, std::string const &Old = "") -> void {
+  auto changed(std::string const &Kind, std::string const &Name, bool IsDeleted,
+               std::string const &Old = "") -> void {
     auto const object = IsDeleted ? Old : objectText(Name, Objects[Kind][Name]);
     History.push_back({Revision, Kind,
                        std::string(R"({"deleted":)") +
@@ -391,10 +389,10 @@
     auto &objects = Objects[kind];
     if (It.Method == "GET" && name.empty() &&
         It.Target.find("watch=") != std::string::npos) {
-      auto watch = Watch{Connection, kind,
-                         std::strtoull(query(It.Target, "watch").c_str(),
-                                       nullptr, 10),
-                         ++LastWatch};
+      auto watch =
+          Watch{Connection, kind,
+                std::strtoull(query(It.Target, "watch").c_str(), nullptr, 10),
+                ++LastWatch};
       auto const isNew =
           !History.empty() &&
           std::any_of(History.begin(), History.end(), [&](auto const &Past) {
@@ -468,7 +466,7 @@
   using Planner = std::function<std::vector<Part>(std::size_t Server,
                                                   Message const &Request)>;
 
-  Servers(Loop &Events, Store &Registry, std::string Service,
+  Servers(Loop &Events, Store &Registry, std::string const &Service,
           std::vector<std::string> const &Addresses, unsigned Slots,
           Planner Plan)
       : Events(Events), Plan(std::move(Plan)) {
@@ -540,8 +538,8 @@
   for (auto n = 1U; n <= Count; ++n) {
     auto bytes = chunk("id: " + std::to_string(n) + "\ndata: token\n\n");
     if (n == 1)
-      bytes = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
-              seal(Request) + "Transfer-Encoding: chunked\r\n\r\n" + bytes;
+      bytes.insert(0, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
+                          seal(Request) + "Transfer-Encoding: chunked\r\n\r\n");
     if (n == Count)
       bytes += "0\r\n\r\n";
     parts.push_back({First + Gap * (n - 1), std::move(bytes)});
@@ -586,8 +584,9 @@
     call->SentAt = now();
     call->Connection = Events.connect(Front);
     call->Connection->Out =
-        Method + " " + Path + " HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: " +
-        id + "\r\nDeadline-Ms: " + std::to_string(DeadlineMs) + "\r\n" +
+        Method + " " + Path +
+        " HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: " + id +
+        "\r\nDeadline-Ms: " + std::to_string(DeadlineMs) + "\r\n" +
         (Method == "POST" ? "Content-Length: 0\r\n" : "") + Fields + "\r\n";
     auto weak = std::weak_ptr(call);
     call->Connection->OnInput = [this, weak](Loop::Connection &) {
@@ -739,12 +738,11 @@
     Pid = ::fork();
     if (Pid != 0)
       return;
-    auto const log = ::open((Folder + "/log").c_str(),
-                            O_CREAT | O_WRONLY | O_TRUNC, 0600);
+    auto const log =
+        ::open((Folder + "/log").c_str(), O_CREAT | O_WRONLY | O_TRUNC, 0600);
     ::dup2(log, 1);
     ::dup2(log, 2);
-    ::setenv("DOTTERELSTREAM_SETTINGS", (Folder + "/settings.json").c_str(),
-             1);
+    ::setenv("DOTTERELSTREAM_SETTINGS", (Folder + "/settings.json").c_str(), 1);
     ::execl("target/dotterelstream", "target/dotterelstream", "relay",
             static_cast<char *>(nullptr));
     ::_exit(127);
@@ -780,8 +778,7 @@
 
   /// Returns a figure of /proc/PID/status in MB.
   [[nodiscard]] auto memory(std::string const &Name) const -> double {
-    auto status =
-        std::ifstream("/proc/" + std::to_string(Pid) + "/status");
+    auto status = std::ifstream("/proc/" + std::to_string(Pid) + "/status");
     auto line = std::string{};
     while (std::getline(status, line)) {
       if (line.starts_with(Name + ":"))
@@ -802,21 +799,19 @@
       : Base(Base), Registry(Events, Base + ".2:8142"), Memory(Memory) {}
 
   auto configure(std::string const &Routes) -> void {
-    Registry.put(
-        "config", "main",
-        R"({"version":7,"routes":[)" + Routes +
-            R"(],"services":[{"name":"lm","health_path":"/health",)"
-            R"("max_conns":786,"protocol":"h1","tls":false},)"
-            R"({"name":"app","health_path":"/health","max_conns":234,)"
-            R"("protocol":"h1","tls":false}],"limits":{)"
-            R"("max_header_bytes":16384,"max_body_bytes":4194304,)"
-            R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})");
+    Registry.put("config", "main",
+                 R"({"version":7,"routes":[)" + Routes +
+                     R"(],"services":[{"name":"lm","health_path":"/health",)"
+                     R"("max_conns":786,"protocol":"h1","tls":false},)"
+                     R"({"name":"app","health_path":"/health","max_conns":234,)"
+                     R"("protocol":"h1","tls":false}],"limits":{)"
+                     R"("max_header_bytes":16384,"max_body_bytes":4194304,)"
+                     R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})");
   }
 
   /// Starts the instance and waits until it counts as ready.
   auto start() -> void {
-    Process = std::make_unique<Instance>(Base + ".10", Registry_address(),
-                                         Memory);
+    Process = std::make_unique<Instance>(Base + ".10", storeAddress(), Memory);
     Clients = std::make_unique<Client>(Events, Process->front());
     auto probes = Client(Events, Process->ready());
     for (auto n = 0; n < 100; ++n) {
@@ -833,7 +828,7 @@
     giveUp("the instance is not ready");
   }
 
-  auto Registry_address() const -> std::string { return Base + ".2:8142"; }
+  auto storeAddress() const -> std::string { return Base + ".2:8142"; }
 
   auto addresses(unsigned First, unsigned Count) const
       -> std::vector<std::string> {
