--- a/review/standin-2/Cases.h
+++ b/review/standin-2/Cases.h
@@ -299,7 +299,45 @@
   return isBroken;
 }
 
+/// Three of twenty servers answer with bytes that are no events, without end.
+auto runEndless(std::string const &Base, bool HasTrouble) -> bool {
+  auto site = Site(Base, 112);
+  auto ordinary = KeptTraffic(site);
+  auto faulty = std::size_t{0};
+  auto lm = Servers(
+      site.Events, site.Registry, "lm", site.addresses(60, 20), 64,
+      [&](std::size_t Server, Message const &It) {
+        if (!HasTrouble || Server >= 3)
+          return planStream(It, 300, 40, 100);
+        ++faulty;
+        auto parts = std::vector<Part>{
+            {100, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
+                      seal(It) + "Transfer-Encoding: chunked\r\n\r\n"}};
+        // At first 1 MB/s, then a little each second until its deadline.
+        for (auto n = 1; n <= 9; ++n)
+          parts.push_back({100.0 + 100 * n, chunk(std::string(100000, 'x'))});
+        for (auto n = 2; n < 8; ++n)
+          parts.push_back({1000.0 * n, chunk(std::string(1000, 'x'))});
+        return parts;
+      });
+  site.configure(KeptTraffic::routes() + "," + streamRoute());
+  site.start();
+  ordinary.start(site);
+  for (auto at = 0.0; at < 12000; at += 6)
+    site.Events.after(at,
+                      [&] { site.Clients->send("POST", "/lm/2f", 8000, ""); });
+  auto const highest = watchMemory(site, ordinary, now() + 14000);
+  auto const lost = ordinary.lost();
+  record("streams: %zu, at their servers %zu, of them at the faulty ones %zu; "
+         "ordinary requests answered %zu, on kept channels passed on and not "
+         "answered %zu; highest memory %.0f MB of %u",
+         site.Clients->Calls.size(), lm.Received, faulty, ordinary.answered(),
+         lost, highest, site.Memory);
+  return lost > 3;
+}
+
 auto const Cases = std::map<std::string, Case>{{"hang", runHang},
                                                {"evidence", runEvidence},
                                                {"crowd", runCrowd},
-                                               {"smuggle", runSmuggle}};
+                                               {"smuggle", runSmuggle},
+                                               {"endless", runEndless}};
--- a/review/standin-2/Driver.cpp
+++ b/review/standin-2/Driver.cpp
@@ -22,6 +22,7 @@
 #include <set>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
