--- a/review/standin-2/Cases.h
+++ b/review/standin-2/Cases.h
@@ -314,8 +314,8 @@
             {100, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
                       seal(It) + "Transfer-Encoding: chunked\r\n\r\n"}};
         // At first 1 MB/s, then a little each second until its deadline.
-        for (auto n = 1; n <= 9; ++n)
-          parts.push_back({100.0 + 100 * n, chunk(std::string(100000, 'x'))});
+        for (auto n = 1; n <= 10; ++n)
+          parts.push_back({100.0 + 100 * n, chunk(std::string(104000, 'x'))});
         for (auto n = 2; n < 8; ++n)
           parts.push_back({1000.0 * n, chunk(std::string(1000, 'x'))});
         return parts;
