--- a/Tests/LibGateway/TestFaultyServers.cpp
+++ b/Tests/LibGateway/TestFaultyServers.cpp
@@ -2,7 +2,7 @@
 /// Servers that repeat a refusal, or that answer a resumed stream with an
 /// error, on every kind of route.
 #include "LibGateway/KeepAliveServer.h"
-#include "LibGateway/RunningGateway.h"
+#include "LibGateway/ScriptedRoutes.h"
 
 #include <fmt/format.h>
 
@@ -12,52 +12,6 @@
 
 namespace {
 
-constexpr auto SecondScriptedPort = 21749;
-
-/// Routes of the configuration.
-constexpr auto Bookings = "once";
-constexpr auto Lookups = "lookup";
-constexpr auto Streams = "stream";
-constexpr auto ResumableStreams = "resumable";
-
-auto route(std::string_view Name, std::string_view Kind, bool IsResumable,
-           unsigned MaximumServers) -> std::string {
-  return fmt::format(
-      R"({{"name":"{0}","host":"h.example","path_prefix":"/{0}/","kind":"{1}",)"
-      R"("timeout_ms":2000,"target_latency_ms":300,"service":"s1",)"
-      R"("max_attempts":{3},"target_gap_ms":200,"resumable":{2}}})",
-      Name, Kind, IsResumable, MaximumServers);
-}
-
-/// A gateway whose service has servers at the given ports, and whose routes may
-/// try \p MaximumServers.
-auto prepare(std::vector<int> const &Ports, unsigned MaximumServers = 2)
-    -> std::function<void(FakePlatform &)> {
-  return [Ports, MaximumServers](FakePlatform &Platform) {
-    Platform.putObject(
-        "config", "main",
-        objectText(
-            "main",
-            fmt::format(
-                R"({{"version":4,"routes":[{},{},{},{}],)"
-                R"("services":[{{"name":"s1","max_conns":100}}]}})",
-                route(Bookings, "non_idempotent", false, MaximumServers),
-                route(Lookups, "idempotent", false, MaximumServers),
-                route(Streams, "streaming", false, MaximumServers),
-                route(ResumableStreams, "streaming", true, MaximumServers))));
-    auto n = 1;
-    for (auto it : Ports) {
-      auto const name = fmt::format("i-{}", n++);
-      Platform.putObject(
-          "servers", name,
-          objectText(name, fmt::format(R"({{"service":"s1","address":"{}",)"
-                                       R"("zone":"z1","slots":6,)"
-                                       R"("state":"ready","born":1000}})",
-                                       address(it))));
-    }
-  };
-}
-
 auto refusal(std::string_view IdField) -> ScriptedResponse {
   return {
       fmt::format("HTTP/1.1 503 Service Unavailable\r\n{}Not-Executed: 1\r\n"
@@ -66,17 +20,6 @@
       false, false};
 }
 
-/// A complete response, which streams two events on routes of streams.
-auto success(std::string_view Route) -> ScriptedResponse {
-  auto const isStream = Route == Streams || Route == ResumableStreams;
-  auto const *body = isStream ? "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n" : "done";
-  return {fmt::format("HTTP/1.1 200 OK\r\nContent-Type: {}\r\n"
-                      "Attempt-Id: @ID\r\nServer-Seal: s\r\n"
-                      "Content-Length: {}\r\n\r\n{}",
-                      isStream ? "text/event-stream" : "text/plain",
-                      std::string_view(body).size(), body)};
-}
-
 constexpr auto IdField = std::string_view{"Attempt-Id: @ID\r\n"};
 
 /// Checks that a request after a refusal on the same connection is neither
@@ -84,8 +27,8 @@
 auto assertRepeatedRefusalIsNotUsed(std::string_view RefusalId, bool RepeatsId)
     -> void {
   auto server = KeepAliveServer({address(ScriptedPort)}, {success(Bookings)});
-  auto gateway = RunningGateway("", prepare({ScriptedPort}, 1));
-  for (auto const *it : {Bookings, Lookups, Streams, ResumableStreams}) {
+  auto gateway = RunningGateway("", prepareRoutes({ScriptedPort}, 1));
+  for (auto const *it : AllRoutes) {
     server.setResponses({refusal(RefusalId), success(it)});
     auto const id = fmt::format("{}-1", it);
     auto const refused = status(gateway.request(it, {{"Attempt-Id", id}}));
@@ -147,7 +90,7 @@
   auto server = KeepAliveServer(
       {address(ScriptedPort), address(SecondScriptedPort)}, {Start});
   auto gateway =
-      RunningGateway("", prepare({ScriptedPort, SecondScriptedPort}));
+      RunningGateway("", prepareRoutes({ScriptedPort, SecondScriptedPort}));
   for (auto const *it : {Streams, ResumableStreams}) {
     for (auto const &error : errors()) {
       server.setResponses({Start, {error}});
@@ -174,8 +117,8 @@
 // The instance repeats the request at the same server, the only one.
 Test(FaultyServers, RepeatedRefusalOfARetriedRequestIsNotUsed) {
   auto server = KeepAliveServer({address(ScriptedPort)}, {success(Bookings)});
-  auto gateway = RunningGateway("", prepare({ScriptedPort}));
-  for (auto const *it : {Bookings, Lookups, Streams, ResumableStreams}) {
+  auto gateway = RunningGateway("", prepareRoutes({ScriptedPort}));
+  for (auto const *it : AllRoutes) {
     server.setResponses({refusal(IdField), success(it)});
     auto const seen = status(gateway.request(it, {{"Attempt-Id", it}}));
     cr_assert_eq(server.runs(it), 1, "%s", it);
@@ -213,7 +156,7 @@
         "", "id: 1\ndata: 1\n\nHTTP/1.1 500 Internal Server Error\r\n"
             "Content-Type: text/plain\r\n\r\nFAULT\n\n");
     auto server = KeepAliveServer({address(ScriptedPort)}, {response});
-    auto gateway = RunningGateway("", prepare({ScriptedPort}));
+    auto gateway = RunningGateway("", prepareRoutes({ScriptedPort}));
     cr_assert_not(gateway.request(it, {{"Attempt-Id", "r1"}}).Response);
   }
 }
@@ -222,7 +165,7 @@
   auto const events = std::string("id: 0\ndata: 0\n\nid: 1\ndata: 1\n\n");
   auto server =
       KeepAliveServer({address(ScriptedPort)}, {streamStart("", events)});
-  auto gateway = RunningGateway("", prepare({ScriptedPort}));
+  auto gateway = RunningGateway("", prepareRoutes({ScriptedPort}));
   for (auto const *it : {Streams, ResumableStreams}) {
     auto const result = gateway.request(it, {{"Attempt-Id", it}});
     cr_assert_eq(status(result), 200);
