LibNet: Don't take a reset during the upload for the end of a response

Seen by callers: a server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection. The caller got that part as a complete response.

Cause: the reset fails the write of the request, and the kernel reports such an error once. The reads that follow get what had arrived and then an orderly end, which is how a body without length or chunks ends. The instance reads the response although the write failed, because servers may respond before they have read a request. The same happens if the server stops reading: the system gives up the connection (TCP_USER_TIMEOUT), which also fails the write.

Change: after a failed write, a body that lasts until the server closes is not complete. A broken pipe is not such a failure: the kernel reports it if the server had ended its side in order before the reset, so the end is real. Everything that reads responses asks isComplete(): forwarded bodies below and above 32 KB, streams, prefills, skipped responses.

Ruled out: a reset while the response is read; the read reports it (existing test ResetEndsNoBodyThatLastsUntilClose). Bodies with a length or in chunks: held before, tests kept.

--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -109,7 +109,8 @@
   /// the body and on errors; isComplete tells them apart.
   auto readSome(std::string &Out, Duration Timeout) -> Awaitable<bool>;
 
-  /// Returns whether the response has been read completely.
+  /// Returns whether the response has been read completely. A body that lasts
+  /// until the server closes is never complete if the connection failed.
   [[nodiscard]] auto isComplete() const -> bool;
 
   /// Returns whether the connection can carry another exchange: the response
--- a/Libraries/LibTest/ScriptedServer.h
+++ b/Libraries/LibTest/ScriptedServer.h
@@ -23,6 +23,10 @@
 enum class ConnectionEnd {
   Close,
   Reset,
+  /// Ends the response in order, then resets the connection.
+  HalfCloseThenReset,
+  /// Keeps the connection open and neither reads nor writes.
+  Stall,
   /// Writes Script::Repeated until the client closes the connection.
   Repeat,
 };
@@ -31,6 +35,8 @@
   std::string Response{};
   ConnectionEnd End = ConnectionEnd::Close;
   std::string Repeated{};
+  /// Responds before the body of the request has arrived, and never reads it.
+  bool IsEarly = false;
 };
 
 /// Plays one script on each connection until destroyed, on a thread of its own.
@@ -67,6 +73,9 @@
   [[nodiscard]] auto connectionsEnded() const -> unsigned { return Ended; }
 
 private:
+  /// Longer than any client waits.
+  static constexpr auto MaximumStall = Duration{60s};
+
   auto accept() -> Awaitable<void> {
     while (true) {
       auto socket = std::make_shared<asio::ip::tcp::socket>(
@@ -79,27 +88,34 @@
 
   auto play(asio::ip::tcp::socket &Socket, Script Current) -> Awaitable<void> {
     auto ec = boost::system::error_code{};
-    co_await readRequest(Socket, ec);
+    co_await readRequest(Socket, Current.IsEarly, ec);
     if (!ec)
       co_await write(Socket, Current.Response, ec);
     while (!ec && Current.End == ConnectionEnd::Repeat)
       co_await write(Socket, Current.Repeated, ec);
-    if (Current.End == ConnectionEnd::Reset)
+    if (Current.End == ConnectionEnd::Stall)
+      co_await sleepFor(MaximumStall);
+    if (Current.End == ConnectionEnd::HalfCloseThenReset)
+      Socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+    if (Current.End == ConnectionEnd::Reset ||
+        Current.End == ConnectionEnd::HalfCloseThenReset)
       Socket.set_option(asio::socket_base::linger(true, 0), ec);
     Socket.close(ec);
     ++Ended;
   }
 
   /// Reads all bytes of the request: closing with unread bytes would reset the
-  /// connection.
-  auto readRequest(asio::ip::tcp::socket &Socket, boost::system::error_code &ec)
-      -> Awaitable<void> {
+  /// connection. Reads only its header section if \p SkipsBody.
+  auto readRequest(asio::ip::tcp::socket &Socket, bool SkipsBody,
+                   boost::system::error_code &ec) -> Awaitable<void> {
     auto text = std::string{};
     auto size = co_await asio::async_read_until(
         Socket, asio::dynamic_buffer(text), "\r\n\r\n", useError(ec));
     if (ec)
       co_return;
     ++Requests;
+    if (SkipsBody)
+      co_return;
     constexpr auto Field = std::string_view{"Content-Length: "};
     auto at = text.find(Field);
     if (at < size)
--- a/Tests/LibGateway/KeepAliveServer.h
+++ b/Tests/LibGateway/KeepAliveServer.h
@@ -29,6 +29,9 @@
   bool Closes = false;
   /// The server runs the request.
   bool Runs = true;
+  /// Responds before the body of the request has arrived, then resets the
+  /// connection.
+  bool ResetsUpload = false;
 };
 
 /// Listens on several addresses and plays one list of responses to the requests
@@ -94,10 +97,15 @@
     auto refusal = std::string{};
     auto ec = boost::system::error_code{};
     while (!ec) {
-      auto const id = co_await readRequest(Socket, input, ec);
+      auto const header = co_await readHeader(Socket, input, ec);
       if (ec)
         break;
+      auto const id = field(header, "Attempt-Id");
       auto const response = next(id);
+      if (!response.ResetsUpload)
+        co_await skipBody(Socket, header, input, ec);
+      if (ec)
+        break;
       auto text = response.Text;
       for (auto at = text.find("@ID"); at != std::string::npos;
            at = text.find("@ID"))
@@ -105,7 +113,9 @@
       co_await asio::async_write(Socket, asio::buffer(refusal + text),
                                  useError(ec));
       refusal = response.Runs ? "" : text;
-      if (response.Closes)
+      if (response.ResetsUpload)
+        Socket.set_option(asio::socket_base::linger(true, 0), ec);
+      if (response.Closes || response.ResetsUpload)
         break;
     }
     Socket.close(ec);
@@ -119,20 +129,27 @@
     return response;
   }
 
-  /// Reads a request and returns its id.
-  static auto readRequest(asio::ip::tcp::socket &Socket, std::string &Input,
-                          boost::system::error_code &ec)
+  /// Returns the header section of the next request.
+  static auto readHeader(asio::ip::tcp::socket &Socket, std::string &Input,
+                         boost::system::error_code &ec)
       -> Awaitable<std::string> {
-    auto size = co_await asio::async_read_until(
+    auto const size = co_await asio::async_read_until(
         Socket, asio::dynamic_buffer(Input), "\r\n\r\n", useError(ec));
-    auto const header = Input.substr(0, size);
-    size += std::strtoul(field(header, "Content-Length").c_str(), nullptr, 10);
-    if (!ec && Input.size() < size)
+    auto header = Input.substr(0, size);
+    Input.erase(0, size);
+    co_return header;
+  }
+
+  static auto skipBody(asio::ip::tcp::socket &Socket, std::string Header,
+                       std::string &Input, boost::system::error_code &ec)
+      -> Awaitable<void> {
+    auto const size =
+        std::strtoul(field(Header, "Content-Length").c_str(), nullptr, 10);
+    if (Input.size() < size)
       co_await asio::async_read(Socket, asio::dynamic_buffer(Input),
                                 asio::transfer_exactly(size - Input.size()),
                                 useError(ec));
     Input.erase(0, size);
-    co_return field(header, "Attempt-Id");
   }
 
   static auto field(std::string const &Header, std::string const &Name)
--- a/Tests/LibGateway/ScriptedRoutes.cpp
+++ b/Tests/LibGateway/ScriptedRoutes.cpp
@@ -21,15 +21,16 @@
   return Route == Streams || Route == ResumableStreams;
 }
 
-auto prepareRoutes(std::vector<int> Ports, unsigned MaximumServers)
+auto prepareRoutes(std::vector<int> const &Ports, unsigned MaximumServers)
     -> std::function<void(FakePlatform &)> {
-  return [Ports = std::move(Ports), MaximumServers](FakePlatform &Platform) {
+  return [Ports, MaximumServers](FakePlatform &Platform) {
     Platform.putObject(
         "config", "main",
         objectText(
             "main",
             fmt::format(
                 R"({{"version":4,"routes":[{},{},{},{}],)"
+                R"("limits":{{"max_body_bytes":33554432}},)"
                 R"("services":[{{"name":"s1","max_conns":100}}]}})",
                 route(Bookings, "non_idempotent", false, MaximumServers),
                 route(Lookups, "idempotent", false, MaximumServers),
--- a/Tests/LibGateway/ScriptedRoutes.h
+++ b/Tests/LibGateway/ScriptedRoutes.h
@@ -26,7 +26,7 @@
 
 /// Returns what prepares a gateway whose service has servers at \p Ports, and
 /// whose routes may try \p MaximumServers.
-[[nodiscard]] auto prepareRoutes(std::vector<int> Ports,
+[[nodiscard]] auto prepareRoutes(std::vector<int> const &Ports,
                                  unsigned MaximumServers = 2)
     -> std::function<void(FakePlatform &)>;
 
--- a/Tests/LibNet/TestHttpClient.cpp
+++ b/Tests/LibNet/TestHttpClient.cpp
@@ -2,6 +2,8 @@
 #include "LibNet/Task.h"
 #include "LibTest/ScriptedServer.h"
 
+#include <fmt/format.h>
+
 #include <criterion/criterion.h>
 
 namespace dotterel::test {
@@ -9,6 +11,11 @@
 namespace {
 
 constexpr auto ServerAddress = std::string_view{"127.0.0.1:21751"};
+/// Larger than what the sockets of both sides keep while a server does not
+/// read.
+constexpr auto UploadBytes = std::size_t{16} << 20U;
+/// Above the time after which the system gives up a connection that stalls.
+constexpr auto UploadTimeout = Duration{20s};
 
 /// What a client sees of one response.
 struct Reception {
@@ -19,11 +26,12 @@
   bool IsReusable = false;
 };
 
-auto receive(Reception &Output) -> Awaitable<void> {
+auto receive(Reception &Output, std::string_view Body = {}) -> Awaitable<void> {
   auto connection = HttpConnection(co_await asio::this_coro::executor);
   if (!co_await connection.connect(ServerAddress, 1s))
     co_return;
-  (void)co_await connection.send({"GET", "/", "", {}, ""}, 1s);
+  (void)co_await connection.send(
+      {Body.empty() ? "GET" : "POST", "/", "", {}, Body}, UploadTimeout);
   Output.Status = co_await connection.readHeader(1s);
   if (Output.Status == 0)
     co_return;
@@ -34,15 +42,21 @@
   Output.IsReusable = Output.IsComplete && connection.isReusable();
 }
 
-auto receiveFrom(Script Steps) -> Reception {
+auto receiveFrom(Script Steps, std::string_view Body = {}) -> Reception {
   auto server = ScriptedServer(ServerAddress, std::move(Steps));
   auto context = asio::io_context{1};
   auto reception = Reception{};
-  spawnTask(context, "reception", [&] { return receive(reception); });
+  spawnTask(context, "reception", [&] { return receive(reception, Body); });
   context.run();
   return reception;
 }
 
+/// Returns what a client sees that is still uploading when the response ends.
+auto receiveDuringUpload(std::string Response, ConnectionEnd End) -> Reception {
+  static auto const body = std::string(UploadBytes, 'u');
+  return receiveFrom({std::move(Response), End, "", true}, body);
+}
+
 } // namespace
 
 Test(HttpClient, TellsHowTheBodyIsFramed) {
@@ -68,6 +82,50 @@
   cr_assert_not(reception.IsComplete);
 }
 
+// Regression test: the reset failed the upload, and what had arrived of the
+// body looked complete.
+Test(HttpClient, ResetDuringTheUploadEndsNoBodyThatLastsUntilClose) {
+  for (auto const *version : {"1.0", "1.1"}) {
+    for (auto const &body :
+         {std::string{}, std::string("part"), std::string(100000, 'p'),
+          std::string("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")}) {
+      auto const reception = receiveDuringUpload(
+          fmt::format("HTTP/{} 200 OK\r\n\r\n{}", version, body),
+          ConnectionEnd::Reset);
+      cr_expect_not(reception.IsComplete, "%s: %zu bytes", version,
+                    body.size());
+    }
+  }
+}
+
+Test(HttpClient, ResetDuringTheUploadLeavesFramedBodiesAsTheyAre) {
+  for (auto const *head : {"Content-Length: 4\r\n\r\n",
+                           "Transfer-Encoding: chunked\r\n\r\n4\r\n"}) {
+    auto const isChunked = std::string_view(head).starts_with("Transfer");
+    auto const part = fmt::format("HTTP/1.1 200 OK\r\n{}bod", head);
+    cr_expect_not(receiveDuringUpload(part, ConnectionEnd::Reset).IsComplete);
+    auto const whole = part + (isChunked ? "y\r\n0\r\n\r\n" : "y");
+    auto const reception = receiveDuringUpload(whole, ConnectionEnd::Reset);
+    cr_expect(reception.IsComplete, "%s", head);
+    cr_expect(reception.Body == "body", "%s", head);
+  }
+}
+
+// The system gives up the connection, which fails the upload.
+Test(HttpClient, StalledUploadEndsNoBodyThatLastsUntilClose) {
+  auto const reception =
+      receiveDuringUpload("HTTP/1.1 200 OK\r\n\r\npart", ConnectionEnd::Stall);
+  cr_assert_not(reception.IsComplete);
+}
+
+// A server need not read a request that it has responded to.
+Test(HttpClient, OrderlyEndDuringTheUploadCompletesTheResponse) {
+  auto const reception = receiveDuringUpload("HTTP/1.1 200 OK\r\n\r\nbody",
+                                             ConnectionEnd::HalfCloseThenReset);
+  cr_assert(reception.IsComplete);
+  cr_assert(reception.Body == "body");
+}
+
 // Regression test: a server whose chunks or trailers never ended filled the
 // memory.
 Test(HttpClient, EndlessHeadIsNotKept) {
