LibNet: Reject responses whose status is out of range

Seen by callers: a server in trouble sent a response with status 000, and the caller got it as a response.

Cause: every status below 200 counted as interim, so a response with 000 to 099 was skipped as a header section without body. What followed, its own body, was read as the response: a body that reads like a response to the request reached the caller as a 200. A body that does not was waited on until the route's timeout (504). A status above 599 was passed on as it was.

Change: HttpConnection::readHeader, which all readers of HTTP responses use, fails on a status outside 100 to 599 (RFC 9110, section 15) and logs it (response-status-invalid). For a request this is an attempt without response: retried where that is allowed, else 502, and the connection is closed.

Ruled out: chunked bodies; their first line is no status line, so nothing of them was read as a response.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -37,6 +37,14 @@
   set(IPPROTO_TCP, TCP_USER_TIMEOUT, DeadPeerTimeoutMs);
 }
 
+/// Range of the statuses of HTTP, both ends included.
+constexpr auto MinimumStatus = 100U;
+constexpr auto MaximumStatus = 599U;
+
+auto isValid(unsigned Status) -> bool {
+  return Status >= MinimumStatus && Status <= MaximumStatus;
+}
+
 auto isInterim(unsigned Status) -> bool { return Status < 200; }
 
 } // namespace
@@ -137,6 +145,10 @@
     if (ec)
       co_return 0;
     auto status = Impl->Parser->get().result_int();
+    if (!isValid(status)) {
+      log(LogLevel::Warning, "response-status-invalid", {{"status", status}});
+      co_return 0;
+    }
     if (!isInterim(status))
       co_return status;
     Impl->expectResponse();
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -81,7 +81,8 @@
   auto send(HttpRequest const &Request, Duration Timeout) -> Awaitable<bool>;
 
   /// Reads the header section of the response, skipping a few interim
-  /// responses. Returns the status, or 0 on errors.
+  /// responses. Returns the status, or 0 on errors and, with a log line, if the
+  /// status is out of range.
   auto readHeader(Duration Timeout) -> Awaitable<unsigned>;
 
   /// Prepares for the next response on the connection, for example after a
--- a/Tests/LibGateway/TestBrokenResponses.cpp
+++ b/Tests/LibGateway/TestBrokenResponses.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+/// As long as its placeholder, so that bodies with it keep their length.
+constexpr auto RequestId = "r-1";
 /// Larger than what the sockets of both sides keep while a server does not
 /// read.
 constexpr auto UploadBytes = std::size_t{16} << 20U;
@@ -49,18 +51,55 @@
 /// connection if \p IsKept. Returns its result.
 auto requestFrom(RunningGateway &Gateway, KeepAliveServer &Server,
                  std::string_view Route, ScriptedResponse Response, bool IsKept,
-                 std::string_view Body) -> HttpResult {
+                 std::string_view Body = "body") -> HttpResult {
   auto const route = std::string(Route);
   if (IsKept) {
     Server.setResponses({success(Route)});
     (void)Gateway.request(route, {{"Attempt-Id", "earlier"}});
   }
   Server.setResponses({std::move(Response)});
-  auto result = Gateway.request(route, {{"Attempt-Id", "r1"}}, Body);
+  auto result = Gateway.request(route, {{"Attempt-Id", RequestId}}, Body);
   cr_assert_geq(Server.requests(), 1U, "%s", route.c_str());
   return result;
 }
 
+/// Returns a body that reads like a successful response to the same request.
+auto successAsBody(std::string_view Route) -> std::string {
+  auto const body = successBody(Route);
+  return fmt::format("{}Content-Length: {}\r\n\r\n{}", successHead(Route),
+                     body.size(), body);
+}
+
+/// Returns the responses that begin with \p Head and have \p Body, one in each
+/// framing.
+auto inEachFraming(std::string_view Head, std::string_view Body)
+    -> std::vector<ScriptedResponse> {
+  return {
+      {fmt::format("{}Content-Length: {}\r\n\r\n{}", Head, Body.size(), Body)},
+      {fmt::format("{}Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n"
+                   "0\r\n\r\n",
+                   Head, Body.size(), Body)},
+      {fmt::format("{}\r\n{}", Head, Body), true}};
+}
+
+/// Checks that no response to a request on \p Route that begins with \p Head
+/// reaches the caller, whatever its body and framing.
+auto assertNotForwarded(RunningGateway &Gateway, KeepAliveServer &Server,
+                        std::string_view Route, std::string_view Head) -> void {
+  for (auto const &body :
+       {std::string{}, std::string("FAULT"), successAsBody(Route)}) {
+    for (auto const &response : inEachFraming(Head, body)) {
+      for (auto isKept : {false, true}) {
+        auto const result =
+            requestFrom(Gateway, Server, Route, response, isKept);
+        // The instance answers with 502 unless the header was sent before.
+        cr_expect(!result.Response || status(result) == 502, "%u, kept %d: %s",
+                  status(result), isKept, response.Text.c_str());
+      }
+    }
+  }
+}
+
 } // namespace
 
 // Regression test: what had arrived of the body reached the caller as a
@@ -108,4 +147,16 @@
   }
 }
 
+// Regression test: the body of such a response was read as the response.
+Test(BrokenResponses, InvalidStatusIsNotForwarded) {
+  auto server = KeepAliveServer({address(ScriptedPort)}, {success(Bookings)});
+  auto gateway = RunningGateway("", prepareRoutes({ScriptedPort}));
+  for (auto const *route : AllRoutes) {
+    for (auto const *status : {"000", "042", "099", "600", "999"})
+      assertNotForwarded(
+          gateway, server, route,
+          successHead(route, fmt::format("HTTP/1.1 {} Status", status)));
+  }
+}
+
 } // namespace dotterel::test
--- a/Tests/LibNet/TestHttpClient.cpp
+++ b/Tests/LibNet/TestHttpClient.cpp
@@ -166,4 +166,42 @@
   }
 }
 
+// Regression test: a status below 100 was skipped like an interim response, and
+// its body was read as the response.
+Test(HttpClient, InvalidStatusIsNoResponse) {
+  auto const inner =
+      std::string("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nFAULT");
+  for (auto const *status :
+       {"000", "001", "007", "042", "099", "600", "700", "999"}) {
+    for (auto const &body : {std::string{}, std::string("FAULT"), inner}) {
+      for (auto const &rest :
+           {fmt::format("Content-Length: {}\r\n\r\n{}", body.size(), body),
+            fmt::format("Transfer-Encoding: chunked\r\n\r\n{}0\r\n\r\n",
+                        body.empty()
+                            ? ""
+                            : fmt::format("{:x}\r\n{}\r\n", body.size(), body)),
+            "\r\n" + body}) {
+        for (auto const *interim : {"", "HTTP/1.1 100 Continue\r\n\r\n"}) {
+          auto const response =
+              fmt::format("{}HTTP/1.1 {} Status\r\n{}", interim, status, rest);
+          auto const reception = receiveFrom({response});
+          cr_expect_eq(reception.Status, 0U, "%s", response.c_str());
+          cr_expect_not(reception.IsComplete, "%s", response.c_str());
+        }
+      }
+    }
+  }
+}
+
+Test(HttpClient, InterimResponsesAreSkipped) {
+  for (auto const *status : {"100", "102", "103", "199"}) {
+    auto const reception = receiveFrom(
+        {fmt::format("HTTP/1.1 {} Interim\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\n"
+                     "Content-Length: 4\r\n\r\nbody",
+                     status)});
+    cr_expect_eq(reception.Status, 200U, "%s", status);
+    cr_expect(reception.Body == "body", "%s", status);
+  }
+}
+
 } // namespace dotterel::test
