LibNet: Don't read on after a switch of protocols

Cause: 101 was skipped like the other interim responses. It ends HTTP on the connection, and no request asks for it (Upgrade is not forwarded).

Change: it fails the response like a status out of range.

Evidence, tests without the change: HttpClient:: SwitchOfProtocolsIsNoInterimResponse fails; BrokenResponses:: SwitchOfProtocolsIsNotForwarded gets a 200 in 16 of 72 forms and a 504 after the route's timeout in 16 more, on all kinds of routes. Both pass with it.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -40,9 +40,13 @@
 /// Range of the statuses of HTTP, both ends included.
 constexpr auto MinimumStatus = 100U;
 constexpr auto MaximumStatus = 599U;
+constexpr auto SwitchingProtocolsStatus = 101U;
 
-auto isValid(unsigned Status) -> bool {
-  return Status >= MinimumStatus && Status <= MaximumStatus;
+/// Returns whether a response may have \p Status. No request asks for another
+/// protocol.
+auto isExpected(unsigned Status) -> bool {
+  return Status >= MinimumStatus && Status <= MaximumStatus &&
+         Status != SwitchingProtocolsStatus;
 }
 
 auto isInterim(unsigned Status) -> bool { return Status < 200; }
@@ -145,7 +149,7 @@
     if (ec)
       co_return 0;
     auto status = Impl->Parser->get().result_int();
-    if (!isValid(status)) {
+    if (!isExpected(status)) {
       log(LogLevel::Warning, "response-status-invalid", {{"status", status}});
       co_return 0;
     }
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -82,7 +82,7 @@
 
   /// Reads the header section of the response, skipping a few interim
   /// responses. Returns the status, or 0 on errors and, with a log line, if the
-  /// status is out of range.
+  /// status is out of range or 101.
   auto readHeader(Duration Timeout) -> Awaitable<unsigned>;
 
   /// Prepares for the next response on the connection, for example after a
--- a/Tests/LibGateway/TestBrokenResponses.cpp
+++ b/Tests/LibGateway/TestBrokenResponses.cpp
@@ -159,4 +159,14 @@
   }
 }
 
+// Regression test: no request asks for another protocol, and what followed was
+// read as the response.
+Test(BrokenResponses, SwitchOfProtocolsIsNotForwarded) {
+  auto server = KeepAliveServer({address(ScriptedPort)}, {success(Bookings)});
+  auto gateway = RunningGateway("", prepareRoutes({ScriptedPort}));
+  for (auto const *route : AllRoutes)
+    assertNotForwarded(gateway, server, route,
+                       successHead(route, "HTTP/1.1 101 Switching Protocols"));
+}
+
 } // namespace dotterel::test
--- a/Tests/LibNet/TestHttpClient.cpp
+++ b/Tests/LibNet/TestHttpClient.cpp
@@ -193,6 +193,18 @@
   }
 }
 
+// Regression test: what followed was read as the response.
+Test(HttpClient, SwitchOfProtocolsIsNoInterimResponse) {
+  auto const next =
+      std::string("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nFAULT");
+  for (auto const *fields : {"", "Connection: upgrade\r\nUpgrade: other\r\n"}) {
+    auto const reception = receiveFrom({fmt::format(
+        "HTTP/1.1 101 Switching Protocols\r\n{}\r\n{}", fields, next)});
+    cr_expect_eq(reception.Status, 0U, "%s", fields);
+    cr_expect_not(reception.IsComplete, "%s", fields);
+  }
+}
+
 Test(HttpClient, InterimResponsesAreSkipped) {
   for (auto const *status : {"100", "102", "103", "199"}) {
     auto const reception = receiveFrom(
