LibNet: Reject responses with folded header lines

Seen by callers: a server in trouble sent a response in whose head the name of a field held a blank or a control byte. The caller got it as a response, with that line passed on or with a body that was not the server's.

Cause: a line that begins with a blank or a tab continues the value of the line before it (obs-fold). The parser joins the two, so the line was passed on as a part of that value, and a length or coding in it did not count: a body sent in chunks reached the caller with its chunk sizes.

Change: HttpConnection reads header sections itself, step by step with the same parser, and fails on a folded line. RFC 9112, section 5.2, leaves a gateway the choice between that (502) and joining the lines.

Ruled out: a blank or control byte inside a name or before its colon, and a blank at the start of the first field. The parser rejects them; tests kept. In trailers they end the response or are dropped, and the body stays what the chunks say; test kept.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -49,6 +49,13 @@
          Status != SwitchingProtocolsStatus;
 }
 
+/// Returns whether a line of \p Head begins with a blank, which continues the
+/// value of the line before it.
+auto hasFoldedLine(std::string_view Head) -> bool {
+  return Head.find("\n ") != std::string_view::npos ||
+         Head.find("\n\t") != std::string_view::npos;
+}
+
 auto isInterim(unsigned Status) -> bool { return Status < 200; }
 
 } // namespace
@@ -64,6 +71,24 @@
     Parser->body_limit(BodyLimit);
   }
 
+  /// Reads one header section. A folded line is an error (RFC 9112, section
+  /// 5.2): the server may mean it as a field of its own.
+  auto readHeader(boost::system::error_code &ec) -> Awaitable<void> {
+    while (true) {
+      auto const buf = Buffer.data();
+      auto const n = Parser->put(buf, ec);
+      if (hasFoldedLine({static_cast<char const *>(buf.data()), n}))
+        ec = http::error::bad_field;
+      Buffer.consume(n);
+      if (ec != http::error::need_more)
+        co_return;
+      Buffer.commit(co_await Stream.async_read_some(
+          Buffer.prepare(ReadBufferBytes), useError(ec)));
+      if (ec)
+        co_return;
+    }
+  }
+
   beast::tcp_stream Stream;
   std::uint64_t BodyLimit = DefaultBodyLimit;
   /// Whether the connection failed during the last request. The error is
@@ -144,8 +169,7 @@
   auto ec = boost::system::error_code{};
   Impl->Stream.expires_after(Timeout);
   for (auto n = 0; n <= MaximumInterimResponses; ++n) {
-    co_await http::async_read_header(Impl->Stream, Impl->Buffer, *Impl->Parser,
-                                     useError(ec));
+    co_await Impl->readHeader(ec);
     if (ec)
       co_return 0;
     auto status = Impl->Parser->get().result_int();
--- a/Tests/LibGateway/TestBrokenResponses.cpp
+++ b/Tests/LibGateway/TestBrokenResponses.cpp
@@ -169,4 +169,20 @@
                        successHead(route, "HTTP/1.1 101 Switching Protocols"));
 }
 
+// Regression test: a line that begins with a blank was appended to the value
+// before it and passed on, and the length or coding in it did not count.
+Test(BrokenResponses, BlankOrControlByteInAFieldNameIsNotForwarded) {
+  auto server = KeepAliveServer({address(ScriptedPort)}, {success(Bookings)});
+  auto gateway = RunningGateway("", prepareRoutes({ScriptedPort}));
+  for (auto const *route : AllRoutes) {
+    for (auto const *line :
+         {" X-Field: v", "\tX-Field: v", " \t", " Content-Length: 2",
+          "\tTransfer-Encoding: chunked", "X Field: v", "X-Field : v",
+          "X-Field\t: v", "X\x01-Field: v", "\x7fX-Field: v",
+          "Content-Length : 2", "Transfer-Encoding : chunked"})
+      assertNotForwarded(gateway, server, route,
+                         fmt::format("{}{}\r\n", successHead(route), line));
+  }
+}
+
 } // namespace dotterel::test
--- a/Tests/LibNet/TestHttpClient.cpp
+++ b/Tests/LibNet/TestHttpClient.cpp
@@ -216,4 +216,56 @@
   }
 }
 
+// Regression test: a line that begins with a blank was appended to the value
+// before it, so that its length or coding did not count.
+Test(HttpClient, BlankOrControlByteInAFieldNameIsNoResponse) {
+  auto bytes = std::string("\x7f");
+  for (auto n = 0; n <= ' '; ++n)
+    bytes += static_cast<char>(n);
+  for (auto const &field :
+       {std::string("X-Field: v"), std::string("Content-Length: 4"),
+        std::string("Transfer-Encoding: chunked")}) {
+    for (auto byte : bytes) {
+      for (auto at :
+           {std::size_t{0}, std::size_t{1}, field.find('-'), field.find(':')}) {
+        auto line = field;
+        line.insert(at, 1, byte);
+        for (auto const &head :
+             {line + "\r\nA: b\r\n", "A: b\r\n" + line + "\r\n",
+              "A: b\r\n" + line + "\r\nContent-Length: 4\r\n"}) {
+          auto const reception =
+              receiveFrom({fmt::format("HTTP/1.1 200 OK\r\n{}\r\nbody", head)});
+          cr_expect_eq(reception.Status, 0U, "byte %d at %zu: %s", byte, at,
+                       head.c_str());
+        }
+      }
+    }
+  }
+}
+
+Test(HttpClient, BlanksOutsideOfFieldNamesAreAllowed) {
+  auto const reception =
+      receiveFrom({"HTTP/1.1 200 OK\r\nA:  b c\t \r\nContent-Length: 7\r\n"
+                   "\r\n \n x\n\ty"});
+  cr_assert_eq(reception.Status, 200U);
+  cr_assert(reception.IsComplete);
+  cr_assert(reception.Body == " \n x\n\ty");
+}
+
+// Fields of trailers are not passed on, and tell nothing about the body.
+Test(HttpClient, BlankOrControlByteInATrailerChangesNoBody) {
+  for (auto const *line :
+       {" X-Field: v", "\tX-Field: v", "X Field: v", "X-Field : v",
+        "X\x01-Field: v", " Content-Length: 2", "Content-Length : 2"}) {
+    for (auto const *before : {"", "A: b\r\n"}) {
+      auto const reception = receiveFrom(
+          {fmt::format("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                       "4\r\nbody\r\n0\r\n{}{}\r\n\r\n",
+                       before, line)});
+      cr_expect_eq(reception.Status, 200U, "%s", line);
+      cr_expect(reception.Body == "body", "%s", line);
+    }
+  }
+}
+
 } // namespace dotterel::test
