--- a/Tests/LibGateway/KeepAliveServer.h
+++ b/Tests/LibGateway/KeepAliveServer.h
@@ -82,6 +82,12 @@
     return it == Runs.end() ? 0 : it->second;
   }
 
+  /// Returns the header section of the last request.
+  [[nodiscard]] auto lastHeader() const -> std::string {
+    auto lock = std::lock_guard(Mutex);
+    return LastHeader;
+  }
+
 private:
   auto accept(asio::ip::tcp::acceptor &Acceptor) -> Awaitable<void> {
     while (true) {
@@ -101,7 +107,7 @@
       if (ec)
         break;
       auto const id = field(header, "Attempt-Id");
-      auto const response = next(id);
+      auto const response = next(id, header);
       if (!response.ResetsUpload)
         co_await skipBody(Socket, header, input, ec);
       if (ec)
@@ -121,8 +127,10 @@
     Socket.close(ec);
   }
 
-  auto next(std::string const &Id) -> ScriptedResponse {
+  auto next(std::string const &Id, std::string const &Header)
+      -> ScriptedResponse {
     auto lock = std::lock_guard(Mutex);
+    LastHeader = Header;
     auto const &response =
         Responses[std::min(Requests++, Responses.size() - 1)];
     Runs[Id] += response.Runs ? 1 : 0;
@@ -165,6 +173,7 @@
   std::vector<ScriptedResponse> Responses;
   std::size_t Requests = 0;
   std::map<std::string, unsigned> Runs;
+  std::string LastHeader;
   asio::io_context Context{1};
   std::vector<std::unique_ptr<asio::ip::tcp::acceptor>> Acceptors;
   std::thread Thread;
--- a/Tests/LibGateway/ScriptedRoutes.cpp
+++ b/Tests/LibGateway/ScriptedRoutes.cpp
@@ -21,9 +21,10 @@
   return Route == Streams || Route == ResumableStreams;
 }
 
-auto prepareRoutes(std::vector<int> const &Ports, unsigned MaximumServers)
+auto prepareRoutes(std::vector<int> const &Ports, unsigned MaximumServers,
+                   std::string const &ServiceFields)
     -> std::function<void(FakePlatform &)> {
-  return [Ports, MaximumServers](FakePlatform &Platform) {
+  return [Ports, MaximumServers, ServiceFields](FakePlatform &Platform) {
     Platform.putObject(
         "config", "main",
         objectText(
@@ -31,11 +32,12 @@
             fmt::format(
                 R"({{"version":4,"routes":[{},{},{},{}],)"
                 R"("limits":{{"max_body_bytes":33554432}},)"
-                R"("services":[{{"name":"s1","max_conns":100}}]}})",
+                R"("services":[{{"name":"s1","max_conns":100{}}}]}})",
                 route(Bookings, "non_idempotent", false, MaximumServers),
                 route(Lookups, "idempotent", false, MaximumServers),
                 route(Streams, "streaming", false, MaximumServers),
-                route(ResumableStreams, "streaming", true, MaximumServers))));
+                route(ResumableStreams, "streaming", true, MaximumServers),
+                ServiceFields)));
     auto n = 1;
     for (auto it : Ports) {
       auto const name = fmt::format("i-{}", n++);
--- a/Tests/LibGateway/ScriptedRoutes.h
+++ b/Tests/LibGateway/ScriptedRoutes.h
@@ -24,10 +24,11 @@
 
 [[nodiscard]] auto isStream(std::string_view Route) -> bool;
 
-/// Returns what prepares a gateway whose service has servers at \p Ports, and
-/// whose routes may try \p MaximumServers.
+/// Returns what prepares a gateway whose service has servers at \p Ports and
+/// \p ServiceFields, and whose routes may try \p MaximumServers.
 [[nodiscard]] auto prepareRoutes(std::vector<int> const &Ports,
-                                 unsigned MaximumServers = 2)
+                                 unsigned MaximumServers = 2,
+                                 std::string const &ServiceFields = "")
     -> std::function<void(FakePlatform &)>;
 
 /// Returns the body of a successful response: two events on routes of streams.
