--- a/Libraries/LibTest/ScriptedServer.h
+++ b/Libraries/LibTest/ScriptedServer.h
@@ -37,6 +37,8 @@
   std::string Repeated{};
   /// Responds before the body of the request has arrived, and never reads it.
   bool IsEarly = false;
+  /// Writes the response in packets of one byte, with pauses between them.
+  bool IsSplit = false;
 };
 
 /// Plays one script on each connection until destroyed, on a thread of its own.
@@ -75,6 +77,8 @@
 private:
   /// Longer than any client waits.
   static constexpr auto MaximumStall = Duration{60s};
+  /// Above the time in which a client reads a packet.
+  static constexpr auto SplitPause = Duration{1ms};
 
   auto accept() -> Awaitable<void> {
     while (true) {
@@ -89,7 +93,9 @@
   auto play(asio::ip::tcp::socket &Socket, Script Current) -> Awaitable<void> {
     auto ec = boost::system::error_code{};
     co_await readRequest(Socket, Current.IsEarly, ec);
-    if (!ec)
+    if (Current.IsSplit)
+      co_await writeSplit(Socket, Current.Response, ec);
+    else if (!ec)
       co_await write(Socket, Current.Response, ec);
     while (!ec && Current.End == ConnectionEnd::Repeat)
       co_await write(Socket, Current.Repeated, ec);
@@ -126,6 +132,17 @@
                                 useError(ec));
   }
 
+  auto writeSplit(asio::ip::tcp::socket &Socket, std::string const &Bytes,
+                  boost::system::error_code &ec) -> Awaitable<void> {
+    Socket.set_option(asio::ip::tcp::no_delay(true), ec);
+    for (auto it : Bytes) {
+      if (ec)
+        co_return;
+      co_await write(Socket, std::string(1, it), ec);
+      co_await sleepFor(SplitPause);
+    }
+  }
+
   auto write(asio::ip::tcp::socket &Socket, std::string const &Bytes,
              boost::system::error_code &ec) -> Awaitable<void> {
     BytesSent +=
--- a/Tests/LibNet/TestHttpClient.cpp
+++ b/Tests/LibNet/TestHttpClient.cpp
@@ -243,6 +243,27 @@
   }
 }
 
+// The end of a line is known only once the next byte has arrived.
+Test(HttpClient, HeadInPacketsOfOneByteIsReadAlike) {
+  auto receiveSplit = [](std::string_view Head) {
+    return receiveFrom({fmt::format("{}\r\n\r\nbody", Head),
+                        ConnectionEnd::Close, "", false, true});
+  };
+  for (auto const *head :
+       {"HTTP/1.1 200 OK\r\nA: b\r\n X-Field: v",
+        "HTTP/1.1 200 OK\r\nA: b\r\n\tContent-Length: 2",
+        "HTTP/1.1 200 OK\r\nX Field: v", "HTTP/1.1 200 OK\r\nX-Field : v",
+        "HTTP/1.1 000 Status\r\nContent-Length: 4",
+        "HTTP/1.1 101 Switching Protocols\r\nA: b"})
+    cr_expect_eq(receiveSplit(head).Status, 0U, "%s", head);
+  auto const reception =
+      receiveSplit("HTTP/1.1 100 Continue\r\nA: b\r\n\r\n"
+                   "HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 4");
+  cr_assert_eq(reception.Status, 200U);
+  cr_assert(reception.IsComplete);
+  cr_assert(reception.Body == "body");
+}
+
 Test(HttpClient, BlanksOutsideOfFieldNamesAreAllowed) {
   auto const reception =
       receiveFrom({"HTTP/1.1 200 OK\r\nA:  b c\t \r\nContent-Length: 7\r\n"
