LibNet, Tests: Say more plainly when a connection has failed

Comments of the fix for resets during the upload. An empty body in chunks is one last chunk in the tests of broken responses; it had a second one.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -91,8 +91,8 @@
 
   beast::tcp_stream Stream;
   std::uint64_t BodyLimit = DefaultBodyLimit;
-  /// Whether the connection failed during the last request. The error is
-  /// reported once: the reads that follow see an orderly end.
+  /// Whether the connection failed while the last request was sent. The kernel
+  /// reports the error once: the reads that follow see an orderly end.
   bool HasFailed = false;
   beast::flat_buffer Buffer;
   std::optional<http::response_parser<http::buffer_body>> Parser;
@@ -139,8 +139,8 @@
   auto ec = boost::system::error_code{};
   Impl->Stream.expires_after(Timeout);
   co_await http::async_write(Impl->Stream, message, useError(ec));
-  // The pipe is broken if the server ended its side in order before it reset
-  // the connection.
+  // A broken pipe is no such failure: the server ended its side in order before
+  // it reset the connection.
   Impl->HasFailed = ec && ec != asio::error::broken_pipe;
   co_return !ec;
 }
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -111,7 +111,8 @@
   auto readSome(std::string &Out, Duration Timeout) -> Awaitable<bool>;
 
   /// Returns whether the response has been read completely. A body that lasts
-  /// until the server closes is never complete if the connection failed.
+  /// until the server closes is never complete if the connection failed
+  /// while the request was sent.
   [[nodiscard]] auto isComplete() const -> bool;
 
   /// Returns whether the connection can carry another exchange: the response
--- a/Tests/LibGateway/TestBrokenResponses.cpp
+++ b/Tests/LibGateway/TestBrokenResponses.cpp
@@ -74,11 +74,12 @@
 /// framing.
 auto inEachFraming(std::string_view Head, std::string_view Body)
     -> std::vector<ScriptedResponse> {
+  auto const chunk =
+      Body.empty() ? "" : fmt::format("{:x}\r\n{}\r\n", Body.size(), Body);
   return {
       {fmt::format("{}Content-Length: {}\r\n\r\n{}", Head, Body.size(), Body)},
-      {fmt::format("{}Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n"
-                   "0\r\n\r\n",
-                   Head, Body.size(), Body)},
+      {fmt::format("{}Transfer-Encoding: chunked\r\n\r\n{}0\r\n\r\n", Head,
+                   chunk)},
       {fmt::format("{}\r\n{}", Head, Body), true}};
 }
 
