--- /dev/null
+++ b/review/standin-3/Main.cpp
@@ -0,0 +1,26 @@
+// Runs one case: standin-3 CASE FOLDER RECORD.
+#include "Cases.h"
+
+#include <cstdio>
+#include <exception>
+#include <map>
+#include <unistd.h>
+
+auto main(int Count, char **Arguments) -> int {
+  using Case = int (*)(std::string const &, std::string const &);
+  auto const cases =
+      std::map<std::string, Case>{{"drain", review::runDrain},
+                                  {"crowd", review::runCrowd},
+                                  {"leavers", review::runLeavers}};
+  constexpr auto CannotRun = 2;
+  if (Count != 4 || !cases.contains(Arguments[1]))
+    return CannotRun;
+  auto result = CannotRun;
+  try {
+    result = cases.at(Arguments[1])(Arguments[2], Arguments[3]);
+  } catch (std::exception const &error) {
+    std::fprintf(stderr, "%s\n", error.what());
+  }
+  // Threads of stand-ins still run.
+  ::_exit(result);
+}
