--- a/review/standin-3/Cases.h
+++ b/review/standin-3/Cases.h
@@ -17,4 +17,13 @@
 [[nodiscard]] auto runLeavers(std::string const &Folder,
                               std::string const &RecordPath) -> int;
 
+[[nodiscard]] auto runTrailers(std::string const &Folder,
+                               std::string const &RecordPath) -> int;
+
+[[nodiscard]] auto runMisroute(std::string const &Folder,
+                               std::string const &RecordPath) -> int;
+
+[[nodiscard]] auto runSmuggle(std::string const &Folder,
+                              std::string const &RecordPath) -> int;
+
 } // namespace review
--- a/review/standin-3/Relay.cpp
+++ b/review/standin-3/Relay.cpp
@@ -193,6 +193,15 @@
   return text;
 }
 
+auto chunkedRequest(std::string const &Host, std::string const &Path,
+                    std::string const &Id, std::int64_t DeadlineMs,
+                    std::string const &MoreFields) -> std::string {
+  return "POST " + Path + " HTTP/1.1\r\nHost: " + Host +
+         "\r\nAttempt-Id: " + Id +
+         "\r\nDeadline-Ms: " + std::to_string(DeadlineMs) + "\r\n" +
+         MoreFields + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n";
+}
+
 auto promptField(int Number, int Ids) -> std::string {
   // The limit is 16,384 bytes for all fields.
   constexpr auto LongBytes = std::size_t{15900};
--- a/review/standin-3/Relay.h
+++ b/review/standin-3/Relay.h
@@ -98,6 +98,11 @@
   [[nodiscard]] auto call(std::string const &Request, std::int64_t TimeoutMs)
       -> Outcome;
 
+  /// Returns whether something arrived after the last answer.
+  [[nodiscard]] auto hasUnexpectedInput() const -> bool {
+    return !Buffer.empty() || (Connection.isOpen() && hasInput(Connection));
+  }
+
 private:
   Address Target;
   Socket Connection;
@@ -110,6 +115,14 @@
                                std::int64_t DeadlineMs,
                                std::string const &MoreFields) -> std::string;
 
+/// Returns the start of a request whose body is sent in chunks: all but its
+/// trailer and the blank line that ends it.
+[[nodiscard]] auto chunkedRequest(std::string const &Host,
+                                  std::string const &Path,
+                                  std::string const &Id,
+                                  std::int64_t DeadlineMs,
+                                  std::string const &MoreFields) -> std::string;
+
 /// Returns the field that lists the parts of a prompt, with ids below \p Ids.
 /// It fills the head of the request to just below the site's limit, or has a
 /// few parts if the case runs without its disruption.
