--- a/review/standin-3/Cases.h
+++ b/review/standin-3/Cases.h
@@ -11,19 +11,13 @@
 [[nodiscard]] auto runDrain(std::string const &Folder,
                             std::string const &RecordPath) -> int;
 
-[[nodiscard]] auto runCrowd(std::string const &Folder,
-                            std::string const &RecordPath) -> int;
+[[nodiscard]] auto runMisroute(std::string const &Folder,
+                               std::string const &RecordPath) -> int;
 
-[[nodiscard]] auto runLeavers(std::string const &Folder,
-                              std::string const &RecordPath) -> int;
+[[nodiscard]] auto runCoding(std::string const &Folder,
+                             std::string const &RecordPath) -> int;
 
 [[nodiscard]] auto runTrailers(std::string const &Folder,
                                std::string const &RecordPath) -> int;
 
-[[nodiscard]] auto runMisroute(std::string const &Folder,
-                               std::string const &RecordPath) -> int;
-
-[[nodiscard]] auto runSmuggle(std::string const &Folder,
-                              std::string const &RecordPath) -> int;
-
 } // namespace review
--- a/review/standin-3/Main.cpp
+++ b/review/standin-3/Main.cpp
@@ -8,10 +8,11 @@
 
 auto main(int Count, char **Arguments) -> int {
   using Case = int (*)(std::string const &, std::string const &);
-  auto const cases = std::map<std::string, Case>{
-      {"drain", review::runDrain},       {"crowd", review::runCrowd},
-      {"leavers", review::runLeavers},   {"trailers", review::runTrailers},
-      {"misroute", review::runMisroute}, {"smuggle", review::runSmuggle}};
+  auto const cases =
+      std::map<std::string, Case>{{"drain", review::runDrain},
+                                  {"misroute", review::runMisroute},
+                                  {"coding", review::runCoding},
+                                  {"trailers", review::runTrailers}};
   constexpr auto CannotRun = 2;
   if (Count != 4 || !cases.contains(Arguments[1]))
     return CannotRun;
--- a/review/standin-3/Servers.h
+++ b/review/standin-3/Servers.h
@@ -38,6 +38,9 @@
 
   /// Time that a run takes.
   auto setWork(std::int64_t Ms) -> void { WorkMs = Ms; }
+  /// Spoils each answer whose number is a multiple of \p Interval: it says that
+  /// its body has another coding than chunks, and ends with its channel.
+  auto spoilAnswers(int Interval) -> void { SpoilInterval = Interval; }
   /// Leaves without a notice: the entry is removed, heartbeats end, and
   /// requests are still run. Returns the time of the removal.
   auto removeEntry() -> std::int64_t;
@@ -65,6 +68,9 @@
                                       Socket const &Connection) -> bool;
   [[nodiscard]] auto stream(Socket const &Connection, std::string const &Id)
       -> bool;
+  /// Sends the answer of a plain server.
+  [[nodiscard]] auto answerPlainly(Socket const &Connection,
+                                   std::string const &Id) -> bool;
   /// Works for \p Ms. Returns false if the caller left or the server crashed.
   [[nodiscard]] auto work(Socket const &Connection, std::int64_t Ms) const
       -> bool;
@@ -80,6 +86,8 @@
   std::atomic<int> Heartbeats = 0;
   std::atomic<int> Running = 0;
   std::atomic<int> OrdersTaken = 0;
+  std::atomic<int> SpoilInterval = 0;
+  std::atomic<int> Answers = 0;
   std::atomic<bool> IsListed = true;
   std::atomic<bool> HasCrashed = false;
   mutable std::mutex Mutex;
